Add a thin whole path from operator to upstream

Cause: nothing ran yet. Change: node and control roles, signed call context, permits, gossip, documents, command line, stand-in upstreams and a test with real processes in which a put document is spread, upstreams announce themselves and calls cross two services.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiments that run on loopback."""
--- /dev/null
+++ b/bench/client.py
@@ -0,0 +1,106 @@
+"""A small HTTP client with kept connections for load and stand-ins."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
+from tornado.iostream import StreamClosedError
+
+from figpick._connections import PARAMETERS, ConnectionPool
+
+
+class Answer(NamedTuple):
+    """A whole answer, or the lack of one.
+
+    :param status: HTTP status; 0 when there was no whole answer.
+    """
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+    @property
+    def outcome(self):
+        """Value of ``Figpick-Outcome``, empty for an answer of an upstream."""
+        return self.headers.get("Figpick-Outcome", "")
+
+
+class HttpClient:
+    """Sends requests over kept connections."""
+
+    def __init__(self):
+        self._pools = {}
+
+    async def request(self, address, method, path, headers=(), body=b"", timeout_s=30):
+        """Sends a request.
+
+        :param address: ``ip:port``.
+        :param headers: mapping or pairs of headers.
+        :param timeout_s: seconds after which the connection is closed.
+        :return: :class:`Answer`; its status is 0 when no whole answer came.
+        """
+        pool = self._pools.setdefault(address, ConnectionPool(address))
+        connection = None
+        collector = _Collector()
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = pool.take_idle(time.monotonic())
+                if connection is None:
+                    connection = await pool.connect(time.monotonic())
+                await _send(connection, method, path, headers, body, collector)
+        except (StreamClosedError, TimeoutError):
+            collector.complete = False
+        except asyncio.CancelledError:
+            if connection is not None:
+                connection.close()
+            raise
+        if collector.complete and not collector.closing:
+            pool.put_back(connection, time.monotonic())
+        elif connection is not None:
+            connection.close()
+        return collector.answer()
+
+    def close(self):
+        """Closes the idle connections."""
+        for pool in self._pools.values():
+            pool.close_idle()
+
+
+async def _send(connection, method, path, headers, body, collector):
+    http = HTTP1Connection(connection.stream, True, PARAMETERS)
+    all_headers = HTTPHeaders(headers)
+    if body or method in ("POST", "PUT", "PATCH"):
+        all_headers["Content-Length"] = str(len(body))
+    start_line = RequestStartLine(method, path, "HTTP/1.1")
+    http.write_headers(start_line, all_headers, body or None)
+    http.finish()
+    await http.read_response(collector)
+
+
+class _Collector(HTTPMessageDelegate):
+    def __init__(self):
+        self.complete = False
+        self.closing = False
+        self._status = 0
+        self._headers = HTTPHeaders()
+        self._chunks = []
+
+    def headers_received(self, start_line, headers):
+        self._status = start_line.code
+        self._headers = headers
+        self.closing = headers.get("Connection", "").lower() == "close"
+
+    def data_received(self, chunk):
+        self._chunks.append(chunk)
+
+    def finish(self):
+        self.complete = True
+
+    def on_connection_close(self):
+        self.complete = False
+
+    def answer(self):
+        status = self._status if self.complete else 0
+        return Answer(status, self._headers, b"".join(self._chunks))
--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,275 @@
+"""Starts control processes, nodes and stand-in upstreams on loopback."""
+
+import asyncio
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from bench.client import HttpClient
+from figpick._auth import Authenticator
+from figpick._clock import Clock
+from figpick._errors import PeerError
+from figpick._transport import PeerClient
+
+KEY = "a key for tests on loopback"
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 10.0
+
+
+class ServiceSpec(NamedTuple):
+    """A service of a cluster.
+
+    :param document: service document.
+    :param routes: routes of its stand-ins.
+    :param servers: number of hosts, each with a node and a stand-in.
+    """
+
+    document: dict
+    routes: list
+    servers: int
+    slots: int
+    connections: int = 1000
+    shed: bool = False
+
+    @property
+    def name(self):
+        """Name of the service."""
+        return self.document["service"]
+
+
+class Host(NamedTuple):
+    """Addresses of one host of a service."""
+
+    name: str
+    service: str
+    call_address: str
+    peer_address: str
+    upstream_address: str
+
+
+def free_address(ip="127.0.0.1"):
+    """Gives an ``ip:port`` that no process listens on."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return f"{ip}:{probe.getsockname()[1]}"
+
+
+class Cluster:
+    """Processes of one deployment; use as an async context manager.
+
+    :param services: list of :class:`ServiceSpec`.
+    :param controls: number of control processes.
+    :param data_centers: number of data centres over which hosts are spread.
+    """
+
+    def __init__(self, services, controls=1, data_centers=3):
+        self._services = services
+        self._data_centers = data_centers
+        self._folder = tempfile.TemporaryDirectory(prefix="figpick-")
+        self._processes = {}
+        self._commands = {}
+        self.client = HttpClient()
+        self.peers = PeerClient(Authenticator(KEY), Clock())
+        self.controls = [
+            {"name": f"control-{number}", "address": free_address()}
+            for number in range(1, controls + 1)
+        ]
+        self.hosts = [
+            Host(
+                f"{spec.name}-{number}",
+                spec.name,
+                free_address(),
+                free_address(),
+                free_address(),
+            )
+            for spec in services
+            for number in range(1, spec.servers + 1)
+        ]
+
+    async def __aenter__(self):
+        try:
+            self._start_all()
+            await self._put_documents()
+            await self.wait_until_ready()
+        except BaseException:
+            self.stop_all()
+            raise
+        return self
+
+    async def __aexit__(self, *exception):
+        self.client.close()
+        self.peers.close()
+        await asyncio.to_thread(self.stop_all)
+
+    @property
+    def folder(self):
+        """Folder with settings, logs and data of the processes."""
+        return Path(self._folder.name)
+
+    def entry(self, service):
+        """Lists the call addresses of the nodes of a service."""
+        return [host.call_address for host in self.hosts if host.service == service]
+
+    def pid(self, name):
+        """Gives the process id of a process."""
+        return self._processes[name].pid
+
+    def start(self, name):
+        """Starts a process, also again after it ended."""
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        with log:
+            self._processes[name] = subprocess.Popen(
+                self._commands[name], stdout=log, stderr=log
+            )
+
+    def kill(self, name):
+        """Ends a process without warning."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def terminate(self, name):
+        """Asks a process to shut down."""
+        self._processes[name].terminate()
+
+    def signal(self, name, number):
+        """Sends a signal to a process."""
+        self._processes[name].send_signal(number)
+
+    def exit_code(self, name):
+        """Gives the exit code of a process, ``None`` while it runs."""
+        return self._processes[name].poll()
+
+    def stop_all(self):
+        """Ends every process."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.terminate()
+        limit = time.monotonic() + STOP_TIMEOUT_S
+        for process in self._processes.values():
+            try:
+                process.wait(max(0.1, limit - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    async def put(self, document, base, control=0, change=None):
+        """Changes a service document through a control process."""
+        message = {
+            "document": document,
+            "base": base,
+            "change": change or f"{document['service']}-{base}",
+            "author": "cluster",
+        }
+        address = self.controls[control]["address"]
+        return await self.peers.send(address, "put", message, 10.0)
+
+    async def state(self, address):
+        """Dumps the state of the process at a peer address."""
+        return await self.peers.send(address, "state", {}, 5.0)
+
+    async def wait_until_ready(self):
+        """Waits until each node has every document and can call each service."""
+        await wait_for(self._is_ready, READY_TIMEOUT_S)
+
+    async def steer(self, host, action, body=b""):
+        """Sends a request to the stand-in of a host."""
+        path = f"/standin/{action}"
+        answer = await self.client.request(
+            host.upstream_address, "POST", path, (), body
+        )
+        return msgspec.json.decode(answer.body) if answer.status == 200 else None
+
+    async def _is_ready(self):
+        sizes = {spec.name: spec.servers for spec in self._services}
+        for host in self.hosts:
+            try:
+                state = (await self.state(host.peer_address))["node"]
+            except PeerError:
+                return False
+            for service, servers in sizes.items():
+                upstreams = state["upstreams"].get(service, [])
+                if sum(item["granted"] > 0 for item in upstreams) < servers:
+                    return False
+        return True
+
+    def _start_all(self):
+        for control in self.controls:
+            self._add_control(control)
+        for host in self.hosts:
+            self._add_host(host)
+        for name in self._commands:
+            self.start(name)
+
+    async def _put_documents(self):
+        async def put_all():
+            try:
+                for spec in self._services:
+                    await self.put(spec.document, 0)
+            except PeerError:
+                return False
+            return True
+
+        await wait_for(put_all, READY_TIMEOUT_S)
+
+    def _add_control(self, control):
+        settings = {
+            "name": control["name"],
+            "region": "region-1",
+            "data_center": "dc-1",
+            "roles": ["control"],
+            "peer_address": control["address"],
+            "control": self.controls,
+            "data_folder": str(self.folder / control["name"]),
+            "shared_key": KEY,
+        }
+        self._add_command(control["name"], "figpick", ["run"], settings)
+
+    def _add_host(self, host):
+        number = int(host.name.rpartition("-")[2])
+        settings = {
+            "name": host.name,
+            "region": "region-1",
+            "data_center": f"dc-{(number - 1) % self._data_centers + 1}",
+            "roles": ["node"],
+            "call_address": host.call_address,
+            "peer_address": host.peer_address,
+            "service": host.service,
+            "control": self.controls,
+            "shared_key": KEY,
+        }
+        self._add_command(host.name, "figpick", ["run"], settings)
+        spec = next(spec for spec in self._services if spec.name == host.service)
+        config = {
+            "service": host.service,
+            "address": host.upstream_address,
+            "node_address": host.call_address,
+            "slots": spec.slots,
+            "connections": spec.connections,
+            "routes": spec.routes,
+            "shed": spec.shed,
+            "seed": number,
+        }
+        self._add_command(f"{host.name}-upstream", "bench.standin", [], config)
+
+    def _add_command(self, name, module, arguments, config):
+        path = self.folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(config))
+        self._commands[name] = [sys.executable, "-m", module, *arguments, str(path)]
+
+
+async def wait_for(condition, timeout_s, pause_s=0.05):
+    """Waits until ``await condition()`` is true.
+
+    :raises TimeoutError: when it is not within ``timeout_s`` seconds.
+    """
+    limit = time.monotonic() + timeout_s
+    while not await condition():
+        if time.monotonic() > limit:
+            raise TimeoutError(f"{condition.__name__} was not met in {timeout_s} s")
+        await asyncio.sleep(pause_s)
--- /dev/null
+++ b/src/figpick/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line with ``python -m figpick``."""
+
+from .cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/figpick/_announcements.py
@@ -0,0 +1,38 @@
+"""Announcements by the upstream beside a node."""
+
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+from msgspec import Meta
+
+from . import _schema
+from ._settings import Address, Name
+
+PATH = "/.well-known/figpick/announce"
+LEASE_S = 6.0
+
+
+class Announcement(TypedDict):
+    """What an upstream tells its node.
+
+    :param service: service that the upstream belongs to.
+    :param address: ``ip:port`` on which it takes requests.
+    :param slots: requests that it runs at once.
+    :param connections: connections that it accepts.
+    :param state: ``cold``, ``ready`` or ``draining``.
+    """
+
+    service: Name
+    address: Address
+    slots: Annotated[int, Meta(ge=1, le=100_000)]
+    connections: Annotated[int, Meta(ge=1, le=100_000)]
+    state: NotRequired[Literal["cold", "ready", "draining"]]
+
+
+def parse(data):
+    """Checks an announcement.
+
+    :param data: JSON bytes.
+    :return: :class:`Announcement`.
+    :raises InvalidDocumentError: with every fault found.
+    """
+    return _schema.parse(data, Announcement, "announcement")
--- /dev/null
+++ b/src/figpick/_connections.py
@@ -0,0 +1,121 @@
+"""Pools of client connections.
+
+A connection serves one request at a time and returns to its pool only after the
+whole answer was read, so a late answer cannot reach another request.
+"""
+
+import socket
+
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.iostream import IOStream, StreamClosedError
+
+from ._settings import split_address
+
+CONNECT_TIMEOUT_S = 1.0
+# Devices between two hosts commonly forget connections that stay idle longer.
+MAX_IDLE_S = 30.0
+MAX_BODY_BYTES = 1 << 40
+CHUNK_BYTES = 64 * 1024
+MAX_BUFFER_BYTES = 256 * 1024
+
+PARAMETERS = HTTP1ConnectionParameters(
+    chunk_size=CHUNK_BYTES, max_body_size=MAX_BODY_BYTES
+)
+
+
+class Connection:
+    """One open connection.
+
+    :param stream: connected ``IOStream``.
+    :param answered_at: monotonic seconds of the last whole answer, or of the
+        connect.
+    """
+
+    __slots__ = ("stream", "answered_at", "fresh")
+
+    def __init__(self, stream, answered_at):
+        self.stream = stream
+        self.answered_at = answered_at
+        self.fresh = True
+
+    def close(self):
+        """Closes the connection at once."""
+        self.stream.close()
+
+
+class ConnectionPool:
+    """Connections to one address.
+
+    :param address: ``ip:port``.
+    """
+
+    def __init__(self, address):
+        self.address = address
+        self._target = split_address(address)
+        self._idle = []
+
+    def __repr__(self):
+        return f"<ConnectionPool {self.address} idle {len(self._idle)}>"
+
+    @property
+    def idle_count(self):
+        """Number of idle connections."""
+        return len(self._idle)
+
+    def take_idle(self, now, max_idle_s=MAX_IDLE_S):
+        """Takes the idle connection that answered last.
+
+        :param now: monotonic seconds.
+        :param max_idle_s: most seconds since its last answer.
+        :return: :class:`Connection`, or ``None`` when there is none.
+        """
+        while self._idle:
+            connection = self._idle[-1]
+            if now - connection.answered_at > max_idle_s:
+                if max_idle_s >= MAX_IDLE_S:
+                    self.close_idle()
+                return None
+            self._idle.pop()
+            if not connection.stream.closed():
+                connection.fresh = False
+                return connection
+        return None
+
+    async def connect(self, now):
+        """Opens a connection.
+
+        :param now: monotonic seconds.
+        :return: :class:`Connection`.
+        :raises StreamClosedError: when the address refuses or does not answer
+            within one second.
+        """
+        stream = IOStream(
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM),
+            max_buffer_size=MAX_BUFFER_BYTES,
+        )
+        loop = stream.io_loop
+        timer = loop.call_later(CONNECT_TIMEOUT_S, stream.close)
+        try:
+            await stream.connect(self._target)
+        except OSError as error:
+            raise StreamClosedError(real_error=error) from error
+        finally:
+            loop.remove_timeout(timer)
+        stream.set_nodelay(True)
+        return Connection(stream, now)
+
+    def put_back(self, connection, now):
+        """Returns a connection whose whole answer was read.
+
+        :param now: monotonic seconds.
+        """
+        if connection.stream.closed():
+            return
+        connection.answered_at = now
+        self._idle.append(connection)
+
+    def close_idle(self):
+        """Closes every idle connection."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
--- /dev/null
+++ b/src/figpick/_node.py
@@ -0,0 +1,252 @@
+"""The node role: takes calls and owns the permits of its upstream."""
+
+from functools import partial
+
+from tornado.httpserver import HTTPServer
+
+from . import _announcements, _context, _plans
+from ._calls import CallServer
+from ._connections import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFER_BYTES
+from ._counters import Counters
+from ._documents import Service
+from ._errors import (
+    DrainingError,
+    InvalidDocumentError,
+    RetryBoundError,
+    UnknownServiceError,
+)
+from ._exchange import PermitExchange
+from ._executions import ExecutionTable
+from ._logs import logger
+from ._members import DRAINING, READY
+from ._plans import Moment
+from ._settings import split_address
+from ._upstreams import UpstreamSet
+
+MAX_HEADER_BYTES = 32 * 1024
+
+log = logger("node")
+
+
+class Node:
+    """Takes calls and sends them to upstreams.
+
+    :param settings: :class:`~figpick._settings.Settings`.
+    :param clock: :class:`~figpick._clock.Clock`.
+    :param key: shared key, bytes.
+    :param members: :class:`~figpick._members.Members`.
+    :param client: :class:`~figpick._transport.PeerClient`.
+    """
+
+    def __init__(self, settings, clock, key, members, client):
+        self._settings = settings
+        self.clock = clock
+        self.key = key
+        self.members = members
+        self.counters = Counters()
+        self._services = {}
+        self._upstream_sets = {}
+        self._executions = ExecutionTable()
+        self.exchange = PermitExchange(members, client, clock)
+        self._announced_until = 0.0
+        self._draining = False
+        self._server = None
+        members.listen(self._member_changed)
+
+    @property
+    def versions(self):
+        """Document versions in force, by service."""
+        return {name: service.version for name, service in self._services.items()}
+
+    @property
+    def documents(self):
+        """Documents in force, by service."""
+        return self._services
+
+    def start(self):
+        """Starts to take calls."""
+        ip, port = split_address(self._settings["call_address"])
+        self._server = HTTPServer(
+            CallServer(self),
+            chunk_size=CHUNK_BYTES,
+            max_buffer_size=MAX_BUFFER_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+        )
+        self._server.listen(port, ip)
+
+    async def stop(self):
+        """Stops to take calls and closes the connections of callers."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def adopt(self, document, version):
+        """Puts a service document in force unless a newer one is.
+
+        :param document: checked service document.
+        :param version: its log index.
+        :return: whether it was newer.
+        """
+        name = document["service"]
+        known = self._services.get(name)
+        if known is not None and version <= known.version:
+            return False
+        service = self._services[name] = Service(document, version)
+        upstreams = self._upstream_sets.get(name)
+        if upstreams is None:
+            upstreams = self._upstream_sets[name] = UpstreamSet(service)
+            for member in self.members.of_service(name):
+                upstreams.update(member)
+        upstreams.service = service
+        log.info("Version {} of {} is in force.", version, name)
+        return True
+
+    def plan(self, start_line, headers):
+        """Plans a call from its head.
+
+        :return: :class:`~figpick._plans.CallPlan`.
+        :raises CallError: when the call cannot be planned.
+        """
+        self.counters.calls += 1
+        if self._draining:
+            raise DrainingError("the node is shutting down", retry_after_s=1)
+        start_line, host = _plans.split_target(start_line, headers)
+        service = self._service(host)
+        header = headers.get(_context.HEADER)
+        parent = _context.decode(header, self.key) if header else None
+        now = Moment(self.clock.monotonic(), self.clock.wall())
+        home = self._settings["peer_address"]
+        return _plans.make_plan(service, start_line, headers, parent, home, now)
+
+    def admit(self, plan, body, now):
+        """Decides whether a call may wait for a permit.
+
+        :param body: :class:`~figpick._bodies.RequestBody`.
+        :param now: monotonic seconds.
+        :raises CallError: when it is refused.
+        """
+
+    async def claim(self, plan):
+        """Claims a non-idempotent call before it is sent.
+
+        :raises DuplicateError: when it may have run before.
+        """
+
+    def finish_claim(self, plan, sent, status):
+        """Notes the end of a claimed call.
+
+        :param sent: whether any byte may have reached an upstream.
+        :param status: HTTP status of the whole answer, 0 without one.
+        """
+
+    def report_break(self, plan, body, upstream, now):
+        """Notes that a connection broke while a call was in flight on it.
+
+        :param body: :class:`~figpick._bodies.RequestBody`.
+        :param upstream: :class:`~figpick._upstreams.Upstream`.
+        :param now: monotonic seconds.
+        """
+
+    async def allow_retry(self, plan):
+        """Asks the home of the root request for a retry grant.
+
+        :raises RetryBoundError: when the call may not be sent again.
+        """
+        raise RetryBoundError("no further attempt is allowed", retry_after_s=1)
+
+    def upstreams(self, service):
+        """Gives the :class:`UpstreamSet` of a service."""
+        return self._upstream_sets[service]
+
+    def begin(self, call, plan):
+        """Notes a call that has started."""
+        if plan.parent is not None:
+            self._executions.add(plan.parent.execution_id, call)
+
+    def end(self, call, plan):
+        """Notes a call that has ended."""
+        if plan.parent is not None:
+            self._executions.remove(plan.parent.execution_id, call)
+
+    def local_handler(self, start_line, caller):
+        """Finds the handler of a request to the node itself.
+
+        :return: function from body to status and JSON answer, or ``None``.
+        """
+        if start_line.path != _announcements.PATH:
+            return None
+        remote_ip = caller.context.remote_ip
+        return partial(self._announce, start_line.method, remote_ip)
+
+    async def renew_permits(self):
+        """Renews the permits at every known upstream."""
+        await self.exchange.renew(self._upstream_sets.values())
+
+    async def check_announcement(self):
+        """Marks the upstream as draining when its announcement has lapsed."""
+        lapsed = self._announced_until < self.clock.monotonic()
+        if lapsed and self.members.own.state == READY:
+            log.warning("The upstream stopped announcing itself.")
+            self.members.update_own(state=DRAINING)
+
+    def dump(self):
+        """Gives the state of the node as a dict."""
+        return {
+            "counters": self.counters.dump(),
+            "documents": self.versions,
+            "executions": len(self._executions),
+            "permits": self.exchange.dump(),
+            "upstreams": {
+                name: [self._dump_upstream(item) for item in upstreams]
+                for name, upstreams in self._upstream_sets.items()
+            },
+        }
+
+    def _dump_upstream(self, upstream):
+        return {
+            "name": upstream.name,
+            "state": upstream.member.state,
+            "granted": upstream.permits.granted,
+            "in_use": upstream.permits.in_use,
+            "latency_ms": round(upstream.latency_s * 1000, 3),
+        }
+
+    def _service(self, host):
+        service = self._services.get(host)
+        if service is None:
+            service = self._services.get(self._settings.get("service"))
+        if service is None:
+            raise UnknownServiceError(f"no document is known for {host!r}")
+        return service
+
+    def _member_changed(self, member):
+        upstreams = self._upstream_sets.get(member.service)
+        if upstreams is not None:
+            upstreams.update(member)
+
+    def _announce(self, method, remote_ip, body):
+        if remote_ip != split_address(self._settings["call_address"])[0]:
+            return 403, {"error": "announcements come from the host of the node"}
+        if method != "POST":
+            return 405, {"error": "use POST"}
+        try:
+            announcement = _announcements.parse(body)
+        except InvalidDocumentError as error:
+            return 400, {"error": str(error), "faults": error.faults}
+        self._accept(announcement)
+        return 200, {"name": self.members.own.name}
+
+    def _accept(self, announcement):
+        self._announced_until = self.clock.monotonic() + _announcements.LEASE_S
+        own = self.members.own
+        changes = {
+            "state": announcement.get("state", READY),
+            "service": announcement["service"],
+            "upstream_address": announcement["address"],
+            "slots": announcement["slots"],
+            "connections": announcement["connections"],
+        }
+        self.exchange.pool.limit = announcement["slots"]
+        if own._replace(**changes) != own:
+            self.members.update_own(**changes)
--- /dev/null
+++ b/src/figpick/_plans.py
@@ -0,0 +1,178 @@
+"""Turns the head of a request into the plan of a call."""
+
+from hashlib import blake2b
+from typing import NamedTuple
+
+from . import _context
+from ._context import CallContext
+from ._documents import Route, Service
+from ._errors import BodyTooLargeError, DeadlineError, MalformedRequestError
+
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "Figpick-Deadline-Ms"
+ATTEMPT_HEADER = "Figpick-Attempt"
+MAX_KEY_LENGTH = 256
+
+
+class CallPlan(NamedTuple):
+    """What is decided of a call before it is admitted.
+
+    :param service: document in force of the called service.
+    :param route: matching route.
+    :param method: HTTP method.
+    :param target: path and query sent to the upstream.
+    :param context: context of the execution that the call will cause.
+    :param parent: context that came with the call, ``None`` for a root request.
+    :param key: idempotency key, empty when absent.
+    :param attempt: number that an outside caller gave to its resend, from 1.
+    :param deadline: monotonic seconds.
+    """
+
+    service: Service
+    route: Route
+    method: str
+    target: str
+    context: CallContext
+    parent: CallContext | None
+    key: str
+    attempt: int
+    deadline: float
+
+
+class Moment(NamedTuple):
+    """One point in time on both clocks.
+
+    :param monotonic: seconds that never go back.
+    :param wall: seconds since the epoch.
+    """
+
+    monotonic: float
+    wall: float
+
+
+def make_plan(service, start_line, headers, parent, home, now):
+    """Plans a call.
+
+    :param service: :class:`~figpick._documents.Service`.
+    :param start_line: request line; the target starts with ``/``.
+    :param headers: request headers.
+    :param parent: verified :class:`CallContext`, or ``None``.
+    :param home: peer address of this node.
+    :param now: :class:`Moment`.
+    :return: :class:`CallPlan`.
+    :raises CallError: when the request is malformed, too large or too late.
+    """
+    method, target = start_line.method, start_line.path
+    route = service.match(method, target.partition("?")[0])
+    _check_body(service, headers)
+    key = headers.get(KEY_HEADER, "")
+    if len(key) > MAX_KEY_LENGTH:
+        raise MalformedRequestError(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} characters")
+    remaining_s = _remaining_s(route, headers, parent, now)
+    if remaining_s <= 0:
+        raise DeadlineError("the deadline has passed")
+    if parent is None:
+        context = _root_context(route, key, home, remaining_s, now)
+    else:
+        context = _child_context(parent, route, remaining_s, now)
+    return CallPlan(
+        service=service,
+        route=route,
+        method=method,
+        target=target,
+        context=context,
+        parent=parent,
+        key=key,
+        attempt=_number(headers, ATTEMPT_HEADER, 1),
+        deadline=now.monotonic + remaining_s,
+    )
+
+
+def fingerprint(plan, body):
+    """Identifies equal requests.
+
+    :param plan: :class:`CallPlan`.
+    :param body: first bytes of the body.
+    :return: 16 hex digits.
+    """
+    digest = blake2b(digest_size=8)
+    for part in (plan.service.name, plan.method, plan.target, plan.key):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def _check_body(service, headers):
+    length = headers.get("Content-Length")
+    if length is None:
+        return
+    if "Transfer-Encoding" in headers:
+        raise MalformedRequestError("Content-Length and Transfer-Encoding are both set")
+    if not length.isdigit():
+        raise MalformedRequestError("Content-Length is not a number")
+    if int(length) > service.limits.body_bytes:
+        limit = service.limits.body_bytes
+        raise BodyTooLargeError(f"the body is over {limit} bytes")
+
+
+def _remaining_s(route, headers, parent, now):
+    remaining_s = route.deadline_s
+    if parent is not None:
+        remaining_s = min(remaining_s, parent.deadline_ms / 1000 - now.wall)
+    asked_ms = _number(headers, DEADLINE_HEADER, None)
+    if asked_ms is not None:
+        remaining_s = min(remaining_s, asked_ms / 1000)
+    return remaining_s
+
+
+def _number(headers, name, default):
+    value = headers.get(name)
+    if value is None:
+        return default
+    if not value.isdigit() or len(value) > 9:
+        raise MalformedRequestError(f"{name} is not a whole number")
+    return int(value)
+
+
+def _root_context(route, key, home, remaining_s, now):
+    root_id = _context.new_id()
+    return CallContext(
+        root_id=root_id,
+        execution_id=_context.new_id(),
+        route_id=route.route_id,
+        importance=route.importance,
+        # A resend with the same key keeps its place within its importance.
+        hash_step=_context.hash_step(key or root_id),
+        deadline_ms=int((now.wall + remaining_s) * 1000),
+        depth=1,
+        home=home,
+    )
+
+
+def _child_context(parent, route, remaining_s, now):
+    if parent.depth >= _context.MAX_DEPTH:
+        raise MalformedRequestError(f"the chain is over {_context.MAX_DEPTH} deep")
+    return parent._replace(
+        execution_id=_context.new_id(),
+        route_id=route.route_id,
+        deadline_ms=int((now.wall + remaining_s) * 1000),
+        depth=parent.depth + 1,
+    )
+
+
+def split_target(start_line, headers):
+    """Reads the called service from the request line and the host header.
+
+    :return: tuple of the request line with a path as target, and the host.
+    :raises MalformedRequestError: when the target is not a path or URL.
+    """
+    target = start_line.path
+    host = headers.get("Host", "")
+    if not target.startswith("/"):
+        scheme, separator, rest = target.partition("://")
+        if not separator or scheme.lower() != "http":
+            raise MalformedRequestError("the target is neither a path nor an http URL")
+        host, _, path = rest.partition("/")
+        start_line = start_line._replace(path="/" + path)
+    return start_line, host.partition(":")[0].lower()
--- /dev/null
+++ b/src/figpick/_supervisor.py
@@ -0,0 +1,86 @@
+"""A supervisor tree: restarts tasks that fail, within limits."""
+
+import asyncio
+from collections import deque
+
+from ._errors import FigpickError
+from ._logs import logger
+
+MAX_RESTARTS = 5
+RESTART_WINDOW_S = 30.0
+RESTART_DELAY_S = 0.1
+
+log = logger("supervisor")
+
+
+class RestartLimitError(FigpickError):
+    """A supervised task failed more often than its limit."""
+
+
+class Supervisor:
+    """Runs tasks and restarts those that fail.
+
+    A supervisor may itself be a child of another one: its ``run`` raises when a
+    child exceeds the restart limit, and the parent then restarts the whole group.
+
+    :param name: name for logs and state.
+    :param clock: :class:`~figpick._clock.Clock`.
+    """
+
+    def __init__(self, name, clock):
+        self.name = name
+        self._clock = clock
+        self._children = {}
+        self._restarts = {}
+
+    def add(self, name, factory):
+        """Adds a child.
+
+        :param factory: function that gives the coroutine to run.
+        """
+        self._children[name] = factory
+        self._restarts[name] = deque()
+
+    def add_periodic(self, name, function, period_s):
+        """Adds a child that awaits ``function()`` every ``period_s`` seconds."""
+
+        async def repeat():
+            while True:
+                await function()
+                await asyncio.sleep(period_s)
+
+        self.add(name, repeat)
+
+    async def run(self):
+        """Runs all children until cancelled.
+
+        :raises RestartLimitError: when a child fails too often.
+        """
+        async with asyncio.TaskGroup() as group:
+            for name, factory in self._children.items():
+                group.create_task(self._supervise(name, factory))
+
+    def dump(self):
+        """Gives the number of recent restarts by child."""
+        return {name: len(times) for name, times in self._restarts.items()}
+
+    async def _supervise(self, name, factory):
+        while True:
+            try:
+                await factory()
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                log.exception("Task {} of {} failed.", name, self.name)
+            self._count_restart(name, self._clock.monotonic())
+            await asyncio.sleep(RESTART_DELAY_S)
+
+    def _count_restart(self, name, now):
+        times = self._restarts[name]
+        times.append(now)
+        while now - times[0] > RESTART_WINDOW_S:
+            times.popleft()
+        if len(times) > MAX_RESTARTS:
+            message = f"{name} failed {len(times)} times in {RESTART_WINDOW_S:.0f} s"
+            raise RestartLimitError(message)
--- /dev/null
+++ b/src/figpick/_transport.py
@@ -0,0 +1,251 @@
+"""Messages between figpick processes: HTTP POST with JSON, signed."""
+
+import asyncio
+from functools import singledispatch
+
+import msgspec
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+    responses,
+)
+from tornado.iostream import StreamClosedError
+
+from . import _auth
+from ._connections import PARAMETERS, ConnectionPool
+from ._errors import (
+    AuthenticationError,
+    ConflictError,
+    FigpickError,
+    InvalidDocumentError,
+    NoQuorumError,
+    PeerRefusedError,
+    PeerUnreachableError,
+)
+from ._logs import logger
+from ._settings import split_address
+
+PATH_PREFIX = "/peer/"
+DEFAULT_TIMEOUT_S = 1.0
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+log = logger("transport")
+
+
+class PeerClient:
+    """Sends messages to other processes over kept connections.
+
+    :param authenticator: :class:`Authenticator` that signs messages.
+    :param clock: :class:`Clock`.
+    """
+
+    def __init__(self, authenticator, clock):
+        self._authenticator = authenticator
+        self._clock = clock
+        self._pools = {}
+        self.sent_count = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def send(self, address, kind, message, timeout_s=DEFAULT_TIMEOUT_S):
+        """Sends one message and waits for the answer.
+
+        :param address: peer address, ``ip:port``.
+        :param kind: message kind, such as ``gossip``.
+        :param message: JSON value.
+        :param timeout_s: seconds to wait.
+        :return: decoded JSON answer.
+        :raises PeerUnreachableError: when no answer comes in time.
+        :raises PeerRefusedError: when the peer answers with an error.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                status, body = await self._exchange(address, kind, message)
+        except (StreamClosedError, TimeoutError) as error:
+            raise PeerUnreachableError(f"{address} did not answer {kind}") from error
+        if status != 200:
+            raise PeerRefusedError(status, body)
+        return body
+
+    def close(self):
+        """Closes every kept connection."""
+        for pool in self._pools.values():
+            pool.close_idle()
+
+    async def _exchange(self, address, kind, message):
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ConnectionPool(address)
+        connection = pool.take_idle(self._clock.monotonic())
+        if connection is None:
+            connection = await pool.connect(self._clock.monotonic())
+        try:
+            answer = await self._post(connection, kind, message)
+        except BaseException:
+            connection.close()
+            raise
+        pool.put_back(connection, self._clock.monotonic())
+        return answer.status, answer.decode()
+
+    async def _post(self, connection, kind, message):
+        path = PATH_PREFIX + kind
+        body = msgspec.json.encode(message)
+        signature = self._authenticator.sign("POST", path, body, self._clock.wall())
+        headers = HTTPHeaders()
+        headers["Host"] = "figpick"
+        headers["Content-Length"] = str(len(body))
+        headers[_auth.HEADER] = signature
+        http = HTTP1Connection(connection.stream, True, PARAMETERS)
+        http.write_headers(RequestStartLine("POST", path, "HTTP/1.1"), headers, body)
+        http.finish()
+        answer = _Answer()
+        await http.read_response(answer)
+        if not answer.complete:
+            raise StreamClosedError()
+        self.sent_count += 1
+        self.sent_bytes += len(body)
+        self.received_bytes += answer.size
+        return answer
+
+
+class _Answer(HTTPMessageDelegate):
+    """Collects the answer to one message."""
+
+    def __init__(self):
+        self.status = 0
+        self.complete = False
+        self.size = 0
+        self._chunks = []
+
+    def headers_received(self, start_line, headers):
+        self.status = start_line.code
+
+    def data_received(self, chunk):
+        self.size += len(chunk)
+        self._chunks.append(chunk)
+
+    def finish(self):
+        self.complete = True
+
+    def decode(self):
+        return msgspec.json.decode(b"".join(self._chunks))
+
+
+class PeerServer:
+    """Takes messages from other processes and operators.
+
+    :param address: ``ip:port`` to listen on.
+    :param authenticator: :class:`Authenticator` that verifies messages.
+    :param clock: :class:`Clock`.
+    """
+
+    def __init__(self, address, authenticator, clock):
+        self._address = address
+        self._authenticator = authenticator
+        self._clock = clock
+        self._handlers = {}
+        self._server = None
+        self._tasks = set()
+        self.received_count = 0
+
+    def handle(self, kind, handler):
+        """Sets the handler of a message kind.
+
+        :param handler: coroutine function from JSON message to JSON answer.
+        """
+        self._handlers[kind] = handler
+
+    def start(self):
+        """Starts to listen."""
+        ip, port = split_address(self._address)
+        self._server = HTTPServer(self._receive, max_body_size=MAX_MESSAGE_BYTES)
+        self._server.listen(port, ip)
+
+    async def stop(self):
+        """Stops to listen and closes the connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def _receive(self, request):
+        task = asyncio.ensure_future(self._answer(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, request):
+        try:
+            answer = await self._dispatch(request)
+            status = 200
+        except FigpickError as error:
+            status, answer = error_answer(error)
+        except Exception:
+            log.exception("Handler of {} failed.", request.path)
+            status, answer = 500, {"error": "internal error"}
+        self._write(request.connection, status, msgspec.json.encode(answer))
+
+    async def _dispatch(self, request):
+        self._authenticator.verify(
+            request.headers.get(_auth.HEADER),
+            request.method,
+            request.path,
+            request.body,
+            self._clock.wall(),
+        )
+        self.received_count += 1
+        handler = self._handlers.get(request.path.removeprefix(PATH_PREFIX))
+        if handler is None:
+            raise PeerRefusedError(404, {"error": f"no handler for {request.path}"})
+        try:
+            message = msgspec.json.decode(request.body or b"null")
+        except msgspec.DecodeError as error:
+            raise PeerRefusedError(400, {"error": str(error)}) from error
+        return await handler(message)
+
+    def _write(self, connection, status, body):
+        headers = HTTPHeaders()
+        headers["Content-Type"] = "application/json"
+        headers["Content-Length"] = str(len(body))
+        start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, ""))
+        try:
+            connection.write_headers(start_line, headers, body)
+            connection.finish()
+        except StreamClosedError:
+            pass
+
+
+@singledispatch
+def error_answer(error):
+    """Translates an error into the status and body of an answer.
+
+    :return: tuple of HTTP status and JSON value.
+    """
+    return 500, {"error": str(error)}
+
+
+@error_answer.register
+def _(error: PeerRefusedError):
+    return error.status, error.body
+
+
+@error_answer.register
+def _(error: AuthenticationError):
+    return 401, {"error": str(error)}
+
+
+@error_answer.register
+def _(error: ConflictError):
+    return 409, {"error": str(error), "current": error.current}
+
+
+@error_answer.register
+def _(error: NoQuorumError):
+    return 503, {"error": str(error)}
+
+
+@error_answer.register
+def _(error: InvalidDocumentError):
+    return 400, {"error": str(error), "faults": error.faults}
--- /dev/null
+++ b/src/figpick/api.py
@@ -0,0 +1,66 @@
+"""One-line functions for operators and programs."""
+
+from . import _documents, _settings
+from ._operators import Operator
+
+
+def run(settings_path):
+    """Runs one process until it is told to stop.
+
+    :param settings_path: JSON settings file.
+    :raises InvalidDocumentError: when the settings have faults.
+    """
+    from . import _compose
+
+    _compose.run(_settings.load(settings_path))
+
+
+def check(path):
+    """Checks a service document.
+
+    :param path: JSON file.
+    :return: the checked document.
+    :raises InvalidDocumentError: with every fault found.
+    """
+    return _documents.load(path)
+
+
+def put(address, key, document, base, change=None, author=""):
+    """Changes a service document.
+
+    :param address: peer address of a control process.
+    :param key: shared key.
+    :param document: service document as a dict.
+    :param base: version that the change is based on, 0 for a new document.
+    :param change: identity of the change; a resend must carry the same.
+    :param author: who makes the change.
+    :return: dict with ``service``, ``version`` and ``change``.
+    :raises PeerError: when the change is refused or not answered.
+    """
+    return Operator(address, key).put(document, base, change, author)
+
+
+def get(address, key, service):
+    """Reads the current document of a service.
+
+    :return: dict with ``document`` and ``version``.
+    :raises PeerError: when it cannot be read.
+    """
+    return Operator(address, key).send("get", {"service": service})
+
+
+def history(address, key, service):
+    """Lists the changes of a service, oldest first.
+
+    :raises PeerError: when they cannot be read.
+    """
+    return Operator(address, key).send("history", {"service": service})
+
+
+def state(address, key):
+    """Dumps the state of a process.
+
+    :return: dict with the state of every part.
+    :raises PeerError: when the process does not answer.
+    """
+    return Operator(address, key).send("state", {})
--- /dev/null
+++ b/src/figpick/documents.py
@@ -0,0 +1,11 @@
+"""Public access to service documents."""
+
+from ._documents import (
+    LimitsDocument,
+    RouteDocument,
+    ServiceDocument,
+    check,
+    load,
+)
+
+__all__ = ["LimitsDocument", "RouteDocument", "ServiceDocument", "check", "load"]
--- /dev/null
+++ b/src/figpick/exceptions.py
@@ -0,0 +1,29 @@
+"""Public errors of figpick."""
+
+from ._errors import (
+    AuthenticationError,
+    CallError,
+    ConflictError,
+    Fault,
+    FigpickError,
+    InvalidDocumentError,
+    NoQuorumError,
+    PeerError,
+    PeerRefusedError,
+    PeerUnreachableError,
+    StorageError,
+)
+
+__all__ = [
+    "AuthenticationError",
+    "CallError",
+    "ConflictError",
+    "Fault",
+    "FigpickError",
+    "InvalidDocumentError",
+    "NoQuorumError",
+    "PeerError",
+    "PeerRefusedError",
+    "PeerUnreachableError",
+    "StorageError",
+]
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,52 @@
+"""A call crosses all parts as separate processes."""
+
+import asyncio
+
+import pytest
+
+from bench.cluster import Cluster, ServiceSpec
+
+
+def document(service):
+    return {
+        "service": service,
+        "routes": [
+            {"method": "GET", "path": "/*", "importance": 5, "idempotent": True},
+            {"method": "POST", "path": "/*", "importance": 9, "idempotent": False},
+        ],
+    }
+
+
+CHAIN = [
+    ServiceSpec(
+        document("entries"),
+        [
+            {
+                "prefix": "/",
+                "service_ms": 2,
+                "calls": [{"service": "parts", "method": "GET", "path": "/part"}],
+            }
+        ],
+        servers=2,
+        slots=20,
+    ),
+    ServiceSpec(
+        document("parts"), [{"prefix": "/", "service_ms": 2}], servers=2, slots=10
+    ),
+]
+
+
+@pytest.mark.processes
+def test_request_is_answered_through_two_services():
+    """Guards against a path that works in parts but not end to end."""
+
+    async def scenario():
+        async with Cluster(CHAIN) as cluster:
+            address = cluster.entry("entries")[0]
+            for number in range(20):
+                headers = {"Host": "entries", "X-Request": f"r{number}"}
+                answer = await cluster.client.request(address, "GET", "/log", headers)
+                assert answer.status == 200
+                assert answer.body.startswith(f"r{number} /log".encode())
+
+    asyncio.run(scenario())
