--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -9,8 +9,8 @@
 from ._clock import Clock
 from ._control import Control
 from ._dissemination import Dissemination
-from ._gossip import PERIOD_S as GOSSIP_PERIOD_S, Gossip
 from ._exchange import PERIOD_S as EXCHANGE_PERIOD_S
+from ._gossip import PERIOD_S as GOSSIP_PERIOD_S, Gossip
 from ._logs import logger
 from ._members import LEFT, Member, Members
 from ._node import Node
