--- /dev/null
+++ b/bench/rows.py
@@ -0,0 +1,36 @@
+"""Result rows of experiments."""
+
+from typing import NamedTuple
+
+
+class Row(NamedTuple):
+    """One result of an experiment.
+
+    :param experiment: name of the experiment.
+    :param case: what was measured, such as ``kilimo 2x goodput``.
+    :param seed: seed of the run.
+    :param baseline: figure of the same run with the decisions off, or ``None``.
+    :param figpick: measured figure.
+    :param bound: stated target.
+    :param unit: unit of the three figures.
+    :param at_most: whether the figure must not exceed the bound; otherwise it
+        must reach it.
+    """
+
+    experiment: str
+    case: str
+    seed: int
+    baseline: float | None
+    figpick: float
+    bound: float | None
+    unit: str
+    at_most: bool = True
+
+    @property
+    def holds(self):
+        """Whether the figure meets the bound; true without a bound."""
+        if self.bound is None:
+            return True
+        if self.at_most:
+            return self.figpick <= self.bound
+        return self.figpick >= self.bound
