Add claims, rosters and bounded retries

Cause: a keyed non-idempotent request could run twice, and no call was retried.

Change: claims are granted by a quorum of the holders that a roster names, and retries need the budget of the service and a grant from the home of the root. Holders stop granting when control has not confirmed their roster for 10 minutes, because a pair of holders that is cut off could otherwise grant what the holders of a newer roster grant too.

--- a/src/figpick/_attempts.py
+++ b/src/figpick/_attempts.py
@@ -64,18 +64,34 @@
     :param plan: :class:`~figpick._plans.CallPlan`.
     :param connection: :class:`~figpick._connections.Connection`.
     :param caller: connection to the caller.
+    :param keep_bytes: size up to which the body of the answer is also kept.
     """
 
-    def __init__(self, plan, connection, caller):
+    def __init__(self, plan, connection, caller, keep_bytes=0):
         self._plan = plan
         self._connection = connection
         self._caller = caller
         self._start_line = None
         self._headers = None
         self._complete = False
+        self._kept = bytearray()
+        self._keep_bytes = keep_bytes
         self.started = False
         self.status = 0
 
+    @property
+    def short_answer(self):
+        """Dict with the whole answer, or ``None`` when it was not kept."""
+        if not self._complete or not self._keep_bytes:
+            return None
+        if len(self._kept) > self._keep_bytes:
+            return None
+        return {
+            "status": self.status,
+            "headers": list(self._headers.get_all()),
+            "body": self._kept.decode("latin-1"),
+        }
+
     async def run(self, headers, body, key):
         """Sends the request and relays the answer.
 
@@ -107,6 +123,8 @@
         self._headers = forwarded_headers(headers)
 
     def data_received(self, chunk):
+        if len(self._kept) <= self._keep_bytes:
+            self._kept += chunk[: self._keep_bytes + 1]
         if not self.started:
             return self._start(chunk)
         return self._pending(self._caller.write(chunk))
--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -14,6 +14,7 @@
 
 from ._attempts import Attempt, AttemptResult, forwarded_headers
 from ._bodies import REPLAY_BYTES, RequestBody
+from ._claim_records import MAX_ANSWER_BYTES
 from ._errors import (
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
@@ -23,9 +24,12 @@
     NoUpstreamError,
 )
 from ._logs import logger
+from ._plans import KEY_HEADER
 from ._upstreams import Result
 
 MAX_CONNECT_ATTEMPTS = 3
+# An upstream may close an older idle connection just as a request is sent on it.
+MAX_IDLE_ONCE_S = 0.25
 
 log = logger("calls")
 
@@ -66,12 +70,15 @@
         self._sent = False
         self._answered = False
         self._status = 0
+        self._attempts = 0
+        self._upstream_name = ""
+        self._short_answer = None
 
     def headers_received(self, start_line, headers):
+        self._headers = headers
         local = self._node.local_handler(start_line, self._caller)
         if local is not None:
             self._body = RequestBody(REPLAY_BYTES)
-            self._headers = headers
             self._plan = local
             return
         try:
@@ -79,7 +86,6 @@
         except CallError as error:
             self._refuse(error)
             return
-        self._headers = headers
         self._body = RequestBody(self._plan.service.limits.body_bytes)
         if "Transfer-Encoding" in headers or self._length() > REPLAY_BYTES:
             self._begin()
@@ -131,10 +137,10 @@
         try:
             await self._attempt_all()
         except CallError as error:
-            self._abort(error)
+            await self._fail(error)
         except asyncio.CancelledError:
             if self._expired:
-                self._abort(DeadlineError("the deadline has passed"))
+                await self._fail(DeadlineError("the deadline has passed"))
         except Exception:
             log.exception("Call to {} failed.", plan.service.name)
             self._abort(CallError("internal error"))
@@ -142,16 +148,21 @@
             self._ended = True
             self._timer.cancel()
             if not plan.route.idempotent:
-                node.finish_claim(plan, self._sent, self._status)
+                node.finish_claim(plan, self._sent, self._short_answer)
+            name = self._upstream_name
+            node.close_retries(plan, self._body, self._sent, self._status, name)
             node.end(self, plan)
 
     async def _attempt_all(self):
         node, plan = self._node, self._plan
         node.admit(plan, self._body, node.clock.monotonic())
         headers = forwarded_headers(self._headers)
+        excluded = await node.admit_resend(plan, self._body)
         if not plan.route.idempotent:
-            await node.claim(plan)
-        excluded = set()
+            stored = await node.claim(plan)
+            if stored is not None:
+                self._write_stored(stored)
+                return
         failures = 0
         while True:
             upstreams = node.upstreams(plan.service.name)
@@ -185,8 +196,12 @@
             if connection is None:
                 return None
             self._sent = True
-            attempt = Attempt(plan, connection, self._caller)
+            self._attempts += 1
+            self._upstream_name = upstream.name
+            keep_bytes = 0 if plan.route.idempotent else MAX_ANSWER_BYTES
+            attempt = Attempt(plan, connection, self._caller, keep_bytes)
             result = await attempt.run(headers, self._body, node.key)
+            self._short_answer = attempt.short_answer
             self._answered = result.started
             self._status = result.status if result.complete else 0
             if not result.complete:
@@ -204,7 +219,10 @@
 
     async def _connect(self, upstream):
         now = self._node.clock.monotonic()
-        connection = upstream.pool.take_idle(now)
+        if self._plan.route.idempotent:
+            connection = upstream.pool.take_idle(now)
+        else:
+            connection = upstream.pool.take_idle(now, MAX_IDLE_ONCE_S)
         if connection is not None:
             return connection
         try:
@@ -217,14 +235,28 @@
         message = f"{upstream.name} gave no answer"
         if not plan.route.idempotent or not self._body.replayable:
             raise BrokenAnswerError(message)
-        await self._node.allow_retry(plan)
+        await self._node.allow_retry(plan, self._attempts)
         excluded.add(upstream.name)
 
+    async def _fail(self, error):
+        plan = self._plan
+        if (
+            plan.key
+            and not plan.route.idempotent
+            and not self._sent
+            and error.outcome == OUTCOME_NOT_RUN
+        ):
+            error.outcome = await self._node.claimed_outcome(plan)
+        self._abort(error)
+
     def _outcome(self, error):
+        if error.outcome != OUTCOME_NOT_RUN:
+            return error.outcome
         # Once a byte was sent, no later refusal of this call may say not-run.
-        if self._sent and error.outcome == OUTCOME_NOT_RUN:
-            return OUTCOME_UNKNOWN
-        return error.outcome
+        # Without a plan nobody knows whether a keyed request ran before.
+        headers = self._headers or HTTPHeaders()
+        unplanned = self._task is None and KEY_HEADER in headers
+        return OUTCOME_UNKNOWN if self._sent or unplanned else OUTCOME_NOT_RUN
 
     def _abort(self, error):
         self._ended = True
@@ -250,6 +282,15 @@
             headers["Retry-After"] = str(error.retry_after_s)
         self._write(error.status, headers, body)
 
+    def _write_stored(self, stored):
+        """Answers a resend with the answer of the execution."""
+        self._ended = True
+        headers = HTTPHeaders()
+        for name, value in stored["headers"]:
+            headers.add(name, value)
+        data = stored["body"].encode("latin-1")
+        self._write_body(stored["status"], headers, data)
+
     def _answer_locally(self):
         status, body = self._plan(self._body.head)
         self._write(status, HTTPHeaders(), body)
@@ -257,6 +298,9 @@
     def _write(self, status, headers, body):
         data = msgspec.json.encode(body)
         headers["Content-Type"] = "application/json"
+        self._write_body(status, headers, data)
+
+    def _write_body(self, status, headers, data):
         headers["Content-Length"] = str(len(data))
         start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, ""))
         try:
--- /dev/null
+++ b/src/figpick/_claim_records.py
@@ -0,0 +1,144 @@
+"""Records of claims, kept for ten minutes within fixed amounts of memory."""
+
+RETENTION_S = 600.0
+MAX_RECORDS = 60_000
+MAX_ANSWER_BYTES = 1024
+MAX_ANSWERS_BYTES = 4 * 1024 * 1024
+ANSWER_OVERHEAD_BYTES = 200
+
+CLAIMED = "claimed"
+FINISHED = "finished"
+RELEASED = "released"
+
+# Marks a record that several claimants hold at different holders.
+CONTESTED = "*"
+
+
+class Record:
+    """One claim at one holder.
+
+    :param state: ``claimed``, ``finished`` or ``released``.
+    :param claimant: identifies the claimant.
+    :param claimed_at: monotonic seconds.
+    :param until: monotonic seconds of the deadline of the request.
+    """
+
+    __slots__ = ("state", "claimant", "claimed_at", "until", "answer")
+
+    def __init__(self, state, claimant, claimed_at, until):
+        self.state = state
+        self.claimant = claimant
+        self.claimed_at = claimed_at
+        self.until = until
+        self.answer = None
+
+    @property
+    def expires_at(self):
+        """Monotonic seconds after which the claim is forgotten."""
+        return max(self.claimed_at, self.until) + RETENTION_S
+
+
+class RecordStore:
+    """Counts the records and answers of all groups of a holder.
+
+    A group is a dict from key hash to :class:`Record`, oldest first.
+    """
+
+    def __init__(self):
+        self.count = 0
+        self.answer_bytes = 0
+        self._answered = {}
+
+    @property
+    def full(self):
+        """Whether no further claim can be recorded."""
+        return self.count >= MAX_RECORDS
+
+    def put(self, records, key_hash, record):
+        """Stores a record in a group."""
+        if records.pop(key_hash, None) is None:
+            self.count += 1
+        records[key_hash] = record
+
+    def merge(self, records, entry, now):
+        """Takes a copied record of another holder.
+
+        :param entry: result of :func:`pack`.
+        :param now: monotonic seconds.
+        """
+        key_hash, state, claimant, age_s, left_s, answer = entry
+        known = records.get(key_hash)
+        if known is None:
+            record = Record(state, claimant, now - age_s, now + left_s)
+            self.put(records, key_hash, record)
+            self.keep_answer(record, answer)
+            return
+        if state == RELEASED:
+            return
+        if known.state == RELEASED:
+            known.state, known.claimant = state, claimant
+        elif known.claimant != claimant:
+            # Either claim may be the one that was granted, so neither claimant
+            # may withdraw the record.
+            known.claimant = CONTESTED
+        known.claimed_at = max(known.claimed_at, now - age_s)
+        known.until = max(known.until, now + left_s)
+        if state == FINISHED:
+            known.state = FINISHED
+            self.keep_answer(known, answer)
+
+    def keep_answer(self, record, answer):
+        """Stores the answer of a finished request and evicts the oldest ones.
+
+        :param answer: dict with ``status``, ``headers`` and ``body``, or ``None``.
+        """
+        if answer is None or record.answer is not None:
+            return
+        record.answer = answer
+        self._answered[id(record)] = record
+        self.answer_bytes += _size(answer)
+        while self.answer_bytes > MAX_ANSWERS_BYTES:
+            self._drop_answer(next(iter(self._answered.values())))
+
+    def expire(self, records, now):
+        """Removes the records of a group that are past their retention.
+
+        :param now: monotonic seconds.
+        """
+        while records:
+            key_hash = next(iter(records))
+            if records[key_hash].expires_at > now:
+                return
+            self._drop_answer(records.pop(key_hash))
+            self.count -= 1
+
+    def forget(self, records):
+        """Removes all records of a group."""
+        for record in records.values():
+            self._drop_answer(record)
+        self.count -= len(records)
+        records.clear()
+
+    def _drop_answer(self, record):
+        if self._answered.pop(id(record), None) is not None:
+            self.answer_bytes -= _size(record.answer)
+            record.answer = None
+
+
+def pack(key_hash, record, now):
+    """Makes the copy of a record for another holder.
+
+    :param now: monotonic seconds.
+    """
+    return [
+        key_hash,
+        record.state,
+        record.claimant,
+        now - record.claimed_at,
+        record.until - now,
+        record.answer,
+    ]
+
+
+def _size(answer):
+    return len(answer["body"]) + ANSWER_OVERHEAD_BYTES
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -4,8 +4,10 @@
 import os
 import random
 import signal
+from functools import partial
 
 from ._auth import Authenticator
+from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
 from ._control import Control
 from ._dissemination import Dissemination
@@ -79,11 +81,26 @@
             self._settings, self.clock, authenticator.key, self._members, self._client
         )
         self._server.handle("exchange", self._node.exchange.receive)
+        self._server.handle("retry_grant", self._node.retries.receive)
+        self._add_claims()
         self._supervisor.add_periodic(
             "permits", self._node.renew_permits, EXCHANGE_PERIOD_S
         )
         self._supervisor.add_periodic("announcement", self._node.check_announcement, 1)
 
+    def _add_claims(self):
+        claims = self._node.claims
+        control = [member["address"] for member in self._settings.get("control", [])]
+        copies = ClaimCopies(claims, self.clock, self._client, control)
+        for kind in ("claim", "lookup", "finish", "release"):
+            self._server.handle(kind, partial(claims.receive, kind))
+        self._server.handle("roster", claims.receive_roster)
+        self._server.handle("copy", copies.receive)
+        service = self._settings.get("service", "")
+        self._supervisor.add_periodic(
+            "claims", partial(copies.refresh, service), CLAIM_COPY_PERIOD_S
+        )
+
     def _add_control(self):
         self._control = Control(self.clock, LogFile(self._settings["data_folder"]))
         self._server.handle("put", self._control.put)
--- a/src/figpick/_errors.py
+++ b/src/figpick/_errors.py
@@ -183,6 +183,20 @@
     reason = "duplicate"
 
 
+class NoRosterError(CallError):
+    """No claim holders are known for the service of a keyed request."""
+
+    status = 503
+    reason = "no-roster"
+
+
+class NoClaimQuorumError(CallError):
+    """Too few claim holders can decide on a keyed request."""
+
+    status = 503
+    reason = "no-claim-quorum"
+
+
 class BrokenAnswerError(CallError):
     """The upstream gave no complete answer."""
 
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -6,13 +6,13 @@
 
 from . import _announcements, _context, _plans
 from ._calls import CallServer
+from ._claiming import Claims
 from ._connections import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFER_BYTES
 from ._counters import Counters
 from ._documents import Service
 from ._errors import (
     DrainingError,
     InvalidDocumentError,
-    RetryBoundError,
     UnknownServiceError,
 )
 from ._exchange import PermitExchange
@@ -20,6 +20,7 @@
 from ._logs import logger
 from ._members import DRAINING, READY
 from ._plans import Moment
+from ._retrying import Retries
 from ._settings import split_address
 from ._upstreams import UpstreamSet
 
@@ -48,6 +49,8 @@
         self._upstream_sets = {}
         self._executions = ExecutionTable()
         self.exchange = PermitExchange(members, client, clock)
+        self.claims = Claims(clock, members, client)
+        self.retries = Retries(settings["peer_address"], clock, client)
         self._announced_until = 0.0
         self._draining = False
         self._server = None
@@ -117,7 +120,8 @@
         parent = _context.decode(header, self.key) if header else None
         now = Moment(self.clock.monotonic(), self.clock.wall())
         home = self._settings["peer_address"]
-        return _plans.make_plan(service, start_line, headers, parent, home, now)
+        plan = _plans.make_plan(service, start_line, headers, parent, home, now)
+        return plan if parent is not None else self.retries.open(plan)
 
     def admit(self, plan, body, now):
         """Decides whether a call may wait for a permit.
@@ -128,17 +132,33 @@
         """
 
     async def claim(self, plan):
-        """Claims a non-idempotent call before it is sent.
+        """Claims a keyed non-idempotent call before it is sent.
 
-        :raises DuplicateError: when it may have run before.
+        :return: stored answer of an earlier execution, or ``None``.
+        :raises CallError: when it may have run before.
         """
+        return await self.claims.claim(plan) if plan.key else None
 
-    def finish_claim(self, plan, sent, status):
+    async def claimed_outcome(self, plan):
+        """Gives the outcome that a refusal of a keyed call may state."""
+        return await self.claims.outcome(plan)
+
+    def finish_claim(self, plan, sent, answer):
         """Notes the end of a claimed call.
 
         :param sent: whether any byte may have reached an upstream.
-        :param status: HTTP status of the whole answer, 0 without one.
+        :param answer: short whole answer, or ``None``.
+        """
+        self.claims.finish(plan, sent, answer)
+
+    def adopt_roster(self, service, epoch, positions, **times):
+        """Puts a roster in force unless a newer one is.
+
+        :param times: the other fields of :class:`~figpick._rosters.Roster`.
+        :return: whether it was newer.
         """
+        fields = {"service": service, "epoch": epoch, "positions": positions}
+        return self.claims.adopt({**fields, **times})
 
     def report_break(self, plan, body, upstream, now):
         """Notes that a connection broke while a call was in flight on it.
@@ -148,12 +168,26 @@
         :param now: monotonic seconds.
         """
 
-    async def allow_retry(self, plan):
+    async def admit_resend(self, plan, body):
+        """Asks for a retry grant when a call repeats an earlier one.
+
+        :return: names of upstreams that must not be used.
+        :raises CallError: when it is refused.
+        """
+        return await self.retries.admit(plan, body)
+
+    async def allow_retry(self, plan, attempts):
         """Asks the home of the root request for a retry grant.
 
+        :param attempts: number of times that the call was sent.
         :raises RetryBoundError: when the call may not be sent again.
         """
-        raise RetryBoundError("no further attempt is allowed", retry_after_s=1)
+        self.counters.retries += 1
+        await self.retries.allow(plan, attempts)
+
+    def close_retries(self, plan, body, sent, status, upstream):
+        """Notes the end of a call for the recognition of retries."""
+        self.retries.close(plan, body, sent, status, upstream)
 
     def upstreams(self, service):
         """Gives the :class:`UpstreamSet` of a service."""
@@ -197,6 +231,8 @@
             "documents": self.versions,
             "executions": len(self._executions),
             "permits": self.exchange.dump(),
+            "claims": self.claims.dump(),
+            "retries": self.retries.dump(),
             "upstreams": {
                 name: [self._dump_upstream(item) for item in upstreams]
                 for name, upstreams in self._upstream_sets.items()
--- a/src/figpick/_plans.py
+++ b/src/figpick/_plans.py
@@ -26,6 +26,7 @@
     :param key: idempotency key, empty when absent.
     :param attempt: number that an outside caller gave to its resend, from 1.
     :param deadline: monotonic seconds.
+    :param resend: whether a caller sends this root request again.
     """
 
     service: Service
@@ -37,6 +38,7 @@
     key: str
     attempt: int
     deadline: float
+    resend: bool = False
 
 
 class Moment(NamedTuple):
--- /dev/null
+++ b/src/figpick/_rosters.py
@@ -0,0 +1,253 @@
+"""Rosters: which nodes of a service hold its claims.
+
+A roster assigns a fixed number of positions to nodes of the service. The nodes at
+positions p, p+1 and p+2 form the group that holds the claims of the keys that map
+to p. From one epoch to the next at most one position of each group changes, so
+that a quorum of the old group and one of the new group always share a node.
+"""
+
+from functools import cached_property
+from typing import NamedTuple, NotRequired, TypedDict
+
+POSITIONS = 48
+GROUP_SIZE = 3
+FIRST_EPOCH = 1
+# A shorter wait would move positions during a restart of a host.
+REPLACE_AFTER_S = 30.0
+# All nodes of a fresh deployment announce themselves within this time.
+SETTLE_S = 2.0
+# A group that starts with fewer than three holders is hard to complete later.
+SMALL_SETTLE_S = 10.0
+# A new holder copies its records before the next change of the same group.
+CHANGE_PERIOD_S = 5.0
+
+
+class Roster(TypedDict):
+    """The holders of the claims of one service.
+
+    :param service: name of the service.
+    :param epoch: number of the roster, from 1, one higher for each change.
+    :param positions: name of the node at each position.
+    :param epochs: epoch since which the node holds each position.
+    :param since: seconds since the epoch when the first roster was made.
+    :param changed: seconds since the epoch when this roster was made.
+    """
+
+    service: str
+    epoch: int
+    positions: list[str]
+    epochs: NotRequired[list[int]]
+    since: NotRequired[float]
+    changed: NotRequired[float]
+
+
+class Candidate(NamedTuple):
+    """A node that can hold positions, as the leader of control sees it.
+
+    :param name: name of the node.
+    :param data_center: its data centre.
+    :param seen_s: seconds since the node was first seen.
+    :param failed_s: seconds since it failed or left, 0 while it is well.
+    """
+
+    name: str
+    data_center: str
+    seen_s: float
+    failed_s: float
+
+
+def position_of(key_hash, count):
+    """Maps the hash of a key to the first position of its group.
+
+    :param key_hash: hex digits.
+    :param count: number of positions.
+    """
+    return int(key_hash[:8], 16) % count
+
+
+def group_of(positions, position):
+    """Lists the distinct holders of a group."""
+    count = len(positions)
+    names = [positions[(position + step) % count] for step in range(GROUP_SIZE)]
+    return list(dict.fromkeys(names))
+
+
+def propose(service, current, candidates, now):
+    """Proposes the next roster of a service.
+
+    :param service: name of the service.
+    :param current: :class:`Roster` in force, or ``None``.
+    :param candidates: all known nodes of the service, as :class:`Candidate`.
+    :param now: seconds since the epoch.
+    :return: :class:`Roster`, or ``None`` when nothing has to change.
+    """
+    healthy = [item for item in candidates if item.failed_s == 0]
+    if not healthy:
+        return None
+    if current is None:
+        return _first(service, healthy, now)
+    if now - current.get("changed", 0.0) < CHANGE_PERIOD_S:
+        return None
+    layout = _Layout(current["positions"], candidates)
+    changes = layout.changes()
+    if not changes:
+        return None
+    epoch = current["epoch"] + 1
+    positions = list(current["positions"])
+    epochs = list(current.get("epochs", [current["epoch"]] * len(positions)))
+    for position, name in changes.items():
+        positions[position] = name
+        epochs[position] = epoch
+    return Roster(
+        service=service,
+        epoch=epoch,
+        positions=positions,
+        epochs=epochs,
+        since=current.get("since", 0.0),
+        changed=now,
+    )
+
+
+def _first(service, healthy, now):
+    settle_s = SETTLE_S if len(healthy) >= GROUP_SIZE else SMALL_SETTLE_S
+    if min(item.seen_s for item in healthy) < settle_s:
+        return None
+    return Roster(
+        service=service,
+        epoch=FIRST_EPOCH,
+        positions=_fill(healthy),
+        epochs=[FIRST_EPOCH] * POSITIONS,
+        since=now,
+        changed=now,
+    )
+
+
+def _fill(healthy):
+    layout = _Layout([""] * POSITIONS, healthy)
+    for position in range(POSITIONS):
+        layout.assign(position, layout.best(position))
+    return layout.positions
+
+
+class _Layout:
+    """Positions that are being assigned."""
+
+    def __init__(self, positions, candidates):
+        self.positions = list(positions)
+        self._candidates = candidates
+        known = {item.name: item for item in candidates}
+        self._centers = {name: item.data_center for name, item in known.items()}
+        self._failed = {
+            name
+            for name in set(positions) | set(known)
+            if name not in known or known[name].failed_s >= REPLACE_AFTER_S
+        }
+        self._healthy = sorted(
+            name for name, item in known.items() if item.failed_s == 0
+        )
+        self._loads = dict.fromkeys(self._healthy, 0)
+        for name in positions:
+            if name in self._loads:
+                self._loads[name] += 1
+
+    def assign(self, position, name):
+        """Sets the node at a position."""
+        previous = self.positions[position]
+        if previous in self._loads:
+            self._loads[previous] -= 1
+        self._loads[name] += 1
+        self.positions[position] = name
+
+    def best(self, position):
+        """Chooses the healthy node that suits a position best."""
+        near = self._near(position)
+        centers = [self._centers.get(name) for name in near]
+
+        def rank(name):
+            center = self._centers[name]
+            return name in near, centers.count(center), self._loads[name], name
+
+        return min(self._healthy, key=rank)
+
+    def changes(self):
+        """Chooses changes of which no group sees more than one.
+
+        :return: dict from position to the new node.
+        """
+        changes = {}
+        for position in range(len(self.positions)):
+            if any(self._overlap(position, other) for other in changes):
+                continue
+            name = self._replacement(position)
+            if name is not None:
+                self.assign(position, name)
+                changes[position] = name
+        return changes
+
+    def _replacement(self, position):
+        present = self.positions[position]
+        name = self.best(position)
+        if present in self._failed:
+            # A group of three must not shrink: the holders that are left may
+            # not know of a claim that was granted.
+            return None if self._shrinks(position, name, GROUP_SIZE) else name
+        if present in self._near(position) and len(self._healthy) >= GROUP_SIZE:
+            name = self._target[position]
+            if name == present or self._shrinks(position, name, 1):
+                return None
+            return name
+        conflict = name in self._near(position)
+        lower = self._loads[name] + 1 < self._loads.get(present, 0)
+        return name if lower and not conflict else None
+
+    def _shrinks(self, position, name, least):
+        """Whether a group of at least ``least`` holders would lose one."""
+        changed = list(self.positions)
+        changed[position] = name
+        for step in range(GROUP_SIZE):
+            old = len(group_of(self.positions, position - step))
+            if old >= least and len(group_of(changed, position - step)) < old:
+                return True
+        return False
+
+    def _overlap(self, position, other):
+        distance = abs(position - other)
+        return min(distance, len(self.positions) - distance) < GROUP_SIZE
+
+    @cached_property
+    def _target(self):
+        """Positions of a new layout of the healthy nodes."""
+        candidates = [item for item in self._candidates if item.failed_s == 0]
+        return _fill(candidates)
+
+    def _near(self, position):
+        count = len(self.positions)
+        steps = [step for step in range(1 - GROUP_SIZE, GROUP_SIZE) if step]
+        return [self.positions[(position + step) % count] for step in steps]
+
+
+class Rosters:
+    """The rosters that a node knows; only higher epochs replace them."""
+
+    def __init__(self):
+        self._rosters = {}
+
+    def get(self, service):
+        """Gives the :class:`Roster` of a service, or ``None``."""
+        return self._rosters.get(service)
+
+    def adopt(self, roster):
+        """Takes a roster unless a newer one is known.
+
+        :param roster: :class:`Roster`.
+        :return: whether it was newer.
+        """
+        known = self._rosters.get(roster["service"])
+        if known is not None and roster["epoch"] <= known["epoch"]:
+            return False
+        self._rosters[roster["service"]] = roster
+        return True
+
+    def dump(self):
+        """Gives the epochs by service."""
+        return {name: roster["epoch"] for name, roster in self._rosters.items()}
--- /dev/null
+++ b/tests/claim_schedules.py
@@ -0,0 +1,179 @@
+"""Random schedules of claimants, holders, restarts and roster changes."""
+
+import random
+
+from figpick._claims import GRANTED, Claim, Holder, decide
+from figpick._plans import Moment
+from figpick._rosters import GROUP_SIZE, group_of
+
+NAMES = "abcde"
+SERVICE = "parts"
+KEY_HASH = "00000000ffff"
+GIVE_UP_S = 1.0
+STEPS = 250
+
+
+class Claimant:
+    def __init__(self, name, claim, size):
+        self.name = name
+        self.claim = claim
+        self.size = size
+        self.replies = []
+        self.open = True
+
+
+class Schedule:
+    """Runs one schedule; ``executed`` lists the times at which the request ran."""
+
+    def __init__(self, seed, uuid7):
+        self.random = random.Random(seed)
+        self.now = 1000.0
+        self.skew = {name: self.random.uniform(-0.4, 0.4) for name in NAMES}
+        self.created = 1002.0 + self.random.uniform(0, 9) if uuid7 else None
+        self.rosters = [self._roster(1, list(NAMES[:GROUP_SIZE]), [1] * 3, 1002.0)]
+        self.holders = {}
+        for name in NAMES:
+            self._start(name)
+        self.now = 1002.5
+        self.messages = []
+        self.claimants = []
+        self.copies = {}
+        self.executed = []
+
+    def run(self):
+        actions = (
+            [self._claim] * 3
+            + [self._deliver] * 20
+            + [self._confirm] * 3
+            + [self._copy] * 6
+            + [self._learn, self._restart, self._change, self._pass_time, self._lose]
+        )
+        for name in NAMES:
+            self._adopt(name, self.rosters[0])
+            self.holders[name].confirm(1, self.now)
+        for _ in range(STEPS):
+            self.random.choice(actions)()
+        return self.executed
+
+    def _moment(self, name):
+        return Moment(self.now, self.now + self.skew[name])
+
+    def _roster(self, epoch, positions, epochs, changed):
+        since = self.rosters[0]["since"] if epoch > 1 else changed
+        return {
+            "service": SERVICE,
+            "epoch": epoch,
+            "positions": positions,
+            "epochs": epochs,
+            "since": since,
+            "changed": changed,
+        }
+
+    def _start(self, name):
+        self.holders[name] = Holder(name, self._moment(name))
+        self._adopt(name, self.random.choice(self.rosters))
+
+    def _adopt(self, name, roster):
+        if roster["epoch"] > self.holders[name].epoch:
+            self.holders[name].adopt(roster, self._moment(name))
+
+    def _restart(self):
+        name = self.random.choice(NAMES)
+        self.copies.pop(name, None)
+        self._start(name)
+
+    def _learn(self):
+        self._adopt(self.random.choice(NAMES), self.random.choice(self.rosters))
+
+    def _confirm(self):
+        name = self.random.choice(NAMES)
+        self._adopt(name, self.rosters[-1])
+        self.holders[name].confirm(self.rosters[-1]["epoch"], self.now)
+
+    def _change(self):
+        last = self.rosters[-1]
+        index = self.random.randrange(GROUP_SIZE)
+        positions, epochs = list(last["positions"]), list(last["epochs"])
+        positions[index] = self.random.choice(NAMES)
+        epochs[index] = last["epoch"] + 1
+        self.rosters.append(
+            self._roster(last["epoch"] + 1, positions, epochs, self.now)
+        )
+
+    def _pass_time(self):
+        step_s = self.random.choice((0.1, 0.1, 5.0, 5.0, 200.0, 700.0))
+        if step_s > GIVE_UP_S:
+            for claimant in self.claimants:
+                self._give_up(claimant)
+        self.now += step_s
+
+    def _claim(self):
+        if self.created is not None and self.now < self.created:
+            return
+        roster = self.random.choice(self.rosters[-2:])
+        name = f"claimant-{len(self.claimants)}"
+        claim = Claim(SERVICE, roster["epoch"], 0, KEY_HASH, self.created, name, 10.0)
+        group = group_of(roster["positions"], 0)
+        claimant = Claimant(name, claim, len(group))
+        self.claimants.append(claimant)
+        self.messages += [("claim", claimant, holder) for holder in group]
+
+    def _deliver(self):
+        if not self.messages:
+            return
+        index = self.random.randrange(len(self.messages))
+        kind, claimant, name = self.messages.pop(index)
+        holder, moment = self.holders[name], self._moment(name)
+        if kind == "claim":
+            reply = holder.claim(claimant.claim, moment)
+            if claimant.open:
+                claimant.replies.append(reply)
+                self._decide(claimant)
+        elif kind == "finish":
+            holder.finish(claimant.claim, None, moment)
+        else:
+            holder.release(claimant.claim, moment)
+
+    def _decide(self, claimant):
+        if decide(claimant.replies, claimant.size).result == GRANTED:
+            if self.random.random() < 0.2:
+                self._give_up(claimant)
+                return
+            claimant.open = False
+            self.executed.append(self.now)
+            self._send_all("finish", claimant)
+        elif self.random.random() < 0.1:
+            self._give_up(claimant)
+
+    def _give_up(self, claimant):
+        if claimant.open:
+            claimant.open = False
+            self._send_all("release", claimant)
+
+    def _send_all(self, kind, claimant):
+        roster = self.rosters[claimant.claim.epoch - 1]
+        names = group_of(roster["positions"], 0)
+        self.messages += [(kind, claimant, name) for name in names]
+
+    def _lose(self):
+        self.random.shuffle(self.messages)
+        del self.messages[self.random.randrange(len(self.messages) + 1) :]
+
+    def _copy(self):
+        """Advances one copy by a step, so that others happen in between."""
+        name = self.random.choice(NAMES)
+        holder = self.holders[name]
+        if name not in self.copies:
+            for position, others in holder.missing():
+                if position == 0:
+                    self.copies[name] = (holder.epoch, others, [], self.now)
+            return
+        epoch, others, copies, asked_at = self.copies[name]
+        if len(copies) < len(others):
+            source = others[len(copies)]
+            self._adopt(source, self.rosters[epoch - 1])
+            copy = self.holders[source].serve_copy(epoch, 0, self._moment(source))
+            copies.append(copy)
+        else:
+            del self.copies[name]
+            holder.install(epoch, 0, copies, asked_at, self._moment(name))
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,138 @@
+"""Claims: a keyed request is never granted to two claimants."""
+
+from itertools import pairwise
+
+from hypothesis import given, settings, strategies as st
+
+from figpick import _keys
+from figpick._claim_records import RETENTION_S
+from figpick._claims import (
+    FINISHED,
+    GRANTED,
+    NONE,
+    RUNNING,
+    UNKNOWN,
+    UNSYNCED,
+    Claim,
+    Holder,
+    Reply,
+    decide,
+)
+from figpick._plans import Moment
+from tests.claim_schedules import Schedule
+
+SCHEDULES = 400
+ROSTER = {
+    "service": "parts",
+    "epoch": 1,
+    "positions": ["a", "b", "c"],
+    "epochs": [1, 1, 1],
+    "since": 1010.0,
+    "changed": 1010.0,
+}
+CLAIM = Claim("parts", 1, 0, "00ff", None, "one", 10.0)
+ANSWER = {"status": 200, "headers": [], "body": "done"}
+
+
+def moment(seconds):
+    return Moment(seconds, seconds)
+
+
+def in_sync_holder():
+    holder = Holder("a", moment(1000.0))
+    holder.adopt(ROSTER, moment(1011.0))
+    holder.confirm(1, 1011.0)
+    return holder
+
+
+@settings(max_examples=SCHEDULES, deadline=None)
+@given(st.integers(0, 1 << 32))
+def test_uuid7_key_runs_at_most_once(seed):
+    """Guards against two grants under restarts, losses and roster changes."""
+    assert len(Schedule(seed, uuid7=True).run()) <= 1
+
+
+@settings(max_examples=SCHEDULES, deadline=None)
+@given(st.integers(0, 1 << 32))
+def test_other_key_runs_once_in_its_retention(seed):
+    """Guards against a second grant within the retention period."""
+    executed = Schedule(seed, uuid7=False).run()
+    gaps = [later - earlier for earlier, later in pairwise(executed)]
+    assert all(gap >= RETENTION_S for gap in gaps)
+
+
+def test_released_record_does_not_renew_an_old_key():
+    """Guards against a grant of a key older than its records (seed 274)."""
+    claim = CLAIM._replace(created=1012.0)
+    holder = in_sync_holder()
+    assert holder.claim(claim, moment(1012.0)).result == GRANTED
+    holder.release(claim, moment(1012.1))
+    holder.confirm(1, 1612.0)
+    later = claim._replace(claimant="two")
+    assert holder.claim(later, moment(1613.0)).result == UNKNOWN
+
+
+def test_resend_gets_the_stored_answer():
+    """Guards against a second execution after a lost answer."""
+    holder = in_sync_holder()
+    other = CLAIM._replace(claimant="two")
+    assert holder.claim(CLAIM, moment(1012.0)).result == GRANTED
+    assert holder.claim(other, moment(1012.1)).result == RUNNING
+    holder.finish(CLAIM, ANSWER, moment(1012.2))
+    assert holder.claim(other, moment(1012.3)) == Reply(FINISHED, ANSWER)
+
+
+def test_claim_past_its_deadline_is_unknown():
+    """Guards against ``running`` forever after the claimant has failed."""
+    holder = in_sync_holder()
+    holder.claim(CLAIM, moment(1012.0))
+    other = CLAIM._replace(claimant="two")
+    assert holder.claim(other, moment(1023.0)).result == UNKNOWN
+
+
+def test_release_that_overtakes_its_claim_wins():
+    """Guards against a claim that nobody withdraws when messages are reordered."""
+    holder = in_sync_holder()
+    holder.release(CLAIM, moment(1012.0))
+    assert holder.claim(CLAIM, moment(1012.1)).result == RUNNING
+    other = CLAIM._replace(claimant="two")
+    assert holder.claim(other, moment(1012.2)).result == GRANTED
+
+
+def test_restarted_holder_decides_only_on_new_uuid7_keys():
+    """Guards against a holder that lost its records and grants again."""
+    holder = Holder("a", moment(2000.0))
+    holder.adopt(ROSTER, moment(2001.0))
+    holder.confirm(1, 2001.0)
+    old = CLAIM._replace(created=2000.5)
+    new = CLAIM._replace(created=2001.5)
+    assert holder.claim(CLAIM, moment(2002.0)).result == UNSYNCED
+    assert holder.lookup(old, moment(2002.0)).result == UNSYNCED
+    assert holder.claim(new, moment(2002.0)).result == GRANTED
+
+
+def test_key_from_the_future_is_not_granted():
+    """Guards against a key whose records would expire before the key does."""
+    holder = in_sync_holder()
+    future = CLAIM._replace(created=1014.0)
+    assert holder.claim(future, moment(1012.0)).result == UNKNOWN
+
+
+def test_not_run_needs_a_quorum():
+    """Guards against a ``not-run`` that a single holder vouches for."""
+    assert decide([Reply(NONE)], 3).result == UNSYNCED
+    assert decide([Reply(NONE), Reply(UNSYNCED)], 3).result == UNSYNCED
+    assert decide([Reply(NONE), Reply(NONE)], 3).result == NONE
+    assert decide([Reply(NONE), Reply(NONE), Reply(FINISHED)], 3).result == FINISHED
+
+
+@given(st.floats(0, 1 << 38, exclude_max=True))
+def test_uuid7_carries_its_creation_time(now):
+    """Guards against keys that are read with another time than they were made."""
+    assert abs(_keys.created_at(_keys.new_key(now)) - now) < 0.01
+
+
+def test_other_keys_have_no_creation_time():
+    """Guards against trust in a key that is not a UUIDv7."""
+    for key in ("", "order-7", "6ba7b810-9dad-41d1-80b4-00c04fd430c8"):
+        assert _keys.created_at(key) is None
