Describe both deployments for experiments

Cause: replay and experiments need the same scaled services and request kinds. Change: scaled documents, call trees and the capacity of the bottleneck; the stand-in takes a plan with a request; the one-file build uses the lock file.

--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,5 @@
 dist: setup
 	mkdir -p dist
 	$(BIN)/shiv --quiet --compressed --entry-point figpick.cli:main \
-	  --output-file dist/figpick --python '/usr/bin/env python3' .
+	  --output-file dist/figpick --python '/usr/bin/env python3' \
+	  --constraint requirements.lock .
--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,214 @@
+"""The two deployments, scaled down for one machine.
+
+Servers, the ratio of slots and the shape of the call trees are those of the
+design page; slots are divided by ``SCALE`` and service times are long, so that
+the capacity fits one machine.
+"""
+
+from typing import NamedTuple
+
+from bench.cluster import ServiceSpec
+
+SCALE = 4
+
+
+class RequestKind(NamedTuple):
+    """One kind of root request.
+
+    :param name: name in results.
+    :param share: share of all root requests.
+    :param size: bytes of the answer.
+    :param calls: call trees below, each ``(service, method, path, service_ms,
+        calls)``.
+    """
+
+    name: str
+    share: float
+    service: str
+    method: str
+    path: str
+    importance: int
+    idempotent: bool
+    service_ms: float
+    size: int
+    calls: tuple
+
+
+class Deployment(NamedTuple):
+    """A deployment with its services and the requests of its users.
+
+    :param bottleneck: service that limits the capacity.
+    :param client_delay_ms: one-way delay between clients and nodes.
+    :param host_delay_ms: one-way delay between data centres.
+    """
+
+    name: str
+    services: list
+    kinds: list
+    bottleneck: str
+    client_delay_ms: float
+    host_delay_ms: float
+
+
+def _route(method, path, importance, idempotent, deadline_ms=3000):
+    return {
+        "method": method,
+        "path": path,
+        "importance": importance,
+        "idempotent": idempotent,
+        "deadline_ms": deadline_ms,
+    }
+
+
+def _service(name, servers, slots, connections, routes):
+    slots = slots // SCALE
+    document = {
+        "service": name,
+        "routes": routes,
+        "limits": {"slots": slots, "connections": connections},
+    }
+    return ServiceSpec(document, [], servers, slots, connections)
+
+
+def cascade():
+    """Cascade: hangars keep aircraft maintenance logbooks."""
+    parts = ("parts", "GET", "/parts/7", 100, ())
+    entries = ("entries", "GET", "/entries/3", 50, (parts,))
+    services = [
+        _service(
+            "entries",
+            3,
+            140,
+            950,
+            [
+                _route("GET", "/entries/check/*", 1, True),
+                _route("GET", "/entries/*", 5, True),
+            ],
+        ),
+        _service("signoffs", 3, 140, 950, [_route("POST", "/signoffs", 9, False)]),
+        _service("scans", 3, 140, 950, [_route("GET", "/scans/*", 4, True)]),
+        _service("parts", 3, 40, 330, [_route("GET", "/parts/*", 3, True)]),
+    ]
+    kinds = [
+        RequestKind(
+            "signoff",
+            0.15,
+            "signoffs",
+            "POST",
+            "/signoffs",
+            9,
+            False,
+            50,
+            64,
+            (entries,),
+        ),
+        RequestKind(
+            "lookup", 0.4, "entries", "GET", "/entries/3", 5, True, 50, 2048, (parts,)
+        ),
+        RequestKind(
+            "scan", 0.15, "scans", "GET", "/scans/9", 4, True, 80, 200_000, (parts,)
+        ),
+        RequestKind("trace", 0.1, "parts", "GET", "/parts/7", 3, True, 100, 512, ()),
+        RequestKind(
+            "check",
+            0.2,
+            "entries",
+            "GET",
+            "/entries/check/1",
+            1,
+            True,
+            50,
+            64,
+            (parts,),
+        ),
+    ]
+    return Deployment("cascade", services, kinds, "parts", 1.0, 0.5)
+
+
+def kilimo():
+    """Kilimo: an issue tracker for game studios."""
+    read = ("tickets", "GET", "/tickets/5", 100, ())
+    write = ("tickets", "POST", "/tickets/5/state", 100, ())
+    services = [
+        _service(
+            "boards",
+            4,
+            90,
+            620,
+            [
+                _route("GET", "/boards/{id}/refresh", 1, True),
+                _route("GET", "/boards/*", 4, True),
+            ],
+        ),
+        _service(
+            "workflow", 3, 120, 800, [_route("POST", "/workflow/transition", 9, False)]
+        ),
+        _service("vault", 3, 120, 800, [_route("GET", "/vault/*", 5, True)]),
+        _service(
+            "tickets",
+            4,
+            20,
+            230,
+            [
+                _route("GET", "/tickets/*", 3, True),
+                _route("POST", "/tickets/*", 8, False),
+                _route("POST", "/tickets", 7, False),
+            ],
+        ),
+    ]
+    kinds = [
+        RequestKind(
+            "transition",
+            0.15,
+            "workflow",
+            "POST",
+            "/workflow/transition",
+            9,
+            False,
+            40,
+            64,
+            (write,),
+        ),
+        RequestKind("bug", 0.1, "tickets", "POST", "/tickets", 7, False, 100, 64, ()),
+        RequestKind(
+            "dump", 0.1, "vault", "GET", "/vault/2", 5, True, 60, 300_000, (read,)
+        ),
+        RequestKind(
+            "view", 0.35, "boards", "GET", "/boards/1", 4, True, 40, 4096, (read, read)
+        ),
+        RequestKind(
+            "refresh",
+            0.3,
+            "boards",
+            "GET",
+            "/boards/1/refresh",
+            1,
+            True,
+            40,
+            512,
+            (read,),
+        ),
+    ]
+    return Deployment("kilimo", services, kinds, "tickets", 3.0, 1.0)
+
+
+def capacity(deployment):
+    """Gives the root requests per second that the bottleneck can carry.
+
+    Counts the mean work that a root request causes at the bottleneck.
+    """
+    spec = next(s for s in deployment.services if s.name == deployment.bottleneck)
+    work_s = sum(
+        kind.share * _work_s(deployment.bottleneck, kind) for kind in deployment.kinds
+    )
+    return spec.servers * spec.slots / work_s
+
+
+def _work_s(service, kind):
+    own = kind.service_ms if kind.service == service else 0.0
+    return (own + sum(_tree_ms(service, call) for call in kind.calls)) / 1000
+
+
+def _tree_ms(service, call):
+    own = call[3] if call[0] == service else 0.0
+    return own + sum(_tree_ms(service, below) for below in call[4])
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -1,7 +1,9 @@
 """A stand-in upstream: runs requests in slots and calls other services.
 
 Started as ``python -m bench.standin CONFIG``, a JSON file of
-:class:`StandinConfig`. Requests under ``/standin/`` steer it.
+:class:`StandinConfig`. Requests under ``/standin/`` steer it. A request with the
+header ``X-Plan`` carries its own :class:`StandinRoute` as JSON, so a replayed
+trace needs no configured routes.
 """
 
 import asyncio
@@ -31,6 +33,7 @@
     method: str
     path: str
     headers: NotRequired[dict]
+    plan: NotRequired[dict]
 
 
 class StandinRoute(TypedDict):
@@ -119,7 +122,7 @@
     async def _execute(self, request):
         if request.headers.get("X-Standin-Crash") == "yes":
             os._exit(1)
-        route = self._route(request.path)
+        route = self._route(request)
         identity = request.headers.get("X-Request", "")
         self._executions[identity] += 1
         self._started_at.append(time.time())
@@ -150,6 +153,8 @@
             "Figpick-Context": request.headers.get("Figpick-Context", ""),
             **call.get("headers", {}),
         }
+        if "plan" in call:
+            headers["X-Plan"] = msgspec.json.encode(call["plan"]).decode()
         for _ in range(route.get("attempts", 1)):
             answer = await self._client.request(
                 self._config["node_address"], call["method"], call["path"], headers
@@ -158,9 +163,12 @@
                 break
         return answer.status
 
-    def _route(self, path):
+    def _route(self, request):
+        plan = request.headers.get("X-Plan")
+        if plan is not None:
+            return msgspec.json.decode(plan)
         for route in self._config["routes"]:
-            if path.startswith(route["prefix"]):
+            if request.path.startswith(route["prefix"]):
                 return route
         return {"prefix": "/", "service_ms": 1}
 
