--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -30,6 +30,7 @@
     "restart",
     "membership",
     "control-cost",
+    "replay",
 )
 SEEDS = (1, 2, 3)
 RESULTS = Path(__file__).parent / "results"
--- a/bench/client.py
+++ b/bench/client.py
@@ -71,6 +71,8 @@
 async def _send(connection, method, path, headers, body, collector):
     http = HTTP1Connection(connection.stream, True, PARAMETERS)
     all_headers = HTTPHeaders(headers)
+    if "Host" not in all_headers:
+        all_headers["Host"] = "127.0.0.1"
     if body or method in ("POST", "PUT", "PATCH"):
         all_headers["Content-Length"] = str(len(body))
     start_line = RequestStartLine(method, path, "HTTP/1.1")
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -85,6 +85,7 @@
         self._state = "ready"
         self._in_flight = 0
         self._executions = Counter()
+        self._runs = Counter()
         self._started_at = []
 
     async def run(self):
@@ -125,6 +126,7 @@
         route = self._route(request)
         identity = request.headers.get("X-Request", "")
         self._executions[identity] += 1
+        self._runs[f"{identity} {request.method} {request.path}"] += 1
         self._started_at.append(time.time())
         if self._config.get("shed") and self._slots.locked():
             return 503, b"busy"
@@ -184,6 +186,7 @@
         stats = {
             "in_flight": self._in_flight,
             "executions": self._executions,
+            "runs": self._runs,
             "started_at": self._started_at,
         }
         return 200, msgspec.json.encode(stats)
