Add the demonstration and the table of measurements

Cause: a new user needs one command that shows the effect. Conclusion: shows the fault that the admission work must remove.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -43,12 +43,14 @@
     """
     module = importlib.import_module(f"bench.{name.replace('-', '_')}")
     started_at = time.time()
+    earlier = _earlier(name)
     lines = []
     holds = True
     for row in module.run(SEEDS):
         record = {**row._asdict(), "holds": row.holds}
         record["date"] = time.strftime("%Y-%m-%d", time.gmtime(started_at))
         record["command"] = f"make bench NAME={name}"
+        record["earlier"] = earlier.get((row.case, row.seed))
         lines.append(msgspec.json.encode(record))
         print(lines[-1].decode(), flush=True)
         holds = holds and row.holds
@@ -57,6 +59,14 @@
     return holds
 
 
+def _earlier(name):
+    path = RESULTS / f"{name}.jsonl"
+    if not path.exists():
+        return {}
+    records = [msgspec.json.decode(line) for line in path.read_bytes().splitlines()]
+    return {(item["case"], item["seed"]): item["figpick"] for item in records}
+
+
 def main(name):
     """Runs the named experiments and gives the exit code."""
     if name != "all" and name not in EXPERIMENTS:
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -212,3 +212,32 @@
 def _tree_ms(service, call):
     own = call[3] if call[0] == service else 0.0
     return own + sum(_tree_ms(service, below) for below in call[4])
+
+
+def chain():
+    """A chain of three services for the demonstration."""
+    third = ("stock", "GET", "/stock/1", 80, ())
+    second = ("orders", "GET", "/orders/1", 20, (third,))
+    services = [
+        _service(
+            "shop",
+            2,
+            80,
+            400,
+            [
+                _route("GET", "/pages/*", 2, True),
+                _route("POST", "/checkout", 9, False),
+            ],
+        ),
+        _service("orders", 2, 80, 400, [_route("GET", "/orders/*", 3, True)]),
+        _service("stock", 2, 40, 200, [_route("GET", "/stock/*", 3, True)]),
+    ]
+    kinds = [
+        RequestKind(
+            "page", 0.8, "shop", "GET", "/pages/1", 2, True, 20, 2048, (second,)
+        ),
+        RequestKind(
+            "checkout", 0.2, "shop", "POST", "/checkout", 9, False, 20, 64, (second,)
+        ),
+    ]
+    return Deployment("chain", services, kinds, "stock", 1.0, 0.5)
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -113,7 +113,7 @@
             if self._share(window) >= NORMAL_SHARE:
                 return round(begin_s - until_s, 3)
             begin_s += WINDOW_S / 10
-        return duration_s
+        return round(duration_s - until_s, 3)
 
     def _row(self, name, value, bound, at_most):
         head = self._trace.head
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -179,7 +179,8 @@
     }
 
 
-def _head(deployment, name, outcomes, until_s=0.0, faults=(), resends=0):
+def make_head(deployment, name, outcomes, until_s=0.0, faults=(), resends=0):
+    """Makes the head of a trace of seven seconds with seed 7."""
     return {
         "trace": f"{deployment}-{name}",
         "deployment": deployment,
@@ -199,14 +200,14 @@
     bottleneck = {"cascade": "parts", "kilimo": "tickets"}
     for name, limit_s in recovery_s.items():
         slow = {"at_s": 2.0, "for_s": 2.0, "service": bottleneck[name], "factor": 10.0}
-        calm = _head(name, "calm", {"goodput": 0.999, "top_goodput": 0.999})
+        calm = make_head(name, "calm", {"goodput": 0.999, "top_goodput": 0.999})
         yield make(calm, [(0, 0.4)])
-        crunch = _head(name, "crunch", {"goodput": 0.45, "top_goodput": 0.99})
+        crunch = make_head(name, "crunch", {"goodput": 0.45, "top_goodput": 0.99})
         yield make(crunch, [(0, 2.0)])
         outcomes = {"recovery_s": limit_s}
-        surge = _head(name, "surge-slow", outcomes, 4.0, [slow])
+        surge = make_head(name, "surge-slow", outcomes, 4.0, [slow])
         yield make(surge, [(0, 0.6), (2, 1.2), (4, 0.6)])
-        hard = _head(name, "hard-retries", outcomes, 4.0, [slow], resends=5)
+        hard = make_head(name, "hard-retries", outcomes, 4.0, [slow], resends=5)
         yield make(hard, [(0, 0.6), (2, 1.2), (4, 0.6)])
 
 
