Replicate the registry between control processes with Raft

Cause: one control process kept the documents in one file, so the loss of its host stopped all changes. A quorum forms once every new process has answered; a replaced disk gets a new identity, so it cannot vote with an empty log.

--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -14,7 +14,6 @@
 from ._logs import logger
 from ._members import LEFT, Member, Members
 from ._node import Node
-from ._storage import LogFile
 from ._supervisor import Supervisor
 from ._transport import PeerClient, PeerServer
 
@@ -85,10 +84,9 @@
         self._supervisor.add_periodic("announcement", self._node.check_announcement, 1)
 
     def _add_control(self):
-        self._control = Control(self.clock, LogFile(self._settings["data_folder"]))
-        self._server.handle("put", self._control.put)
-        self._server.handle("get", self._control.get)
-        self._server.handle("history", self._control.history)
+        self._control = Control(self._settings, self.clock, self._client)
+        self._control.add_handlers(self._server)
+        self._control.add_tasks(self._supervisor)
 
     def _add_dissemination(self):
         gossip = Gossip(self._members, self._versions, self._seeds(), random.Random())
--- /dev/null
+++ b/src/figpick/_consensus_core.py
@@ -0,0 +1,168 @@
+"""State that all parts of a quorum member share, and what it gives out."""
+
+from typing import NamedTuple
+
+from ._consensus_log import Log
+from ._consensus_messages import Entry, Snapshot, VoteState
+
+MIN_ELECTION_S = 0.6
+MAX_ELECTION_S = 1.2
+
+FOLLOWER = "follower"
+PRE_CANDIDATE = "pre-candidate"
+CANDIDATE = "candidate"
+LEADER = "leader"
+
+
+class Output(NamedTuple):
+    """What must happen next, in this order.
+
+    :param snapshot: received :class:`Snapshot` to store, or ``None``.
+    :param state: :class:`VoteState` to store, or ``None``.
+    :param entries: entries to store; the first replaces all from its index on.
+    :param last_index: last index of the log once the above is stored.
+    :param messages: messages to send once the above is synced.
+    :param committed: entries to apply.
+    :param reads: requests whose read is confirmed.
+    """
+
+    snapshot: Snapshot | None
+    state: VoteState | None
+    entries: tuple
+    last_index: int
+    messages: tuple
+    committed: tuple
+    reads: tuple
+
+
+class Core:
+    """State of one member of the quorum.
+
+    :param own_id: identity of this process and its disk.
+    :param stored: :class:`~figpick._consensus_messages.Stored`.
+    :param random: source of random numbers, such as ``random.Random``.
+    :param now: monotonic seconds.
+    """
+
+    def __init__(self, own_id, stored, random, now):
+        self._id = own_id
+        self._random = random
+        self._term, self._vote = stored.state
+        self._log = Log(stored.snapshot, stored.entries)
+        self._synced = self._log.last_index
+        self._commit = self._delivered = self._log.base_index
+        self._role = FOLLOWER
+        self._leader = None
+        self._heard_at = now - MAX_ELECTION_S
+        self._votes = set()
+        self._leadership = None
+        self._incoming = None
+        self._new_snapshot = None
+        self._state_changed = False
+        self._new_entries = []
+        self._messages = []
+        self._reads = []
+        self._reset_election(now)
+        if set(self._log.members.voters) == {own_id}:
+            self._election_at = now
+
+    def __repr__(self):
+        name = type(self).__name__
+        return f"<{name} {self._id} {self._role} term {self._term}>"
+
+    @property
+    def role(self):
+        """``follower``, ``pre-candidate``, ``candidate`` or ``leader``."""
+        return self._role
+
+    @property
+    def is_leader(self):
+        """Whether this process leads its term."""
+        return self._role == LEADER
+
+    @property
+    def leader(self):
+        """Identity of the known leader, or ``None``."""
+        return self._leader
+
+    @property
+    def term(self):
+        """Current term."""
+        return self._term
+
+    @property
+    def commit(self):
+        """Last index known to be committed."""
+        return self._commit
+
+    @property
+    def log(self):
+        """:class:`~figpick._consensus_log.Log`, for reading only."""
+        return self._log
+
+    @property
+    def members(self):
+        """Membership in force."""
+        return self._log.members
+
+    @property
+    def progress(self):
+        """Progress of the other members, empty unless this process leads."""
+        return self._leadership.progress if self._leadership else {}
+
+    def take_output(self):
+        """Takes what must happen next.
+
+        :return: :class:`Output`, or ``None`` when there is nothing to do.
+        """
+        last = min(self._commit, self._log.last_index)
+        committed = self._log.slice(self._delivered + 1, last)
+        if not (
+            self._messages
+            or self._new_entries
+            or self._state_changed
+            or self._new_snapshot
+            or committed
+            or self._reads
+        ):
+            return None
+        output = Output(
+            snapshot=self._new_snapshot,
+            state=VoteState(self._term, self._vote) if self._state_changed else None,
+            entries=tuple(self._new_entries),
+            last_index=self._log.last_index,
+            messages=tuple(self._messages),
+            committed=tuple(committed),
+            reads=tuple(self._reads),
+        )
+        self._delivered = last
+        self._new_snapshot = None
+        self._state_changed = False
+        self._new_entries = []
+        self._messages = []
+        self._reads = []
+        return output
+
+    def _reset_election(self, now):
+        wait_s = self._random.uniform(MIN_ELECTION_S, MAX_ELECTION_S)
+        self._election_at = now + wait_s
+
+    def _set_state(self, term, vote):
+        self._term = term
+        self._vote = vote
+        self._state_changed = True
+
+    def _become_follower(self, term, leader, now):
+        self._role = FOLLOWER
+        self._leadership = None
+        self._leader = leader
+        if term > self._term:
+            self._incoming = None
+            self._set_state(term, None)
+        self._reset_election(now)
+
+    def _add(self, kind, data):
+        entry = Entry(self._log.last_index + 1, self._term, kind, data)
+        self._log.append(entry)
+        self._new_entries.append(entry)
+        return entry.index
--- /dev/null
+++ b/src/figpick/_consensus_elections.py
@@ -0,0 +1,96 @@
+"""Elections with pre-vote: how a member becomes leader or grants its vote."""
+
+from ._consensus_core import (
+    CANDIDATE,
+    LEADER,
+    MIN_ELECTION_S,
+    PRE_CANDIDATE,
+    Core,
+)
+from ._consensus_leader import Leadership
+from ._consensus_messages import NOOP, Vote, VoteReply
+
+
+class Elections(Core):
+    """Campaigns and answers candidates."""
+
+    def _campaign(self, role, now):
+        self._reset_election(now)
+        self._leader = None
+        self._role = role
+        self._votes = {self._id}
+        term = self._term + 1
+        if role == CANDIDATE:
+            self._set_state(term, self._id)
+        for identity in self.members.voters:
+            if identity != self._id:
+                self._messages.append(
+                    Vote(
+                        sender=self._id,
+                        to=identity,
+                        term=term,
+                        last_index=self._log.last_index,
+                        last_term=self._log.last_term,
+                        pre=role == PRE_CANDIDATE,
+                    )
+                )
+        self._count_votes(now)
+
+    def _count_votes(self, now):
+        if not self.members.is_quorum(self._votes):
+            return
+        if self._role == PRE_CANDIDATE:
+            self._campaign(CANDIDATE, now)
+        else:
+            self._become_leader(now)
+
+    def _become_leader(self, now):
+        self._role = LEADER
+        self._leader = self._id
+        self._leadership = Leadership(self._id, now)
+        self._leadership.update_members(self.members, self._log.last_index, now)
+        # Entries of earlier terms are committed only with one of the own term.
+        self._add(NOOP, None)
+        self._broadcast(now)
+
+    def _hears_leader(self, now):
+        if self.is_leader:
+            return True
+        return self._leader is not None and now - self._heard_at < MIN_ELECTION_S
+
+    def _is_up_to_date(self, message):
+        own = self._log.last_term, self._log.last_index
+        return (message.last_term, message.last_index) >= own
+
+    def _on_vote(self, message, now):
+        # Members that hear a leader do not answer, so a process that returns
+        # from a partition or was removed cannot end a term.
+        if self._hears_leader(now):
+            return
+        if message.pre:
+            granted = message.term > self._term and self._is_up_to_date(message)
+        else:
+            if message.term > self._term:
+                self._become_follower(message.term, None, now)
+            free = self._vote in (None, message.sender)
+            granted = (
+                message.term == self._term and free and self._is_up_to_date(message)
+            )
+            if granted:
+                self._set_state(self._term, message.sender)
+                self._reset_election(now)
+        term = message.term if granted else self._term
+        self._messages.append(
+            VoteReply(self._id, message.sender, term, granted, message.pre)
+        )
+
+    def _on_vote_reply(self, message, now):
+        if not message.granted:
+            if message.term > self._term:
+                self._become_follower(message.term, None, now)
+            return
+        role = PRE_CANDIDATE if message.pre else CANDIDATE
+        term = self._term + 1 if message.pre else self._term
+        if self._role == role and message.term == term:
+            self._votes.add(message.sender)
+            self._count_votes(now)
--- /dev/null
+++ b/src/figpick/_consensus_replication.py
@@ -0,0 +1,245 @@
+"""Replication: how entries and snapshots reach the other members."""
+
+import msgspec
+
+from ._consensus_core import FOLLOWER
+from ._consensus_elections import Elections
+from ._consensus_messages import (
+    Append,
+    AppendReply,
+    Install,
+    InstallReply,
+    Snapshot,
+)
+from ._errors import FigpickError
+
+HEARTBEAT_S = 0.15
+# Entries that are not answered are sent again after this time, and parts of a
+# snapshot, which take longer on the way, after the second one.
+RESEND_ENTRIES_S = 0.3
+RESEND_PART_S = 1.0
+BATCH_ENTRIES = 256
+BATCH_BYTES = 1024 * 1024
+SNAPSHOT_PART_BYTES = 256 * 1024
+
+
+class Replication(Elections):
+    """Sends the log as leader and stores it as follower."""
+
+    def _on_append(self, message, now):
+        if message.term < self._term:
+            self._answer(message, False, 0)
+            return
+        self._follow(message, now)
+        last = message.prev_index + len(message.entries)
+        # What the own snapshot covers is committed, hence equal.
+        covered = message.prev_index < self._log.base_index
+        known_term = self._log.term_at(message.prev_index)
+        if not covered and known_term != message.prev_term:
+            self._answer(message, False, self._match_hint(message.prev_index))
+            return
+        self._store(message.entries)
+        self._commit = max(self._commit, min(message.commit, last))
+        self._answer(message, True, last)
+
+    def _on_append_reply(self, message, now):
+        progress = self._progress_of(message, now)
+        if progress is None:
+            return
+        progress.heard(message, now)
+        if message.ok:
+            progress.advance(message.match)
+            self._advance_commit(now)
+        else:
+            progress.fall_back(message.match)
+        self._continue(message.sender, progress, now)
+
+    def _on_install(self, message, now):
+        reply = InstallReply(
+            sender=self._id,
+            to=message.sender,
+            term=max(self._term, message.term),
+            index=message.index,
+            offset=0,
+            round=message.round,
+        )
+        if message.term >= self._term:
+            self._follow(message, now)
+            offset, match = self._receive_part(message)
+            reply = reply._replace(offset=offset, match=match)
+        self._messages.append(reply)
+
+    def _on_install_reply(self, message, now):
+        progress = self._progress_of(message, now)
+        if progress is None:
+            return
+        progress.heard(message, now)
+        if message.match:
+            progress.advance(message.match)
+            self._advance_commit(now)
+        elif message.index == progress.snapshot_index:
+            progress.offset = message.offset
+            progress.in_flight = 0
+        self._continue(message.sender, progress, now)
+
+    def _follow(self, message, now):
+        if message.term > self._term or self._role != FOLLOWER:
+            self._become_follower(message.term, message.sender, now)
+        self._leader = message.sender
+        self._heard_at = now
+        self._reset_election(now)
+
+    def _progress_of(self, reply, now):
+        if reply.term > self._term:
+            self._become_follower(reply.term, None, now)
+        if not self.is_leader or reply.term < self._term:
+            return None
+        return self._leadership.progress.get(reply.sender)
+
+    def _answer(self, message, ok, match):
+        self._messages.append(
+            AppendReply(self._id, message.sender, self._term, ok, match, message.round)
+        )
+
+    def _match_hint(self, index):
+        if index > self._log.last_index:
+            return self._log.last_index
+        return max(self._commit, self._log.first_of_term(index) - 1)
+
+    def _store(self, entries):
+        for entry in entries:
+            if entry.index <= self._log.base_index:
+                continue
+            if self._log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= self._commit:
+                raise FigpickError(f"entry {entry.index} is committed and differs")
+            self._log.append(entry)
+            self._new_entries.append(entry)
+
+    def _receive_part(self, message):
+        if message.index <= self._commit:
+            return 0, self._commit
+        key = message.index, message.last_term
+        if message.offset == 0 or self._incoming is None or self._incoming[0] != key:
+            self._incoming = (key, bytearray())
+        data = self._incoming[1]
+        if message.offset != len(data):
+            return len(data), 0
+        data.extend(message.data)
+        if not message.done:
+            return len(data), 0
+        self._incoming = None
+        self._new_snapshot = Snapshot(
+            message.index, message.last_term, message.members, bytes(data)
+        )
+        self._log.compact(self._new_snapshot)
+        self._commit = self._delivered = message.index
+        return len(data), message.index
+
+    def _is_readable(self):
+        return self._log.term_at(self._commit) == self._term
+
+    def _advance_commit(self, now):
+        index = self._leadership.stored_by_quorum(self.members, self._synced)
+        # Only entries of the own term are counted; earlier ones follow.
+        if index <= self._commit or self._log.term_at(index) != self._term:
+            return
+        self._commit = index
+        # Followers learn of the commit at once, not with the next heartbeat.
+        self._broadcast(now)
+        removed = self._id not in self.members.voters
+        if removed and self._log.members_index <= index:
+            self._become_follower(self._term, None, now)
+
+    def _confirm_reads(self, now):
+        leadership = self._leadership
+        self._reads.extend(leadership.take_confirmed_reads(self.members))
+        waiting = leadership.has_waiting_reads and not leadership.has_open_round
+        if waiting and self._is_readable():
+            self._broadcast(now)
+
+    def _broadcast(self, now):
+        leadership = self._leadership
+        leadership.heartbeat_at = now + HEARTBEAT_S
+        leadership.start_round(self._is_readable())
+        for identity, progress in leadership.progress.items():
+            self._send(identity, progress, now)
+        self._confirm_reads(now)
+
+    def _send_entries(self, now):
+        for identity, progress in self._leadership.progress.items():
+            if not progress.in_flight:
+                self._send(identity, progress, now)
+
+    def _continue(self, identity, progress, now):
+        if self._leadership is None:
+            return
+        behind = progress.next_index <= self._log.last_index
+        if behind and not progress.in_flight:
+            self._send(identity, progress, now)
+        self._confirm_reads(now)
+
+    def _send(self, identity, progress, now):
+        base = self._log.base_index
+        needs_part = progress.next_index <= base
+        resend_s = RESEND_PART_S if needs_part else RESEND_ENTRIES_S
+        if progress.in_flight and now - progress.sent_at < resend_s:
+            # A heartbeat after an entry that the member is known to have; index
+            # 0 is in every log.
+            self._send_append(identity, progress.match * (progress.match >= base))
+            return
+        progress.sent_at = now
+        if needs_part:
+            self._send_part(identity, progress)
+            return
+        first = progress.next_index
+        last = min(self._log.last_index, first + BATCH_ENTRIES - 1)
+        entries = _batch(self._log.slice(first, last))
+        progress.in_flight = entries[-1].index if entries else 0
+        self._send_append(identity, first - 1, entries)
+
+    def _send_append(self, identity, prev_index, entries=()):
+        self._messages.append(
+            Append(
+                sender=self._id,
+                to=identity,
+                term=self._term,
+                prev_index=prev_index,
+                prev_term=self._log.term_at(prev_index),
+                entries=entries,
+                commit=self._commit,
+                round=self._leadership.round,
+            )
+        )
+
+    def _send_part(self, identity, progress):
+        snapshot = self._log.snapshot
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index = snapshot.index
+            progress.offset = 0
+        end = progress.offset + SNAPSHOT_PART_BYTES
+        progress.in_flight = snapshot.index
+        self._messages.append(
+            Install(
+                sender=self._id,
+                to=identity,
+                term=self._term,
+                index=snapshot.index,
+                last_term=snapshot.term,
+                members=snapshot.members,
+                offset=progress.offset,
+                data=snapshot.data[progress.offset : end],
+                done=end >= len(snapshot.data),
+                round=self._leadership.round,
+            )
+        )
+
+
+def _batch(entries):
+    size = 0
+    for count, entry in enumerate(entries, 1):
+        size += len(msgspec.json.encode(entry))
+        if size > BATCH_BYTES:
+            return tuple(entries[:count])
+    return tuple(entries)
--- /dev/null
+++ b/src/figpick/_control_members.py
@@ -0,0 +1,163 @@
+"""Adds and removes control processes on request of an operator."""
+
+import asyncio
+from typing import Literal, NotRequired, TypedDict
+
+import msgspec
+
+from ._consensus import MembershipError
+from ._consensus_messages import Membership
+from ._errors import Fault, InvalidDocumentError, NoQuorumError, PeerRefusedError
+from ._formation import name_of
+from ._logs import logger
+from ._settings import Address, Name
+
+CONFLICT = 409
+NOT_FOUND = 404
+CATCH_UP_TIMEOUT_S = 20.0
+CHANGE_TIMEOUT_S = 5.0
+PAUSE_S = 0.05
+
+log = logger("control")
+
+
+class MembersMessage(TypedDict):
+    """Request of an operator.
+
+    :param name: name of the control process.
+    :param address: its peer address, needed to add it.
+    """
+
+    action: Literal["add", "remove"]
+    name: Name
+    address: NotRequired[Address]
+
+
+class MembershipChanges:
+    """Changes the membership step by step; runs on the leader.
+
+    :param quorum: :class:`~figpick._quorum.Quorum`.
+    :param clock: :class:`~figpick._clock.Clock`.
+    :param client: :class:`~figpick._transport.PeerClient`.
+    """
+
+    timeout_s = CATCH_UP_TIMEOUT_S + 2 * CHANGE_TIMEOUT_S
+
+    def __init__(self, quorum, clock, client):
+        self._quorum = quorum
+        self._clock = clock
+        self._client = client
+
+    async def change(self, message):
+        """Adds or removes one control process.
+
+        A request that was interrupted is continued when it is sent again.
+
+        :param message: :class:`MembersMessage`.
+        :return: dict with the names of ``voters`` and ``learners``.
+        """
+        message = parse(message)
+        if message["action"] == "add":
+            await self._add(message["name"], message["address"])
+        else:
+            await self._remove(message["name"])
+        members = self._members
+        return {
+            "voters": sorted(map(name_of, members.voters)),
+            "learners": sorted(map(name_of, members.learners)),
+        }
+
+    @property
+    def _members(self):
+        return self._quorum.replica.raft.members
+
+    async def _add(self, name, address):
+        answer = await self._client.send(address, "identify", {})
+        if answer["name"] != name:
+            error = f"the process at {address} is {answer['name']!r}, not {name!r}"
+            raise PeerRefusedError(CONFLICT, {"error": error})
+        identity = answer["identity"]
+        if identity in self._members.voters:
+            return
+        if name in map(name_of, set(self._members.addresses) - {identity}):
+            error = f"{name} is a member with an earlier disk; remove it first"
+            raise PeerRefusedError(CONFLICT, {"error": error})
+        if identity not in self._members.learners:
+            await self._apply(lambda members: _with_learner(members, identity, address))
+        await self._wait_until_caught_up(identity)
+        await self._apply(lambda members: _with_voter(members, identity, address))
+        log.info("Control process {} votes from now on.", identity)
+
+    async def _remove(self, name):
+        identities = [each for each in self._members.addresses if name_of(each) == name]
+        if not identities:
+            error = f"{name!r} is not a member of the quorum"
+            raise PeerRefusedError(NOT_FOUND, {"error": error})
+        for identity in identities:
+            if set(self._members.voters) == {identity}:
+                error = f"{name} is the last voter and cannot be removed"
+                raise PeerRefusedError(CONFLICT, {"error": error})
+            await self._apply(lambda members, gone=identity: _without(members, gone))
+            log.info("Control process {} was removed.", identity)
+
+    async def _apply(self, change):
+        limit = self._clock.monotonic() + CHANGE_TIMEOUT_S
+        while True:
+            try:
+                await self._quorum.change_members(change(self._members))
+                return
+            except MembershipError as error:
+                if self._clock.monotonic() > limit:
+                    raise PeerRefusedError(CONFLICT, {"error": str(error)}) from error
+            await asyncio.sleep(PAUSE_S)
+
+    async def _wait_until_caught_up(self, identity):
+        limit = self._clock.monotonic() + CATCH_UP_TIMEOUT_S
+        while not self._has_caught_up(identity):
+            if self._clock.monotonic() > limit:
+                error = f"{name_of(identity)} has not caught up; send the request again"
+                raise PeerRefusedError(CONFLICT, {"error": error})
+            await asyncio.sleep(PAUSE_S)
+
+    def _has_caught_up(self, identity):
+        raft = self._quorum.replica.raft
+        if not raft.is_leader:
+            raise NoQuorumError("no quorum: this process does not lead")
+        progress = raft.progress.get(identity)
+        return progress is not None and progress.match >= raft.commit
+
+
+def parse(message):
+    """Reads a request of an operator.
+
+    :return: :class:`MembersMessage`.
+    :raises InvalidDocumentError: with the first fault found.
+    """
+    try:
+        parsed = msgspec.convert(message, MembersMessage)
+    except msgspec.ValidationError as error:
+        fault = Fault("members", str(error))
+        raise InvalidDocumentError("request", [fault]) from error
+    if parsed["action"] == "add" and "address" not in parsed:
+        fault = Fault("address", "required to add a control process")
+        raise InvalidDocumentError("request", [fault])
+    return parsed
+
+
+def _with_learner(members, identity, address):
+    return Membership(members.voters, {**members.learners, identity: address})
+
+
+def _with_voter(members, identity, address):
+    voters = {**members.voters, identity: address}
+    return Membership(voters, _drop(members.learners, identity))
+
+
+def _without(members, identity):
+    return Membership(
+        _drop(members.voters, identity), _drop(members.learners, identity)
+    )
+
+
+def _drop(members, identity):
+    return {key: value for key, value in members.items() if key != identity}
--- a/src/figpick/_dissemination.py
+++ b/src/figpick/_dissemination.py
@@ -40,7 +40,7 @@
     async def serve_document(self, message):
         """Gives the document of a service with its version."""
         if self._control is not None:
-            return await self._control.get(message)
+            return await self._control.document(message)
         service = self._node.documents[message["service"]]
         return {"document": service.document, "version": service.version}
 
--- /dev/null
+++ b/src/figpick/_files.py
@@ -0,0 +1,84 @@
+"""The few file operations that durable state needs, behind a small interface.
+
+Tests replace :class:`Files` to inject failures and lost writes.
+"""
+
+import fcntl
+import os
+
+from ._errors import StorageError
+
+
+class Files:
+    """Files of one data folder; names are relative to it.
+
+    :param folder: data folder, created when missing.
+    :raises StorageError: when the folder cannot be created.
+    """
+
+    def __init__(self, folder):
+        self._folder = folder
+        self._open = {}
+        self._lock = None
+        try:
+            os.makedirs(folder, exist_ok=True)
+        except OSError as error:
+            raise StorageError(f"{folder}: {error.strerror}") from error
+
+    def path(self, name):
+        """Gives the path of a file for messages."""
+        return os.path.join(self._folder, name)
+
+    def lock(self):
+        """Locks the folder until the process ends.
+
+        :raises StorageError: when another process holds the lock.
+        """
+        path = self.path("lock")
+        self._lock = open(path, "wb")  # noqa: SIM115
+        try:
+            fcntl.lockf(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            raise StorageError(f"{path}: held by another process") from error
+
+    def read(self, name):
+        """Reads a whole file, ``None`` when it does not exist."""
+        try:
+            with open(self.path(name), "rb") as file:
+                return file.read()
+        except FileNotFoundError:
+            return None
+
+    def append(self, name, data):
+        """Adds bytes to a file and syncs it."""
+        file = self._open.get(name)
+        if file is None:
+            file = self._open[name] = open(  # noqa: SIM115
+                self.path(name), "ab", buffering=0
+            )
+        written = file.write(data)
+        if written != len(data):
+            raise OSError(0, f"wrote {written} of {len(data)} bytes")
+        os.fdatasync(file.fileno())
+
+    def truncate(self, name, size):
+        """Cuts a file to a size and syncs it."""
+        with open(self.path(name), "r+b") as file:
+            file.truncate(size)
+            os.fsync(file.fileno())
+
+    def replace(self, name, data):
+        """Writes a file beside, syncs it, renames it and syncs the folder."""
+        path = self.path(name)
+        with open(f"{path}.new", "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        if name in self._open:
+            self._open.pop(name).close()
+        os.rename(f"{path}.new", path)
+        folder = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
--- a/src/figpick/_registry.py
+++ b/src/figpick/_registry.py
@@ -1,7 +1,20 @@
-"""The replicated state: service documents, their history and change answers."""
+"""The replicated state: documents, their history, change answers and rosters."""
+
+from base64 import b64decode, b64encode
+
+import msgspec
 
 from . import _documents
-from ._errors import ConflictError
+from ._answers import Answers
+from ._errors import ConflictError, FigpickError
+from ._registry_commands import PUT, ROSTER, check_roster, check_size, parse_change
+
+# Older records of a service are dropped; answers to changes are kept for good.
+HISTORY_LENGTH = 1000
+
+
+class UnknownCommandError(FigpickError):
+    """The log holds a command of a newer release."""
 
 
 class Registry:
@@ -10,61 +23,167 @@
     def __init__(self):
         self._documents = {}
         self._history = {}
-        self._answers = {}
+        self._rosters = {}
+        self._services = []
+        self._answers = Answers()
+        self._commands = {PUT: self._put, ROSTER: self._set_roster}
 
     @property
     def versions(self):
         """Current document versions by service."""
         return {name: entry["version"] for name, entry in self._documents.items()}
 
+    @property
+    def epochs(self):
+        """Current roster epochs by service."""
+        return {name: roster["epoch"] for name, roster in self._rosters.items()}
+
+    @property
+    def answer_count(self):
+        """Number of changes whose answer is kept."""
+        return len(self._answers)
+
     def get(self, service):
         """Gives the current entry of a service, or ``None``.
 
-        :return: dict with ``document`` and ``version``.
+        :return: dict with ``document``, ``version`` and ``roster``, which is
+            ``None`` or a dict with ``epoch`` and ``positions``.
         """
-        return self._documents.get(service)
+        entry = self._documents.get(service)
+        if entry is None:
+            return None
+        return {**entry, "roster": self._rosters.get(service)}
+
+    def roster(self, service):
+        """Gives the current roster of a service, or ``None``."""
+        return self._rosters.get(service)
 
     def history(self, service):
-        """Lists the changes of a service, oldest first."""
+        """Lists the last 1,000 changes of a service, oldest first."""
         return self._history.get(service, [])
 
     def answer(self, change_id):
-        """Gives the answer that a change got before, or ``None``."""
-        return self._answers.get(change_id)
+        """Gives the answer that a change got before.
 
-    def check(self, command):
-        """Checks a command before it enters the log.
+        :return: dict with ``service``, ``version`` and ``change``, or ``None``
+            when the change is not known.
+        :raises ConflictError: when the change was refused as a conflict.
+        """
+        found = self._answers.get(change_id)
+        if found is None:
+            return None
+        index, number, conflict = found
+        service = self._services[number]
+        if conflict:
+            raise self._conflict(service)
+        return {"service": service, "version": index, "change": change_id}
 
-        :raises InvalidDocumentError: when the document is not valid.
+    def check(self, message):
+        """Checks a change before it enters the log.
+
+        :param message: dict with ``document``, ``base``, ``change``, ``author``.
+        :raises InvalidDocumentError: with every fault found.
         :raises ConflictError: when the base version is not current.
         """
-        _documents.check(command["document"])
-        service = command["document"]["service"]
-        current = self._documents.get(service)
-        version = current["version"] if current else 0
-        if command["base"] != version:
-            message = f"{service} is at version {version}, not {command['base']}"
-            raise ConflictError(message, current or {"version": 0})
+        change = parse_change(message)
+        _documents.check(change["document"])
+        check_size(change["document"])
+        if change["base"] != self._version(change["document"]["service"]):
+            raise self._conflict(change["document"]["service"], change["base"])
+
+    def check_roster(self, command):
+        """Checks a roster before it enters the log.
+
+        :raises ConflictError: when its epoch does not follow the current one.
+        """
+        check_roster(command)
+        if command["epoch"] != self._epoch(command["service"]) + 1:
+            raise self._roster_conflict(command["service"])
 
     def apply(self, command, index):
         """Applies a committed command.
 
-        :param index: log index, which becomes the version.
-        :return: answer for the operator.
+        :param command: dict; its ``command`` is ``put`` or ``roster``.
+        :param index: log index, which becomes the version of a document.
+        :return: answer, or a :class:`ConflictError`.
+        :raises UnknownCommandError: when a newer release wrote the command.
         """
-        known = self._answers.get(command["change"])
+        apply = self._commands.get(command["command"])
+        if apply is None:
+            name = command["command"]
+            raise UnknownCommandError(f"entry {index}: unknown command {name!r}")
+        return apply(command, index)
+
+    def encode(self):
+        """Gives the whole state as bytes."""
+        state = {
+            "documents": self._documents,
+            "history": self._history,
+            "rosters": self._rosters,
+            "services": self._services,
+            "answers": b64encode(self._answers.encode()).decode(),
+        }
+        return msgspec.json.encode(state)
+
+    def restore(self, data):
+        """Replaces the whole state by one from :meth:`encode`."""
+        state = msgspec.json.decode(data)
+        self._documents = state["documents"]
+        self._history = state["history"]
+        self._rosters = state["rosters"]
+        self._services = state["services"]
+        self._answers = Answers(b64decode(state["answers"]))
+
+    def _put(self, command, index):
+        try:
+            known = self.answer(command["change"])
+        except ConflictError as error:
+            return error
         if known is not None:
             return known
         service = command["document"]["service"]
-        answer = {"service": service, "version": index, "change": command["change"]}
+        conflict = command["base"] != self._version(service)
+        number = self._number(service)
+        self._answers.add(command["change"], index, number, conflict)
+        if conflict:
+            return self._conflict(service, command["base"])
         self._documents[service] = {"document": command["document"], "version": index}
-        record = {
-            "version": index,
-            "base": command["base"],
-            "change": command["change"],
-            "author": command["author"],
-            "time": command["time"],
-        }
-        self._history.setdefault(service, []).append(record)
-        self._answers[command["change"]] = answer
-        return answer
+        names = ("base", "change", "author", "time")
+        record = {"version": index, **{name: command[name] for name in names}}
+        history = self._history.setdefault(service, [])
+        history.append(record)
+        del history[:-HISTORY_LENGTH]
+        return {"service": service, "version": index, "change": command["change"]}
+
+    def _set_roster(self, command, index):
+        service = command["service"]
+        if command["epoch"] != self._epoch(service) + 1:
+            return self._roster_conflict(service)
+        roster = {"epoch": command["epoch"], "positions": command["positions"]}
+        self._rosters[service] = roster
+        return {"service": service, **roster}
+
+    def _version(self, service):
+        entry = self._documents.get(service)
+        return entry["version"] if entry else 0
+
+    def _epoch(self, service):
+        roster = self._rosters.get(service)
+        return roster["epoch"] if roster else 0
+
+    def _number(self, service):
+        if service not in self._services:
+            self._services.append(service)
+        return self._services.index(service)
+
+    def _conflict(self, service, base=None):
+        version = self._version(service)
+        message = f"{service} is at version {version}"
+        if base is not None:
+            message += f", not {base}"
+        return ConflictError(message, self.get(service) or {"version": 0})
+
+    def _roster_conflict(self, service):
+        epoch = self._epoch(service)
+        message = f"the roster of {service} is at epoch {epoch}"
+        return ConflictError(message, self._rosters.get(service) or {"epoch": 0})
--- /dev/null
+++ b/src/figpick/_registry_commands.py
@@ -0,0 +1,107 @@
+"""Commands of the registry and their checks before they enter the log."""
+
+from typing import Annotated, NotRequired, TypedDict
+
+import msgspec
+from msgspec import Meta
+
+from . import _schema
+from ._errors import Fault, InvalidDocumentError
+from ._settings import Name
+
+PUT = "put"
+ROSTER = "roster"
+
+
+class Change(TypedDict):
+    """A change of a service document, as an operator sends it.
+
+    :param document: service document.
+    :param base: version that the change is based on, 0 for a new document.
+    :param change: identity of the change; a resend carries the same.
+    :param author: who makes the change.
+    """
+
+    document: dict
+    base: Annotated[int, Meta(ge=0)]
+    change: Annotated[str, Meta(min_length=1, max_length=200)]
+    author: NotRequired[Annotated[str, Meta(max_length=200)]]
+
+
+class ServiceRequest(TypedDict):
+    """A request about one service."""
+
+    service: str
+
+
+class Roster(TypedDict):
+    """A roster of a service.
+
+    :param epoch: number of the roster, one more than the current one.
+    :param positions: names of the nodes that hold the positions.
+    """
+
+    service: Name
+    epoch: Annotated[int, Meta(ge=1)]
+    positions: list[Name]
+
+
+def parse_change(message):
+    """Reads the fields of a change; fields of newer releases are ignored.
+
+    :return: :class:`Change`.
+    :raises InvalidDocumentError: with the first fault found.
+    """
+    return _convert(message, Change, "change")
+
+
+def parse_service(message):
+    """Reads the name of a service from a request.
+
+    :raises InvalidDocumentError: when there is none.
+    """
+    return _convert(message, ServiceRequest, "request")["service"]
+
+
+def check_roster(command):
+    """Checks the fields of a roster.
+
+    :raises InvalidDocumentError: with the first fault found.
+    """
+    return _convert(command, Roster, "roster")
+
+
+def put_command(message, now):
+    """Makes the command of a change.
+
+    :param now: seconds since the epoch.
+    """
+    change = parse_change(message)
+    change.setdefault("author", "")
+    return {"command": PUT, **change, "time": now}
+
+
+def roster_command(proposal):
+    """Makes the command of a roster proposal.
+
+    :param proposal: dict with ``service``, ``epoch`` and ``positions``.
+    """
+    return {"command": ROSTER, **check_roster(proposal)}
+
+
+def _convert(value, type_, source):
+    try:
+        return msgspec.convert(value, type_)
+    except msgspec.ValidationError as error:
+        fault = Fault(source, str(error))
+        raise InvalidDocumentError(source, [fault]) from error
+
+
+def check_size(document):
+    """Checks the encoded size of a document.
+
+    :raises InvalidDocumentError: when it exceeds 1 MiB.
+    """
+    if len(msgspec.json.encode(document)) > _schema.MAX_DOCUMENT_BYTES:
+        problem = f"larger than {_schema.MAX_DOCUMENT_BYTES} bytes"
+        raise InvalidDocumentError("document", [Fault("document", problem)])
--- /dev/null
+++ b/src/figpick/_replica.py
@@ -0,0 +1,238 @@
+"""One member of the quorum with its disk and its registry, without a network.
+
+The owner passes messages and time in and takes messages out. Requests are
+answered through a function ``done(answer, error)``.
+"""
+
+from ._consensus import Raft
+from ._consensus_messages import COMMAND, MEMBERS, Snapshot
+from ._errors import FigpickError, NoQuorumError
+from ._logs import logger
+
+# The log is replaced by a snapshot after this many entries or bytes.
+COMPACT_ENTRIES = 1000
+COMPACT_BYTES = 8 * 1024 * 1024
+
+UNKNOWN_OUTCOME = (
+    "no quorum: the outcome of the change is unknown; resend it with the same id"
+)
+
+log = logger("replica")
+
+
+class Replica:
+    """Applies the log of the quorum to a registry.
+
+    :param storage: loaded :class:`~figpick._storage.Storage`.
+    :param stored: :class:`~figpick._consensus_messages.Stored` from it.
+    :param registry: empty :class:`~figpick._registry.Registry`.
+    :param random: source of random numbers.
+    :param now: monotonic seconds.
+    """
+
+    raft_class = Raft
+
+    def __init__(self, storage, stored, registry, random, now):
+        self._storage = storage
+        self._registry = registry
+        self._raft = self.raft_class(storage.identity, stored, random, now)
+        if stored.snapshot.data:
+            registry.restore(stored.snapshot.data)
+        self._applied = stored.snapshot.index
+        self._applied_term = stored.snapshot.term
+        self._waiting = {}
+        self._reads = set()
+        self._messages = []
+        self._failure = None
+
+    @property
+    def identity(self):
+        """Identity of the process and its disk."""
+        return self._storage.identity
+
+    @property
+    def raft(self):
+        """:class:`~figpick._consensus.Raft`, for reading only."""
+        return self._raft
+
+    @property
+    def registry(self):
+        """Registry with every committed command applied."""
+        return self._registry
+
+    @property
+    def applied(self):
+        """Index of the last applied entry."""
+        return self._applied
+
+    @property
+    def failure(self):
+        """Error that ended the participation in the quorum, or ``None``."""
+        return self._failure
+
+    @property
+    def deadline(self):
+        """Monotonic seconds at which :meth:`tick` must be called."""
+        return self._raft.deadline
+
+    def take_messages(self):
+        """Takes the messages to send."""
+        messages = self._messages
+        self._messages = []
+        return messages
+
+    def tick(self, now):
+        """Lets time pass.
+
+        :param now: monotonic seconds.
+        """
+        if self._failure is None:
+            self._raft.tick(now)
+            self._drain(now)
+
+    def receive(self, message, now):
+        """Takes a message of another member.
+
+        :param now: monotonic seconds.
+        """
+        if self._failure is None:
+            self._raft.receive(message, now)
+            self._drain(now)
+
+    def form(self, members, now):
+        """Starts a new quorum of which this process is a first member.
+
+        :param members: :class:`~figpick._consensus_messages.Membership`.
+        """
+        if self._failure is None:
+            self._raft.form(members)
+            self._drain(now)
+
+    def propose(self, command, done, now):
+        """Adds a command to the log.
+
+        :param done: called with the answer once the command is applied.
+        :param now: monotonic seconds.
+        """
+        try:
+            self._require_participation()
+            term, index = self._raft.propose(command, now)
+        except FigpickError as error:
+            done(None, error)
+            return
+        self._waiting[index] = (term, done)
+        self._drain(now)
+
+    def change_members(self, members, done, now):
+        """Changes the membership by one step.
+
+        :param members: :class:`~figpick._consensus_messages.Membership`.
+        :param done: called once the change is committed.
+        """
+        try:
+            self._require_participation()
+            term, index = self._raft.change_members(members, now)
+        except FigpickError as error:
+            done(None, error)
+            return
+        self._waiting[index] = (term, done)
+        self._drain(now)
+
+    def read(self, done, now):
+        """Confirms with a quorum that the registry is current.
+
+        :param done: called when the registry may be read.
+        """
+        try:
+            self._require_participation()
+            self._reads.add(done)
+            self._raft.read(done, now)
+        except FigpickError as error:
+            self._reads.discard(done)
+            done(None, error)
+            return
+        self._drain(now)
+
+    def _require_participation(self):
+        if self._failure is not None:
+            raise NoQuorumError(f"no quorum: {self._failure}")
+
+    def _drain(self, now):
+        try:
+            while (output := self._raft.take_output()) is not None:
+                self._store(output)
+                self._raft.stored(output, now)
+                self._messages.extend(output.messages)
+                for entry in output.committed:
+                    self._apply(entry)
+                self._confirm(output.reads)
+            if not self._raft.is_leader:
+                self._abandon(NoQuorumError(UNKNOWN_OUTCOME))
+            self._compact()
+        except FigpickError as error:
+            self._fail(error)
+
+    def _store(self, output):
+        if output.snapshot is not None:
+            self._install(output.snapshot)
+        self._storage.write(output)
+
+    def _install(self, snapshot):
+        raft_log = self._raft.log
+        entries = raft_log.slice(snapshot.index + 1, raft_log.last_index)
+        self._storage.save_snapshot(snapshot, entries)
+        self._registry.restore(snapshot.data)
+        self._applied = snapshot.index
+        self._applied_term = snapshot.term
+
+    def _apply(self, entry):
+        answer = None
+        if entry.kind == COMMAND:
+            answer = self._registry.apply(entry.data, entry.index)
+        elif entry.kind == MEMBERS:
+            log.info("Members at entry {}: {}.", entry.index, entry.data)
+        self._applied = entry.index
+        self._applied_term = entry.term
+        term, done = self._waiting.pop(entry.index, (None, None))
+        if done is None:
+            return
+        if term != entry.term:
+            done(None, NoQuorumError(UNKNOWN_OUTCOME))
+        elif isinstance(answer, FigpickError):
+            done(None, answer)
+        else:
+            done(answer, None)
+
+    def _confirm(self, requests):
+        for done in requests:
+            self._reads.discard(done)
+            done(None, None)
+
+    def _abandon(self, error):
+        waiting = [done for _, done in self._waiting.values()]
+        waiting.extend(self._reads)
+        self._waiting = {}
+        self._reads = set()
+        for done in waiting:
+            done(None, error)
+
+    def _compact(self):
+        raft_log = self._raft.log
+        count = self._applied - raft_log.base_index
+        if count < COMPACT_ENTRIES and self._storage.log_bytes < COMPACT_BYTES:
+            return
+        if count == 0:
+            return
+        members = raft_log.members_at(self._applied)
+        snapshot = Snapshot(
+            self._applied, self._applied_term, members, self._registry.encode()
+        )
+        entries = raft_log.slice(self._applied + 1, raft_log.last_index)
+        self._storage.save_snapshot(snapshot, entries)
+        self._raft.compact(snapshot)
+
+    def _fail(self, error):
+        self._failure = error
+        self._messages = []
+        log.error("Participation in the quorum has ended: {}.", error)
+        self._abandon(NoQuorumError(f"no quorum: {error}"))
--- a/src/figpick/_storage.py
+++ b/src/figpick/_storage.py
@@ -1,42 +1,244 @@
-"""The log file of a control process."""
+"""Durable state of a control process: a log file and a snapshot file.
+
+A file is a sequence of lines, each with a CRC-32, a length and a JSON list of
+records. A line is synced before the next is written, so only the last line can
+be incomplete after a crash.
+"""
 
-import os
 import zlib
+from base64 import b64decode, b64encode
+from typing import NamedTuple
 
 import msgspec
 
+from ._consensus_messages import (
+    NO_SNAPSHOT,
+    Entry,
+    Membership,
+    Snapshot,
+    Stored,
+    VoteState,
+)
 from ._errors import StorageError
 
+LOG = "log"
+SNAPSHOT = "snapshot"
+FORMAT = 1
+SECTOR_BYTES = 512
+CHECKSUM_BYTES = 8
+
 
-class LogFile:
-    """Appends records with a checksum and syncs them.
+class Header(NamedTuple):
+    """First record of a log file.
 
-    :param folder: data folder.
+    :param identity: identity of the process and this disk.
+    :param base_index: index before the first entry of the file.
+    :param base_term: term of that entry.
     """
 
-    def __init__(self, folder):
-        os.makedirs(folder, exist_ok=True)
-        self._path = os.path.join(folder, "log")
-        self._file = open(self._path, "a+b")  # noqa: SIM115
+    identity: str
+    base_index: int = 0
+    base_term: int = 0
+    format: int = FORMAT
+
+
+class Storage:
+    """Keeps the log, the vote and the snapshot of a process.
+
+    :param files: :class:`~figpick._files.Files`.
+    :raises StorageError: when the folder is in use by another process.
+    """
+
+    def __init__(self, files):
+        self._files = files
+        self._identity = None
+        self._state = VoteState(0, None)
+        self._log_bytes = 0
+        files.lock()
+
+    @property
+    def identity(self):
+        """Identity of the process and its disk, ``None`` before the first start."""
+        return self._identity
+
+    @property
+    def log_bytes(self):
+        """Size of the log file in bytes."""
+        return self._log_bytes
 
-    def read(self):
-        """Reads every record.
+    def load(self):
+        """Reads the durable state.
 
-        :return: list of JSON values.
-        :raises StorageError: when a record does not match its checksum.
+        :return: :class:`~figpick._consensus_messages.Stored`, or ``None`` when
+            the folder is new.
+        :raises StorageError: when a file is damaged.
+        """
+        snapshot = self._load_snapshot()
+        records = self._read_lines(LOG)
+        if not records:
+            if snapshot is not NO_SNAPSHOT:
+                raise StorageError(f"{self._files.path(LOG)}: missing or empty")
+            return None
+        header = self._read_header(records[0])
+        self._identity = header.identity
+        entries = _after(snapshot, header, self._replay(records[1:]))
+        if header.base_index < snapshot.index:
+            self._rewrite(Header(self._identity, *snapshot[:2]), entries)
+        elif header.base_index > snapshot.index:
+            path = self._files.path(SNAPSHOT)
+            raise StorageError(f"{path}: missing or older than the log")
+        return Stored(self._state, snapshot, entries)
+
+    def create(self, identity, entries=(), state=None):
+        """Starts the log of a new folder.
+
+        :param identity: identity of the process and its disk.
+        :raises StorageError: when the log cannot be written.
+        """
+        self._identity = identity
+        self._state = state or self._state
+        self._rewrite(Header(identity), entries)
+
+    def write(self, output):
+        """Writes and syncs the records of an output.
+
+        :param output: :class:`~figpick._consensus_core.Output`.
+        :raises StorageError: when a write or sync fails; what is on the disk is
+            then unknown and nothing more may be written.
         """
-        self._file.seek(0)
         records = []
-        for line in self._file:
-            checksum, _, data = line.rstrip(b"\n").partition(b" ")
-            if zlib.crc32(data) != int(checksum, 16):
-                raise StorageError(f"{self._path}: record {len(records)} is damaged")
-            records.append(msgspec.json.decode(data))
+        if output.state is not None:
+            self._state = output.state
+            records.append(["state", *output.state])
+        records.extend(["entry", *entry] for entry in output.entries)
+        if records:
+            line = _line(records)
+            self._do(self._files.append, LOG, line)
+            self._log_bytes += len(line)
+
+    def save_snapshot(self, snapshot, entries):
+        """Replaces the snapshot and drops the entries that it covers.
+
+        :param entries: entries after the snapshot.
+        :raises StorageError: when a write or sync fails.
+        """
+        record = [
+            snapshot.index,
+            snapshot.term,
+            snapshot.members,
+            b64encode(snapshot.data).decode(),
+        ]
+        line = _line([record])
+        self._do(self._files.replace, SNAPSHOT, line)
+        header = Header(self._identity, snapshot.index, snapshot.term)
+        self._rewrite(header, entries)
+
+    def _rewrite(self, header, entries):
+        records = [["header", *header], ["state", *self._state]]
+        records.extend(["entry", *entry] for entry in entries)
+        line = _line(records)
+        self._do(self._files.replace, LOG, line)
+        self._log_bytes = len(line)
+
+    def _do(self, operation, name, value):
+        try:
+            operation(name, value)
+        except OSError as error:
+            path = self._files.path(name)
+            message = f"{path}: cannot be written: {error.strerror or error}"
+            raise StorageError(message) from error
+
+    def _load_snapshot(self):
+        records = self._read_lines(SNAPSHOT, may_be_torn=False)
+        if not records:
+            return NO_SNAPSHOT
+        index, term, members, data = records[0]
+        return Snapshot(index, term, Membership(*members), b64decode(data))
+
+    def _read_header(self, record):
+        path = self._files.path(LOG)
+        if record[0] != "header":
+            raise StorageError(f"{path}: the first record is not a header")
+        header = Header(*record[1:])
+        if header.format > FORMAT:
+            raise StorageError(f"{path}: written by a newer release")
+        return header
+
+    def _replay(self, records):
+        entries = []
+        for kind, *fields in records:
+            if kind == "state":
+                self._state = VoteState(*fields)
+            elif kind == "entry":
+                entry = Entry(*fields)
+                while entries and entries[-1].index >= entry.index:
+                    entries.pop()
+                entries.append(entry)
+        return entries
+
+    def _read_lines(self, name, may_be_torn=True):
+        data = self._files.read(name) or b""
+        records = []
+        offset = 0
+        while offset < len(data):
+            end = data.find(b"\n", offset)
+            payload = None if end < 0 else _payload(data[offset:end])
+            if payload is None:
+                self._check_torn(name, data, offset, may_be_torn)
+                self._do(self._files.truncate, name, offset)
+                break
+            records.extend(msgspec.json.decode(payload))
+            offset = end + 1
+        if name == LOG:
+            self._log_bytes = offset
         return records
 
-    def append(self, record):
-        """Writes one record and syncs it."""
-        data = msgspec.json.encode(record)
-        self._file.write(b"%08x %s\n" % (zlib.crc32(data), data))
-        self._file.flush()
-        os.fsync(self._file.fileno())
+    def _check_torn(self, name, data, offset, may_be_torn):
+        tail = data[offset:]
+        lines = tail.split(b"\n")
+        valid_follows = any(_payload(line) is not None for line in lines[1:])
+        if valid_follows or not may_be_torn or not _is_torn(tail):
+            path = self._files.path(name)
+            raise StorageError(f"{path}: damaged record at byte offset {offset}")
+
+
+def _line(records):
+    payload = msgspec.json.encode(records)
+    return b"%08x %d %s\n" % (zlib.crc32(payload), len(payload), payload)
+
+
+def _payload(line):
+    checksum, _, rest = line.partition(b" ")
+    size, _, payload = rest.partition(b" ")
+    try:
+        valid = (
+            len(checksum) == CHECKSUM_BYTES
+            and len(payload) == int(size)
+            and zlib.crc32(payload) == int(checksum, 16)
+        )
+    except ValueError:
+        return None
+    return payload if valid else None
+
+
+def _is_torn(tail):
+    # A write that was cut short lacks its end or leaves sectors of zeros. A whole
+    # line with a wrong checksum was synced and damaged later.
+    if not tail.endswith(b"\n"):
+        return True
+    return bytes(SECTOR_BYTES) in tail
+
+
+def _after(snapshot, header, entries):
+    """Gives the entries that follow a snapshot.
+
+    A crash between the renames of the two files leaves a log that starts before
+    the snapshot; the rest of it is valid only if it contains the last entry of
+    the snapshot.
+    """
+    if header.base_index == snapshot.index and header.base_term == snapshot.term:
+        return tuple(entries)
+    terms = {entry.index: entry.term for entry in entries}
+    if terms.get(snapshot.index) != snapshot.term:
+        return ()
+    return tuple(entry for entry in entries if entry.index > snapshot.index)
