--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -18,7 +18,6 @@
 from ._members import LEFT, Member, Members
 from ._node import Node
 from ._probing import Prober
-from ._storage import LogFile
 from ._supervisor import Supervisor
 from ._transport import PeerClient, PeerServer
 
@@ -109,10 +108,11 @@
         self._supervisor.add_periodic("announcement", self._node.check_announcement, 1)
 
     def _add_control(self):
-        self._control = Control(self.clock, LogFile(self._settings["data_folder"]))
+        self._control = Control(self._settings, self.clock, self._client)
+        self._control.add_handlers(self._server)
+        self._control.add_tasks(self._supervisor)
+        # A change is announced at once by the process that has applied it.
         self._server.handle("put", self._put)
-        self._server.handle("get", self._control.get)
-        self._server.handle("history", self._control.history)
 
     def _add_dissemination(self):
         events = EventStore()
