Divide permits by importance and refuse below a level

Cause: permits were granted first come first served and renewed one owner after another, and nothing refused work before it was sent.

Change: the owner divides permits by importance and demand, keeps unacknowledged grants committed, recalls and grants by push, and confirms only held permits after a restart. Owners compute an admission level from reported histograms and pass the levels of called services up by route. Calling nodes refuse below the level or when the usual service time exceeds what is left, queue by priority, choose the better of two upstreams, and eject failing ones. A learned limit lowers the slots.

--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -180,13 +180,16 @@
         started_at = node.clock.monotonic()
         result = AttemptResult(False, False, 0)
         connection = None
+        refused, cancelled = False, True
         try:
             connection = await self._connect(upstream)
             if connection is None:
+                refused, cancelled = True, False
                 return None
             self._sent = True
             attempt = Attempt(plan, connection, self._caller)
             result = await attempt.run(headers, self._body, node.key)
+            cancelled = False
             self._answered = result.started
             self._status = result.status if result.complete else 0
             if not result.complete:
@@ -199,8 +202,10 @@
                     upstream.pool.put_back(connection, now)
                 else:
                     connection.close()
-            ended = Result(result.complete, result.status, now - started_at)
-            upstreams.release(upstream, ended, now)
+            ended = Result(
+                result.complete, result.status, now - started_at, refused, cancelled
+            )
+            upstreams.release(upstream, ended, now, plan)
 
     async def _connect(self, upstream):
         now = self._node.clock.monotonic()
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -79,6 +79,7 @@
             self._settings, self.clock, authenticator.key, self._members, self._client
         )
         self._server.handle("exchange", self._node.exchange.receive)
+        self._server.handle("permits", self._node.exchange.receive_push)
         self._supervisor.add_periodic(
             "permits", self._node.renew_permits, EXCHANGE_PERIOD_S
         )
--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -1,15 +1,36 @@
 """Exchanges permits between calling nodes and the owners of upstreams."""
 
+import asyncio
+
 from ._errors import PeerError
+from ._levels import PERIOD_S as LEVEL_PERIOD_S
 from ._logs import logger
-from ._permits import Grant, PermitPool
+from ._members import FAILED, LEFT
+from ._owner import UpstreamOwner
+from ._permits import Grant
 
-PERIOD_S = 0.5
-SPARE_PERMITS = 2
+PERIOD_S = LEVEL_PERIOD_S
+CALM_PERIOD_S = 2.0
+LEAST_GAP_S = 0.02
+GREATEST_GAP_S = 0.1
 
 log = logger("permits")
 
 
+class _Line:
+    """The state of the exchange with one owner."""
+
+    __slots__ = ("busy", "due_at", "gap_s", "sent_at", "timer", "incarnation")
+
+    def __init__(self, incarnation):
+        self.busy = False
+        self.due_at = 0.0
+        self.gap_s = LEAST_GAP_S
+        self.sent_at = 0.0
+        self.timer = None
+        self.incarnation = incarnation
+
+
 class PermitExchange:
     """Owns the permits of the local upstream and renews those at others.
 
@@ -22,43 +43,199 @@
         self._members = members
         self._client = client
         self._clock = clock
-        self.pool = PermitPool(0)
+        self._sets = {}
+        self._lines = {}
+        self._tasks = set()
+        self._push_timer = None
+        incarnation = members.own.incarnation
+        self._number = incarnation
+        self.owner = UpstreamOwner(incarnation, clock.monotonic())
+
+    @property
+    def pool(self):
+        """Permits of the local upstream."""
+        return self.owner.pool
 
     async def renew(self, upstream_sets):
-        """Renews the permits at every upstream of every set."""
-        for upstreams in list(upstream_sets):
-            for upstream in list(upstreams):
-                await self._renew(upstream)
-            upstreams.wake(self._clock.monotonic())
+        """Starts the exchanges that are due and updates the level; each 100 ms.
+
+        :param upstream_sets: dict from service to
+            :class:`~figpick._upstreams.UpstreamSet`.
+        """
+        now = self._clock.monotonic()
+        self._sets = upstream_sets
+        self.owner.tick(self._level_of, self._calling_nodes(), now)
+        for upstreams in upstream_sets.values():
+            upstreams.review(now)
+            if not upstreams.idle(now):
+                for upstream in upstreams.used:
+                    if self._due(upstreams, upstream, now):
+                        self._start(upstreams, upstream, now)
+        self._push()
+
+    def hasten(self, upstreams):
+        """Exchanges at once, because calls wait for permits.
+
+        :param upstreams: :class:`~figpick._upstreams.UpstreamSet`.
+        """
+        now = self._clock.monotonic()
+        for upstream in upstreams.used:
+            line = self._line(upstream)
+            if line.busy or line.timer is not None:
+                continue
+            wait_s = line.sent_at + line.gap_s - now
+            if wait_s <= 0:
+                self._start(upstreams, upstream, now)
+            else:
+                loop = asyncio.get_running_loop()
+                line.timer = loop.call_later(wait_s, self._fire, upstreams, upstream)
 
     async def receive(self, message):
         """Answers a calling node that renews its permits."""
-        grant = self.pool.exchange(
-            message["caller"],
-            message["want"],
-            message["in_use"],
-            self._clock.monotonic(),
-        )
-        return list(grant)
+        answer = self.owner.receive(message, self._clock.monotonic())
+        self._push_soon()
+        return answer
+
+    async def receive_push(self, message):
+        """Takes permits and levels that an owner pushes.
+
+        :return: dict with the usage of the permits.
+        """
+        for upstreams in self._sets.values():
+            for upstream in upstreams:
+                if upstream.name == message["owner"]:
+                    return self._take_push(upstreams, upstream, message)
+        return {"usage": None}
 
     def dump(self):
         """Gives the state as a dict."""
-        return {"limit": self.pool.limit, "committed": self.pool.committed}
+        return self.owner.dump()
 
-    async def _renew(self, upstream):
-        own_name = self._members.own.name
-        message = {
-            "caller": own_name,
-            "want": upstream.permits.in_use + SPARE_PERMITS,
-            "in_use": upstream.permits.in_use,
-        }
-        address = upstream.member.peer_address
+    def _take_push(self, upstreams, upstream, message):
+        now = self._clock.monotonic()
+        self._accept(upstream, message, now)
+        upstreams.wake(now)
+        usage = upstream.permits.usage(
+            self._next_number(), upstreams.demand(upstream), now
+        )
+        return {"usage": usage}
+
+    def _accept(self, upstream, message, sent_at):
+        upstream.take_levels(
+            message["level"], message["routes"], self._clock.monotonic()
+        )
+        if message["grant"] is not None:
+            upstream.permits.accept(Grant(*message["grant"]), sent_at)
+
+    def _line(self, upstream):
+        line = self._lines.get(upstream.name)
+        if line is None or line.incarnation != upstream.member.incarnation:
+            # A restarted owner must learn at once what is held of its upstream.
+            line = self._lines[upstream.name] = _Line(upstream.member.incarnation)
+        return line
+
+    def _due(self, upstreams, upstream, now):
+        line = self._line(upstream)
+        if line.busy:
+            return False
+        if upstreams.waiting or upstream.restrained:
+            return now - line.sent_at >= GREATEST_GAP_S * 0.9
+        return now >= line.due_at
+
+    def _fire(self, upstreams, upstream):
+        line = self._line(upstream)
+        line.timer = None
+        if upstreams.waiting and not line.busy:
+            self._start(upstreams, upstream, self._clock.monotonic())
+
+    def _start(self, upstreams, upstream, now):
+        line = self._line(upstream)
+        line.busy = True
+        line.sent_at = now
+        line.due_at = now + CALM_PERIOD_S
+        self._spawn(self._renew(upstreams, upstream, line))
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _renew(self, upstreams, upstream, line):
         try:
-            if upstream.name == own_name:
-                grant = await self.receive(message)
+            before = upstream.permits.granted
+            await self._exchange(upstreams, upstream)
+            upstreams.wake(self._clock.monotonic())
+            if upstream.permits.granted > before:
+                line.gap_s = LEAST_GAP_S
             else:
-                grant = await self._client.send(address, "exchange", message)
+                line.gap_s = min(2 * line.gap_s, GREATEST_GAP_S)
+            upstream.permits.owner_silent = False
         except PeerError as error:
+            upstream.permits.owner_silent = True
             log.debug("No permits from {}: {}.", upstream.name, error)
+        finally:
+            line.busy = False
+
+    async def _exchange(self, upstreams, upstream):
+        own_name = self._members.own.name
+        now = self._clock.monotonic()
+        usage = upstream.permits.usage(
+            self._next_number(), upstreams.demand(upstream), now
+        )
+        report = upstream.statistics.report(max(1, len(upstreams.used)), now)
+        message = {"caller": own_name, "usage": usage, "report": report}
+        if upstream.name == own_name:
+            answer = await self.receive(message)
+        else:
+            address = upstream.member.peer_address
+            answer = await self._client.send(address, "exchange", message)
+        self._accept(upstream, answer, now)
+
+    def _push_soon(self):
+        if self._push_timer is None and self.pool.short:
+            loop = asyncio.get_running_loop()
+            self._push_timer = loop.call_later(LEAST_GAP_S, self._push)
+
+    def _push(self):
+        if self._push_timer is not None:
+            self._push_timer.cancel()
+            self._push_timer = None
+        for caller, message in self.owner.pushes(self._clock.monotonic()):
+            self._spawn(self._push_to(caller, message))
+
+    async def _push_to(self, caller, message):
+        own_name = self._members.own.name
+        message["owner"] = own_name
+        try:
+            if caller == own_name:
+                answer = await self.receive_push(message)
+            else:
+                member = self._members.get(caller)
+                if member is None:
+                    return
+                answer = await self._client.send(
+                    member.peer_address, "permits", message
+                )
+        except PeerError as error:
+            log.debug("Push of permits to {} failed: {}.", caller, error)
             return
-        upstream.permits.accept(Grant(*grant), self._clock.monotonic())
+        if answer["usage"] is not None:
+            self.owner.acknowledge(caller, answer["usage"], self._clock.monotonic())
+            self._push_soon()
+
+    def _level_of(self, service, route_id):
+        upstreams = self._sets.get(service)
+        if upstreams is None:
+            return 0.0
+        return upstreams.level(route_id, self._clock.monotonic())
+
+    def _calling_nodes(self):
+        return {
+            member.name
+            for member in self._members
+            if member.call_address and member.state not in (LEFT, FAILED)
+        }
+
+    def _next_number(self):
+        self._number += 1
+        return self._number
--- /dev/null
+++ b/src/figpick/_levels.py
@@ -0,0 +1,294 @@
+"""Admission levels: the priority below which requests are refused.
+
+The owner of an upstream computes its level from what calling nodes report. A
+node passes the levels of the services that its upstream calls on to its own
+callers, by route, so that the entry of the graph refuses before work is spent.
+"""
+
+import math
+from collections import deque
+from typing import NamedTuple
+
+BINS_PER_IMPORTANCE = 4
+BINS = 10 * BINS_PER_IMPORTANCE
+HIGHEST = 10.0
+PERIOD_S = 0.1
+# Load up to this share of capacity is admitted; the queues absorb the excess.
+HEADROOM = 1.05
+FIRST_STEP = 0.05
+STEP_GROWTH = 1.5
+WAIT_TARGET_S = 0.04
+RATE_TIME_S = 0.5
+SERVICE_WINDOW_S = 0.5
+REPORT_LIFETIME_S = 5.0
+
+
+class Report(NamedTuple):
+    """What a calling node observed at one upstream since its last report.
+
+    :param span_s: seconds that the report covers.
+    :param offered: pairs of priority bin and number of requests.
+    :param completed: requests that ended with a whole answer.
+    :param latency_s: sum of their seconds at the upstream.
+    :param broken: requests without a whole answer.
+    :param shed: requests that the upstream refused, and refused connections.
+    :param waits: requests that got a permit.
+    :param wait_s: sum of the seconds that they waited for it.
+    :param in_flight: requests in flight.
+    :param age_s: sum of the seconds since these were sent.
+    :param routes: pairs of route id and executions that ended.
+    """
+
+    span_s: float
+    offered: tuple = ()
+    completed: int = 0
+    latency_s: float = 0.0
+    broken: int = 0
+    shed: int = 0
+    waits: int = 0
+    wait_s: float = 0.0
+    in_flight: int = 0
+    age_s: float = 0.0
+    routes: tuple = ()
+
+
+def priority_bin(priority):
+    """Gives the bin of a priority, 0 to 39."""
+    return min(int(priority * BINS_PER_IMPORTANCE), BINS - 1)
+
+
+def rate_above(rates, level):
+    """Sums the rates of the bins above a level, in part for the bin of the level.
+
+    :param rates: requests per second by priority bin.
+    """
+    position = level * BINS_PER_IMPORTANCE
+    lowest = int(position)
+    if lowest >= BINS:
+        return 0.0
+    return sum(rates[lowest + 1 :]) + rates[lowest] * (1 - position + lowest)
+
+
+def level_for(rates, capacity):
+    """Finds the lowest level above which the load fits into a capacity.
+
+    :param rates: requests per second by priority bin.
+    :param capacity: requests per second.
+    """
+    total = 0.0
+    for index in range(BINS - 1, -1, -1):
+        if total + rates[index] > capacity:
+            part = (capacity - total) / rates[index]
+            return (index + 1 - part) / BINS_PER_IMPORTANCE
+        total += rates[index]
+    return 0.0
+
+
+class _Caller:
+    __slots__ = ("rates", "in_flight", "age_s", "reported_at")
+
+    def __init__(self):
+        self.rates = [0.0] * BINS
+        self.in_flight = 0
+        self.age_s = 0.0
+        self.reported_at = 0.0
+
+
+class LevelController:
+    """Computes the admission level of one upstream."""
+
+    def __init__(self):
+        self.level = 0.0
+        self._callers = {}
+        self._window = deque()
+        self._service_s = 0.0
+        self._step = FIRST_STEP
+
+    @property
+    def service_s(self):
+        """Mean seconds that a request holds a slot; 0 when unknown."""
+        return self._service_s
+
+    def report(self, caller, report, now):
+        """Takes the report of a calling node.
+
+        :param caller: name of the calling node.
+        :param report: :class:`Report`.
+        :param now: monotonic seconds.
+        """
+        known = self._callers.get(caller)
+        if known is None:
+            known = self._callers[caller] = _Caller()
+        self._update_rates(known, report)
+        known.in_flight = report.in_flight
+        known.age_s = report.age_s
+        known.reported_at = now
+        self._window.append((now, report))
+
+    def offered(self):
+        """Sums the offered requests per second by priority bin."""
+        rates = [0.0] * BINS
+        for caller in self._callers.values():
+            for index, rate in enumerate(caller.rates):
+                if rate:
+                    rates[index] += rate
+        return rates
+
+    def update(self, limit, now):
+        """Computes the level; called each 100 ms.
+
+        :param limit: most requests in flight at the upstream.
+        :param now: monotonic seconds.
+        :return: the level.
+        """
+        self._forget(now)
+        self._service_s = self._measure_service()
+        if not self._service_s:
+            return self._lower(0.0)
+        capacity = limit / self._service_s
+        rates = self.offered()
+        admitted = rate_above(rates, self.level)
+        lowest = level_for(rates, capacity * HEADROOM)
+        if admitted > capacity * HEADROOM:
+            return self._raise(lowest)
+        if self._mean_wait() > WAIT_TARGET_S:
+            # The capacity is less than it seems: give up a share of the load.
+            return self._raise(level_for(rates, admitted / HEADROOM))
+        if admitted >= capacity:
+            return self.level
+        return self._lower(lowest)
+
+    def _raise(self, level):
+        self._step = FIRST_STEP
+        self.level = max(self.level, level)
+        return self.level
+
+    def _lower(self, lowest):
+        self.level = max(lowest, self.level - self._step)
+        self._step = min(self._step * STEP_GROWTH, HIGHEST)
+        if self.level <= 0.0:
+            self._step = FIRST_STEP
+        return self.level
+
+    def _update_rates(self, known, report):
+        span_s = max(report.span_s, 0.001)
+        share = 1 - math.exp(-span_s / RATE_TIME_S)
+        known.rates = [rate * (1 - share) for rate in known.rates]
+        for index, number in report.offered:
+            known.rates[index] += share * number / span_s
+
+    def _measure_service(self):
+        completed = sum(report.completed for _, report in self._window)
+        latency_s = sum(report.latency_s for _, report in self._window)
+        mean_s = latency_s / completed if completed else self._service_s
+        in_flight = sum(caller.in_flight for caller in self._callers.values())
+        if not in_flight:
+            return mean_s
+        # Answers that have not come yet are not in the mean of those that have.
+        age_s = sum(caller.age_s for caller in self._callers.values())
+        return max(mean_s, age_s / in_flight)
+
+    def _mean_wait(self):
+        waits = sum(report.waits for _, report in self._window)
+        if not waits:
+            return 0.0
+        return sum(report.wait_s for _, report in self._window) / waits
+
+    def _forget(self, now):
+        while self._window and now - self._window[0][0] > SERVICE_WINDOW_S:
+            self._window.popleft()
+        for name, caller in list(self._callers.items()):
+            if now - caller.reported_at > REPORT_LIFETIME_S:
+                del self._callers[name]
+
+
+class _RouteCalls:
+    __slots__ = ("executions", "callers")
+
+    def __init__(self):
+        self.executions = 0.0
+        self.callers = {}
+
+
+class RouteLevels:
+    """Learns which calls each route of the local service makes.
+
+    The level of a route is the highest among the calls that it makes in at
+    least half of its executions.
+    """
+
+    SHARE = 0.5
+    DECAY_PERIOD_S = 1.0
+    DECAY = 0.8
+    MIN_EXECUTIONS = 3.0
+
+    def __init__(self):
+        self._routes = {}
+        self._recent = set()
+        self._previous = set()
+        self._decayed_at = 0.0
+
+    def note_call(self, route_id, execution_id, called):
+        """Notes a call that an execution of the local upstream makes.
+
+        :param route_id: route of the execution.
+        :param execution_id: the execution; further equal calls do not count.
+        :param called: pair of service and route id.
+        """
+        key = (execution_id, called)
+        if key in self._recent or key in self._previous:
+            return
+        self._recent.add(key)
+        callers = self._entry(route_id).callers
+        callers[called] = callers.get(called, 0.0) + 1
+
+    def note_executions(self, route_id, number):
+        """Notes executions of a route that callers report."""
+        self._entry(route_id).executions += number
+
+    def calls(self, route_id):
+        """Lists the calls that a route makes in at least half of its executions.
+
+        :return: list of pairs of service and route id.
+        """
+        entry = self._routes.get(route_id)
+        if entry is None:
+            return []
+        least = max(self.MIN_EXECUTIONS, self.SHARE * entry.executions)
+        return [called for called, number in entry.callers.items() if number >= least]
+
+    def levels(self, level_of):
+        """Gives the levels that the calls of each route impose.
+
+        :param level_of: function from service and route id to a level.
+        :return: dict from route id to level, without levels of 0.
+        """
+        levels = {}
+        for route_id in self._routes:
+            level = max((level_of(*call) for call in self.calls(route_id)), default=0)
+            if level > 0:
+                levels[route_id] = round(level, 4)
+        return levels
+
+    def decay(self, now):
+        """Lets older observations fade; called often, acts each second.
+
+        :param now: monotonic seconds.
+        """
+        if now - self._decayed_at < self.DECAY_PERIOD_S:
+            return
+        self._decayed_at = now
+        self._previous, self._recent = self._recent, set()
+        for entry in self._routes.values():
+            if entry.executions < 2 * self.MIN_EXECUTIONS / self.SHARE:
+                # Without new executions the last known calls stay.
+                continue
+            entry.executions *= self.DECAY
+            for called in entry.callers:
+                entry.callers[called] *= self.DECAY
+
+    def _entry(self, route_id):
+        entry = self._routes.get(route_id)
+        if entry is None:
+            entry = self._routes[route_id] = _RouteCalls()
+        return entry
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -95,10 +95,15 @@
         service = self._services[name] = Service(document, version)
         upstreams = self._upstream_sets.get(name)
         if upstreams is None:
-            upstreams = self._upstream_sets[name] = UpstreamSet(service)
+            now = self.clock.monotonic()
+            upstreams = self._upstream_sets[name] = UpstreamSet(
+                service, self.members.own, now, self.exchange.hasten
+            )
             for member in self.members.of_service(name):
-                upstreams.update(member)
+                upstreams.update(member, now)
         upstreams.service = service
+        if name == self.members.own.service:
+            self.exchange.owner.restrict(service.limits)
         log.info("Version {} of {} is in force.", version, name)
         return True
 
@@ -126,6 +131,12 @@
         :param now: monotonic seconds.
         :raises CallError: when it is refused.
         """
+        if plan.parent is not None:
+            parent = plan.parent
+            called = (plan.service.name, plan.route.route_id)
+            routes = self.exchange.owner.routes
+            routes.note_call(parent.route_id, parent.execution_id, called)
+        self._upstream_sets[plan.service.name].admit(plan, now)
 
     async def claim(self, plan):
         """Claims a non-idempotent call before it is sent.
@@ -162,12 +173,16 @@
     def begin(self, call, plan):
         """Notes a call that has started."""
         if plan.parent is not None:
-            self._executions.add(plan.parent.execution_id, call)
+            execution_id = plan.parent.execution_id
+            self._executions.add(execution_id, call)
+            self.exchange.owner.downstream.begin(execution_id, self.clock.monotonic())
 
     def end(self, call, plan):
         """Notes a call that has ended."""
         if plan.parent is not None:
-            self._executions.remove(plan.parent.execution_id, call)
+            execution_id = plan.parent.execution_id
+            self._executions.remove(execution_id, call)
+            self.exchange.owner.downstream.end(execution_id, self.clock.monotonic())
 
     def local_handler(self, start_line, caller):
         """Finds the handler of a request to the node itself.
@@ -181,7 +196,7 @@
 
     async def renew_permits(self):
         """Renews the permits at every known upstream."""
-        await self.exchange.renew(self._upstream_sets.values())
+        await self.exchange.renew(self._upstream_sets)
 
     async def check_announcement(self):
         """Marks the upstream as draining when its announcement has lapsed."""
@@ -223,7 +238,7 @@
     def _member_changed(self, member):
         upstreams = self._upstream_sets.get(member.service)
         if upstreams is not None:
-            upstreams.update(member)
+            upstreams.update(member, self.clock.monotonic())
 
     def _announce(self, method, remote_ip, body):
         if remote_ip != split_address(self._settings["call_address"])[0]:
@@ -247,6 +262,8 @@
             "slots": announcement["slots"],
             "connections": announcement["connections"],
         }
-        self.exchange.pool.limit = announcement["slots"]
+        draining = changes["state"] == DRAINING
+        slots = 0 if draining else announcement["slots"]
+        self.exchange.owner.announce(slots, announcement["connections"])
         if own._replace(**changes) != own:
             self.members.update_own(**changes)
--- /dev/null
+++ b/src/figpick/_observations.py
@@ -0,0 +1,156 @@
+"""What a calling node observes of calls, and reports to owners."""
+
+from ._levels import BINS, Report, priority_bin
+
+FIRST_TRIAL_S = 0.1
+MEDIAN_STEP = 0.1
+
+
+class OfferedLoad:
+    """Counts the requests offered to a service by priority bin."""
+
+    def __init__(self):
+        self.counts = [0] * BINS
+
+    def add(self, priority):
+        """Counts a request, also one that is refused."""
+        self.counts[priority_bin(priority)] += 1
+
+
+class UsualTimes:
+    """Tracks the usual (p50) service time of each route of a service."""
+
+    def __init__(self):
+        self._medians = {}
+        self._trial_at = {}
+
+    def get(self, route_id):
+        """Gives the usual seconds of a route, 0 when unknown."""
+        return self._medians.get(route_id, 0.0)
+
+    def add(self, route_id, seconds):
+        """Learns from a call.
+
+        :param seconds: its service time; for a call that was given up, the time
+            until then.
+        """
+        known = self._medians.get(route_id)
+        if known is None:
+            self._medians[route_id] = seconds
+        elif seconds > known:
+            self._medians[route_id] = min(known * (1 + MEDIAN_STEP), seconds)
+        elif seconds < known / 2:
+            # An upstream that is fast again must not be avoided for long.
+            self._medians[route_id] = (known + seconds) / 2
+        else:
+            self._medians[route_id] = max(known * (1 - MEDIAN_STEP), seconds)
+
+    def allows(self, route_id, remaining_s, now):
+        """Whether a call can end in time, or is due as a trial.
+
+        :param remaining_s: seconds until the deadline of the call.
+        :param now: monotonic seconds.
+        """
+        if remaining_s >= self.get(route_id):
+            return True
+        if now - self._trial_at.get(route_id, 0.0) < FIRST_TRIAL_S:
+            return False
+        self._trial_at[route_id] = now
+        return True
+
+
+class CallStatistics:
+    """Sums what happened at one upstream since the last report.
+
+    :param offered: :class:`OfferedLoad` of the service.
+    :param now: monotonic seconds.
+    """
+
+    def __init__(self, offered, now):
+        self._offered = offered
+        self._reported_counts = list(offered.counts)
+        self._reported_at = now
+        self._flights = {}
+        self._clear()
+
+    def start(self, plan, wait_s, now):
+        """Notes a call that got a permit.
+
+        :param plan: :class:`~figpick._plans.CallPlan`.
+        :param wait_s: seconds that it waited for the permit.
+        :param now: monotonic seconds.
+        """
+        self._waits += 1
+        self._wait_s += wait_s
+        self._flights.setdefault(plan.context.execution_id, []).append(now)
+
+    def give_up(self, wait_s):
+        """Notes a call that got no permit in time.
+
+        :param wait_s: seconds that it waited.
+        """
+        self._waits += 1
+        self._wait_s += wait_s
+
+    def end(self, plan, result, now):
+        """Notes the end of a call.
+
+        :param result: :class:`~figpick._upstreams.Result`.
+        :param now: monotonic seconds.
+        """
+        flights = self._flights[plan.context.execution_id]
+        started_at = flights.pop()
+        if not flights:
+            del self._flights[plan.context.execution_id]
+        if result.refused:
+            self._shed += 1
+            return
+        self._completed += 1
+        self._latency_s += now - started_at
+        if result.status == 503:
+            self._shed += 1
+        if not result.complete and not result.cancelled:
+            self._broken += 1
+        route_id = plan.route.route_id
+        self._routes[route_id] = self._routes.get(route_id, 0) + 1
+
+    def report(self, upstreams, now):
+        """Makes the report and starts the next one.
+
+        :param upstreams: number of upstreams among which the load is divided.
+        :param now: monotonic seconds.
+        :return: :class:`~figpick._levels.Report`.
+        """
+        counts = self._offered.counts
+        offered = tuple(
+            (index, round((count - self._reported_counts[index]) / upstreams, 3))
+            for index, count in enumerate(counts)
+            if count != self._reported_counts[index]
+        )
+        starts = [at for flights in self._flights.values() for at in flights]
+        report = Report(
+            span_s=round(now - self._reported_at, 4),
+            offered=offered,
+            completed=self._completed,
+            latency_s=round(self._latency_s, 4),
+            broken=self._broken,
+            shed=self._shed,
+            waits=self._waits,
+            wait_s=round(self._wait_s, 4),
+            in_flight=len(starts),
+            age_s=round(now * len(starts) - sum(starts), 4),
+            routes=tuple(self._routes.items()),
+        )
+        self._reported_counts = list(counts)
+        self._reported_at = now
+        self._clear()
+        return report
+
+    def _clear(self):
+        self._completed = 0
+        self._latency_s = 0.0
+        self._broken = 0
+        self._shed = 0
+        self._waits = 0
+        self._wait_s = 0.0
+        self._routes = {}
--- /dev/null
+++ b/src/figpick/_owner.py
@@ -0,0 +1,165 @@
+"""The owner side of permits and levels for the upstream beside a node."""
+
+from collections import deque
+
+from ._levels import LevelController, Report, RouteLevels
+from ._limits import DownstreamTime, LearnedLimit, Observation
+from ._permits import Demand, PermitPool, Usage
+
+WINDOW_S = 0.5
+# Calling nodes are told of a level at once when it rose by more than this.
+LEVEL_RISE = 0.02
+
+
+class UpstreamOwner:
+    """Decides how much load calling nodes may send to one upstream.
+
+    :param incarnation: incarnation of this process.
+    :param now: monotonic seconds.
+    """
+
+    def __init__(self, incarnation, now):
+        self.pool = PermitPool(0, incarnation, now)
+        self.routes = RouteLevels()
+        self.downstream = DownstreamTime()
+        self._levels = LevelController()
+        self._limit = LearnedLimit()
+        self._slots = 0
+        self._slots_limit = None
+        self._connections_limit = None
+        self._connections = 0
+        self._level = 0.0
+        self._route_levels = {}
+        self._told = {}
+        self._window = deque()
+        self._ticked_at = now
+        self._counts = [0, 0.0, 0]
+
+    def announce(self, slots, connections):
+        """Takes what the upstream announced; 0 slots when it drains."""
+        self._slots = slots
+        self._connections = connections
+        self._apply_ceiling()
+
+    def restrict(self, limits):
+        """Takes the limits of the document of the service.
+
+        :param limits: :class:`~figpick._documents.Limits`.
+        """
+        self._slots_limit = limits.slots
+        self._connections_limit = limits.connections
+        self._apply_ceiling()
+
+    def receive(self, message, now):
+        """Answers a calling node that renews its permits.
+
+        :param message: dict with ``caller``, ``usage`` and ``report``.
+        :param now: monotonic seconds.
+        :return: dict with ``grant``, ``level`` and ``routes``.
+        """
+        caller = message["caller"]
+        report = Report(*message["report"])
+        self._levels.report(caller, report, now)
+        self._counts[0] += report.completed
+        self._counts[1] += report.latency_s
+        self._counts[2] += report.shed
+        for route_id, number in report.routes:
+            self.routes.note_executions(route_id, number)
+        grant = self.pool.exchange(caller, decode_usage(message["usage"]), now)
+        return self._message(caller, grant)
+
+    def acknowledge(self, caller, usage, now):
+        """Takes the answer of a calling node to a push.
+
+        :param usage: encoded :class:`~figpick._permits.Usage`.
+        :param now: monotonic seconds.
+        """
+        self.pool.acknowledge(caller, decode_usage(usage), now)
+
+    def pushes(self, now):
+        """Lists the messages to push.
+
+        :param now: monotonic seconds.
+        :return: list of calling node and message.
+        """
+        messages = [
+            (caller, self._message(caller, grant))
+            for caller, grant in self.pool.pushes(now)
+        ]
+        named = {caller for caller, _ in messages}
+        told = [
+            (caller, self._message(caller, None))
+            for caller in self.pool.grants()
+            if caller not in named and self._rose_for(caller)
+        ]
+        return messages + told
+
+    def tick(self, level_of, members, now):
+        """Updates limit and levels; called each 100 ms.
+
+        :param level_of: function from service and route id to the level of the
+            service for this node.
+        :param members: names of the nodes that may hold grants.
+        :param now: monotonic seconds.
+        """
+        self.pool.confirm_members(members)
+        self.pool.expire(now)
+        self.pool.limit = self._limit.update(self._observe(now), now)
+        self._level = round(self._levels.update(self.pool.limit, now), 4)
+        self.routes.decay(now)
+        self._route_levels = self.routes.levels(level_of)
+
+    def dump(self):
+        """Gives the state as a dict."""
+        return {
+            "limit": self.pool.limit,
+            "committed": self.pool.committed,
+            "level": self._level,
+            "routes": self._route_levels,
+            "service_ms": round(self._levels.service_s * 1000, 3),
+            "offered": round(sum(self._levels.offered()), 1),
+            "granted": self.pool.grants(),
+        }
+
+    def _message(self, caller, grant):
+        self._told[caller] = (self._level, self._route_levels)
+        return {
+            "grant": None if grant is None else list(grant),
+            "level": self._level,
+            "routes": self._route_levels,
+        }
+
+    def _rose_for(self, caller):
+        level, routes = self._told.get(caller, (0.0, {}))
+        if self._level > level + LEVEL_RISE:
+            return True
+        return any(
+            max(value, self._level) > max(routes.get(route_id, 0.0), level) + LEVEL_RISE
+            for route_id, value in self._route_levels.items()
+        )
+
+    def _observe(self, now):
+        spent_s = self.downstream.take()
+        self._window.append((now, *self._counts, spent_s))
+        self._counts = [0, 0.0, 0]
+        while now - self._window[0][0] > WINDOW_S:
+            self._window.popleft()
+        completed = sum(item[1] for item in self._window)
+        latency_s = sum(item[2] for item in self._window)
+        downstream_s = sum(item[4] for item in self._window)
+        own_s = max(0.0, latency_s - downstream_s) / completed if completed else 0.0
+        return Observation(completed, own_s, completed / WINDOW_S, self._window[-1][3])
+
+    def _apply_ceiling(self):
+        ceiling = min(self._slots, self._connections)
+        for limit in (self._slots_limit, self._connections_limit):
+            if limit is not None:
+                ceiling = min(ceiling, limit)
+        self._limit.ceiling = ceiling
+        self.pool.limit = self._limit.value
+
+
+def decode_usage(fields):
+    """Decodes a :class:`~figpick._permits.Usage` from its JSON form."""
+    *numbers, demand = fields
+    return Usage(*numbers, Demand(tuple(demand[0]), demand[1]))
--- a/src/figpick/_queues.py
+++ b/src/figpick/_queues.py
@@ -12,28 +12,84 @@
 
     def __init__(self, length):
         self._length = length
-        self._entries = []
+        self._heap = []
+        self._live = {}
+        self._by_importance = [0] * 10
         self._order = count()
 
     def __len__(self):
-        return len(self._entries)
+        return len(self._live)
 
-    def push(self, priority, item):
+    @property
+    def by_importance(self):
+        """Waiting calls, for importance 0 to 9."""
+        return tuple(self._by_importance)
+
+    def push(self, priority, item, now):
         """Adds a call.
 
+        :param priority: importance plus hash, 0 to below 10.
+        :param now: monotonic seconds.
         :return: the call that lost its place: ``None``, a less important one, or
             ``item`` itself when all others matter more.
         """
-        heapq.heappush(self._entries, (-priority, next(self._order), item))
-        if len(self._entries) <= self._length:
+        self.restore(priority, item, now)
+        if len(self._live) <= self._length:
             return None
-        last = max(self._entries)
-        self._entries.remove(last)
-        heapq.heapify(self._entries)
-        return last[2]
+        return self._drop_last()
+
+    def restore(self, priority, item, since):
+        """Adds a call that was taken out, also when the queue is full.
+
+        :param since: monotonic seconds at which it began to wait.
+        """
+        order = (-priority, since, next(self._order))
+        self._live[item] = order
+        self._by_importance[int(priority)] += 1
+        heapq.heappush(self._heap, (*order, item))
+
+    def outranks(self, priority):
+        """Whether a call waits that comes before a new one of a priority."""
+        first = self.peek()
+        return first is not None and -self._live[first][0] >= priority
 
     def pop(self):
         """Removes the most important, oldest call, or gives ``None``."""
-        if not self._entries:
-            return None
-        return heapq.heappop(self._entries)[2]
+        item = self.peek()
+        if item is not None:
+            heapq.heappop(self._heap)
+            self._forget(item)
+        return item
+
+    def peek(self):
+        """Gives the most important, oldest call, or ``None``."""
+        while self._heap:
+            *order, item = self._heap[0]
+            if self._live.get(item) == tuple(order):
+                return item
+            heapq.heappop(self._heap)
+        return None
+
+    def remove(self, item):
+        """Removes a call that no longer waits."""
+        if item in self._live:
+            self._forget(item)
+            if len(self._heap) > 2 * len(self._live) + 16:
+                self._compact()
+
+    def resize(self, length):
+        """Changes the number of calls that may wait; no waiting call is dropped."""
+        self._length = length
+
+    def _drop_last(self):
+        last = max(self._live, key=self._live.__getitem__)
+        self.remove(last)
+        return last
+
+    def _forget(self, item):
+        negative_priority, *_ = self._live.pop(item)
+        self._by_importance[int(-negative_priority)] -= 1
+
+    def _compact(self):
+        self._heap = [(*order, item) for item, order in self._live.items()]
+        heapq.heapify(self._heap)
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -1,16 +1,27 @@
 """The upstreams of one service as a calling node sees them."""
 
 import asyncio
+import random
 from typing import NamedTuple
 
+from . import _routing
 from ._connections import ConnectionPool
-from ._errors import NoUpstreamError, OverloadedError
-from ._members import TAKES_CALLS
-from ._permits import PermitCache
+from ._errors import DeadlineError, NoUpstreamError, OverloadedError
+from ._levels import REPORT_LIFETIME_S
+from ._members import COLD, TAKES_CALLS
+from ._observations import CallStatistics, OfferedLoad, UsualTimes
+from ._permits import Demand, PermitCache
 from ._queues import WaitQueue
 
-LATENCY_WEIGHT = 0.1
-INITIAL_LATENCY_S = 0.01
+# Services that were not called for this long are forgotten by their owners.
+IDLE_S = 60.0
+LEAST_SPARE = 2
+# Share of a recent peak of calls in flight that is still asked for 100 ms later.
+PEAK_KEPT = 0.9
+SUBSET_GROWTH = 4
+# 503 is not among them: an upstream that sheds load is lowered by its limit.
+FAULTS = frozenset((500, 502, 504))
+SHORT_TICKS = 3
 
 
 class Result(NamedTuple):
@@ -19,25 +30,34 @@
     :param complete: whether the whole answer was read.
     :param status: HTTP status of the answer, 0 without one.
     :param latency_s: seconds from the send to the end.
+    :param refused: whether the upstream accepted no connection.
+    :param cancelled: whether the attempt was given up by its caller or deadline.
     """
 
     complete: bool
     status: int
     latency_s: float
+    refused: bool = False
+    cancelled: bool = False
 
 
 class Upstream:
     """One upstream as a calling node sees it.
 
     :param member: :class:`Member` record of its node.
+    :param offered: :class:`OfferedLoad` of the service.
+    :param now: monotonic seconds.
     """
 
-    def __init__(self, member):
+    def __init__(self, member, offered, now):
         self.member = member
         self.pool = ConnectionPool(member.upstream_address)
         self.permits = PermitCache()
-        self.latency_s = INITIAL_LATENCY_S
-        self.failures_in_row = 0
+        self.health = _routing.Health(now if member.state == COLD else None)
+        self.statistics = CallStatistics(offered, now)
+        self._level = 0.0
+        self._route_levels = {}
+        self._level_at = 0.0
 
     def __repr__(self):
         return f"<Upstream {self.member.name} {self.member.upstream_address}>"
@@ -47,59 +67,194 @@
         """Name of the node beside the upstream."""
         return self.member.name
 
-    def cost(self):
+    @property
+    def latency_s(self):
+        """Expected seconds of a call."""
+        return self.health.latency_s
+
+    def cost(self, now):
         """Expected wait at this upstream, for the choice among upstreams."""
-        return (self.permits.in_use + 1) * self.latency_s
+        weight = self.health.weight(now)
+        return (self.permits.in_use + 1) * self.health.latency_s / weight
+
+    def allows(self, now):
+        """Whether a call may be sent there now.
+
+        :param now: monotonic seconds.
+        """
+        permits = self.permits
+        return permits.free(now) > 0 and self.health.allows(permits.in_use, now)
+
+    def take_levels(self, level, routes, now):
+        """Takes the levels that the owner gives.
+
+        :param level: level of the upstream.
+        :param routes: levels by route id.
+        :param now: monotonic seconds.
+        """
+        self._level = level
+        self._route_levels = routes
+        self._level_at = now
+
+    def level(self, route_id, now):
+        """Gives the level for a route, 0 when the owner has long been silent."""
+        if now - self._level_at > REPORT_LIFETIME_S:
+            return 0.0
+        return max(self._level, self._route_levels.get(route_id, 0.0))
+
+    @property
+    def restrained(self):
+        """Whether the owner asks for less load."""
+        return self._level > 0 or bool(self._route_levels)
 
-    def observe(self, result):
+    def observe(self, result, now):
         """Learns from an attempt.
 
         :param result: :class:`Result`.
+        :param now: monotonic seconds.
         """
-        if not result.complete:
-            self.failures_in_row += 1
-            return
-        self.failures_in_row = 0
-        self.latency_s += LATENCY_WEIGHT * (result.latency_s - self.latency_s)
+        if result.cancelled:
+            self.health.exceed(result.latency_s)
+        elif not result.complete or result.status in FAULTS:
+            self.health.fail(now)
+        else:
+            self.health.succeed(result.latency_s)
+
+
+class _Waiter:
+    """A call that waits for a permit."""
+
+    __slots__ = ("future", "plan", "excluded", "since")
+
+    def __init__(self, future, plan, excluded, since):
+        self.future = future
+        self.plan = plan
+        self.excluded = excluded
+        self.since = since
 
 
 class UpstreamSet:
     """All upstreams of one service, with the calls that wait for a permit.
 
     :param service: :class:`~figpick._documents.Service`.
+    :param own: :class:`Member` record of this node, or ``None``.
+    :param now: monotonic seconds.
+    :param when_short: function called with the set when a call must wait.
     """
 
-    def __init__(self, service):
-        self.service = service
+    def __init__(self, service, own=None, now=0.0, when_short=None):
+        self._service = service
+        self._own = own
+        self._when_short = when_short
         self._upstreams = {}
+        self._used = []
+        self._subset_size = _routing.SUBSET_SIZE
         self._queue = WaitQueue(service.limits.queue_length)
+        self._random = random.Random()
+        self._short_ticks = 0
+        self._last_call_at = now
+        self.offered = OfferedLoad()
+        self.usual_times = UsualTimes()
 
     def __repr__(self):
-        return f"<UpstreamSet {self.service.name} {len(self._upstreams)}>"
+        return f"<UpstreamSet {self._service.name} {len(self._upstreams)}>"
 
     def __iter__(self):
         return iter(self._upstreams.values())
 
+    @property
+    def service(self):
+        """Document in force; a change keeps the calls that wait."""
+        return self._service
+
+    @service.setter
+    def service(self, service):
+        self._service = service
+        self._queue.resize(service.limits.queue_length)
+
+    @property
+    def used(self):
+        """Upstreams that this node sends calls to."""
+        return self._used
+
     @property
     def waiting(self):
         """Number of calls that wait for a permit."""
         return len(self._queue)
 
-    def update(self, member):
+    def idle(self, now):
+        """Whether the service was not called for a minute.
+
+        :param now: monotonic seconds.
+        """
+        return now - self._last_call_at > IDLE_S
+
+    def update(self, member, now=0.0):
         """Takes a changed member record of the service.
 
         :param member: :class:`Member`.
+        :param now: monotonic seconds.
         """
         known = self._upstreams.get(member.name)
         if member.state not in TAKES_CALLS or not member.upstream_address:
             if known is not None:
                 known.pool.close_idle()
                 del self._upstreams[member.name]
-            return
-        if known is None or known.member.upstream_address != member.upstream_address:
-            self._upstreams[member.name] = Upstream(member)
+        elif known is None or known.member.upstream_address != member.upstream_address:
+            self._upstreams[member.name] = Upstream(member, self.offered, now)
         else:
             known.member = member
+        self._select()
+
+    def admit(self, plan, now):
+        """Decides whether a call may wait for a permit.
+
+        :param plan: :class:`~figpick._plans.CallPlan`.
+        :param now: monotonic seconds.
+        :raises OverloadedError: when its priority is below the level.
+        :raises DeadlineError: when the service usually takes longer than is left.
+        """
+        self._last_call_at = now
+        priority = plan.context.priority
+        self.offered.add(priority)
+        if priority < self.level(plan.route.route_id, now):
+            raise self._overloaded()
+        if not self.usual_times.allows(plan.route.route_id, plan.deadline - now, now):
+            message = f"{self._service.name} usually takes longer than is left"
+            raise DeadlineError(message, retry_after_s=1)
+
+    def level(self, route_id, now):
+        """Gives the lowest level of the upstreams in use for a route.
+
+        :param now: monotonic seconds.
+        """
+        levels = [upstream.level(route_id, now) for upstream in self._used]
+        return min(levels, default=0.0)
+
+    def demand(self, upstream):
+        """Gives the permits that calls here can use at an upstream.
+
+        :return: :class:`~figpick._permits.Demand`.
+        """
+        count = max(1, len(self._used))
+        waiting = self._queue.by_importance
+        wanted = tuple(
+            peak + -(-waiting[importance] // count)
+            for importance, peak in enumerate(upstream.permits.peaks(PEAK_KEPT))
+        )
+        return Demand(wanted, max(LEAST_SPARE, sum(wanted) // 2))
+
+    def review(self, now):
+        """Ejects failing upstreams and adapts the number in use; each 100 ms.
+
+        :param now: monotonic seconds.
+        """
+        _routing.review([upstream.health for upstream in self._used], now)
+        self._short_ticks = self._short_ticks + 1 if len(self._queue) else 0
+        if self._short_ticks >= SHORT_TICKS and len(self._used) < len(self._upstreams):
+            self._subset_size += SUBSET_GROWTH
+            self._short_ticks = 0
+            self._select()
 
     async def acquire(self, plan, now, excluded=()):
         """Takes a permit, waiting for one within the queue time of the service.
@@ -111,22 +266,29 @@
         :raises OverloadedError: when no permit comes free in time.
         :raises NoUpstreamError: when there is no upstream.
         """
-        upstream = self._choose(now, excluded)
-        if upstream is not None:
-            upstream.permits.take()
-            return upstream
-        if not any(item.name not in excluded for item in self._upstreams.values()):
-            raise NoUpstreamError(f"no upstream of {self.service.name} is available")
-        return await self._wait(plan, now)
-
-    def release(self, upstream, result, now):
+        # Calls that already wait come first unless this one matters more.
+        if not self._queue.outranks(plan.context.priority):
+            upstream = self._choose(now, excluded)
+            if upstream is not None:
+                self._take(upstream, plan, 0.0, now)
+                return upstream
+        if not any(item.name not in excluded for item in self._used):
+            message = f"no upstream of {self._service.name} is available"
+            raise NoUpstreamError(message, retry_after_s=1)
+        return await self._wait(plan, now, excluded)
+
+    def release(self, upstream, result, now, plan):
         """Returns a permit and learns from the attempt.
 
         :param result: :class:`Result`.
         :param now: monotonic seconds.
+        :param plan: :class:`~figpick._plans.CallPlan` that the permit was for.
         """
-        upstream.permits.give_back()
-        upstream.observe(result)
+        upstream.permits.give_back(plan.context.importance)
+        upstream.statistics.end(plan, result, now)
+        upstream.observe(result, now)
+        if result.complete or result.cancelled:
+            self.usual_times.add(plan.route.route_id, result.latency_s)
         self.wake(now)
 
     def wake(self, now):
@@ -134,42 +296,85 @@
 
         :param now: monotonic seconds.
         """
-        while len(self._queue):
-            upstream = self._choose(now, ())
+        passed = []
+        while (waiter := self._queue.pop()) is not None:
+            if waiter.future.done():
+                continue
+            upstream = self._choose(now, waiter.excluded)
             if upstream is None:
-                return
-            future = self._queue.pop()
-            if future.done():
+                passed.append(waiter)
+                if not waiter.excluded:
+                    break
                 continue
-            upstream.permits.take()
-            future.set_result(upstream)
+            self._take(upstream, waiter.plan, now - waiter.since, now)
+            waiter.future.set_result(upstream)
+        for waiter in passed:
+            self._queue.restore(waiter.plan.context.priority, waiter, waiter.since)
 
     def _choose(self, now, excluded):
         candidates = [
             upstream
-            for upstream in self._upstreams.values()
-            if upstream.permits.free(now) > 0 and upstream.name not in excluded
+            for upstream in self._used
+            if upstream.name not in excluded and upstream.allows(now)
         ]
         if not candidates:
             return None
-        return min(candidates, key=Upstream.cost)
+        if self._own is not None:
+            own_place = self._own.data_center
+            near = [each for each in candidates if each.member.data_center == own_place]
+            candidates = near or candidates
+        return _routing.choose(candidates, lambda item: item.cost(now), self._random)
+
+    def _take(self, upstream, plan, wait_s, now):
+        upstream.permits.take(plan.context.importance)
+        upstream.statistics.start(plan, wait_s, now)
 
-    async def _wait(self, plan, now):
+    async def _wait(self, plan, now, excluded):
         future = asyncio.get_running_loop().create_future()
-        lost = self._queue.push(plan.context.priority, future)
-        if lost is not None and not lost.done():
-            lost.set_exception(self._overloaded())
+        waiter = _Waiter(future, plan, frozenset(excluded), now)
+        lost = self._queue.push(plan.context.priority, waiter, now)
+        if lost is not None and not lost.future.done():
+            lost.future.set_exception(self._overloaded())
+        if self._when_short is not None:
+            self._when_short(self)
+        remaining_s = plan.deadline - now - self.usual_times.get(plan.route.route_id)
+        limit_s = max(0.0, min(self._service.limits.queue_s, remaining_s))
         try:
-            async with asyncio.timeout(self.service.limits.queue_s):
+            async with asyncio.timeout(limit_s):
                 return await future
         except TimeoutError:
+            self._queue.remove(waiter)
+            self._return(waiter, now + limit_s)
+            if self._used:
+                self._random.choice(self._used).statistics.give_up(limit_s)
             raise self._overloaded() from None
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled() and not future.exception():
-                future.result().permits.give_back()
-                self.wake(now)
+            self._queue.remove(waiter)
+            self._return(waiter, now)
             raise
 
+    def _return(self, waiter, now):
+        """Gives back the permit of a call that was given up as it got one."""
+        future = waiter.future
+        if not future.done() or future.cancelled() or future.exception():
+            return
+        upstream = future.result()
+        upstream.permits.give_back(waiter.plan.context.importance)
+        cancelled = Result(False, 0, 0.0, refused=False, cancelled=True)
+        upstream.statistics.end(waiter.plan, cancelled, now)
+        self.wake(now)
+
+    def _select(self):
+        members = [upstream.member for upstream in self._upstreams.values()]
+        own = self._own
+        names = _routing.subset(
+            own.name if own else "",
+            members,
+            own.data_center if own else "",
+            self._subset_size,
+        )
+        self._used = [item for item in self._upstreams.values() if item.name in names]
+
     def _overloaded(self):
-        message = f"{self.service.name} is overloaded"
+        message = f"{self._service.name} is overloaded"
         return OverloadedError(message, retry_after_s=1)
