--- /dev/null
+++ b/bench/collect.py
@@ -0,0 +1,82 @@
+"""Makes a trace from the spans that nodes have recorded.
+
+Run as ``python -m bench.collect DEPLOYMENT OUTPUT SPANS...``.
+"""
+
+import sys
+
+import msgspec
+
+from bench import traces
+
+MIN_SERVICE_MS = 0.1
+
+
+def collect(lines, deployment):
+    """Joins spans into whole requests.
+
+    :param lines: JSON lines of :class:`~figpick._recorder.Span`.
+    :param deployment: name of the deployment that can replay them.
+    :return: :class:`~bench.traces.Trace` without stated outcomes.
+    """
+    spans = [msgspec.json.decode(line) for line in lines if line.strip()]
+    below = {}
+    for span in spans:
+        below.setdefault(span["parent"], []).append(span)
+    roots = sorted(below.get("", ()), key=lambda span: span["at_s"])
+    trees = {}
+    names = {}
+    requests = []
+    for root in roots:
+        tree = _tree(root, below)
+        # Equal shapes share one tree, whatever their times were.
+        shape = msgspec.json.encode(_shape(tree["call"]))
+        name = names.setdefault(shape, f"tree-{len(names) + 1}")
+        trees.setdefault(name, tree)
+        at_s = round(root["at_s"] - roots[0]["at_s"], 4)
+        requests.append({"at_s": at_s, "caller": root["caller"], "tree": name})
+    head = traces.make_head(deployment, "recorded", {})
+    head["trees"] = trees
+    head["duration_s"] = requests[-1]["at_s"] + 1 if requests else 0.0
+    return traces.Trace(head, requests)
+
+
+def _tree(root, below):
+    return {
+        "importance": root["importance"],
+        "idempotent": root["idempotent"],
+        "call": _call(root, below),
+    }
+
+
+def _call(span, below):
+    calls = sorted(below.get(span["execution"], ()), key=lambda item: item["at_s"])
+    spent_ms = sum(call["latency_ms"] for call in calls)
+    return {
+        "service": span["service"],
+        "method": span["method"],
+        "path": span["path"],
+        "service_ms": max(MIN_SERVICE_MS, round(span["latency_ms"] - spent_ms, 1)),
+        "size": span["answer_bytes"],
+        "calls": [_call(call, below) for call in calls],
+    }
+
+
+def _shape(call):
+    return {
+        **{name: call[name] for name in ("service", "method", "path")},
+        "calls": [_shape(below) for below in call["calls"]],
+    }
+
+
+def main(deployment, output, paths):
+    """Writes a trace file from files of spans."""
+    lines = []
+    for path in paths:
+        with open(path, "rb") as file:
+            lines.extend(file)
+    traces.save(collect(lines, deployment), output)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], sys.argv[2], sys.argv[3:])
