--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -21,6 +21,7 @@
     BrokenAnswerError,
     CallError,
     DeadlineError,
+    DocumentMissingError,
     NoUpstreamError,
 )
 from ._logs import logger
@@ -80,15 +81,22 @@
         if local is not None:
             self._body = RequestBody(REPLAY_BYTES)
             self._plan = local
-            return
+            return None
         try:
             self._plan = self._node.plan(start_line, headers)
         except CallError as error:
             self._refuse(error)
-            return
+            return None
+        except DocumentMissingError as error:
+            return self._fetch_document(error.service, start_line, headers)
         self._body = RequestBody(self._plan.service.limits.body_bytes)
         if "Transfer-Encoding" in headers or self._length() > REPLAY_BYTES:
             self._begin()
+        return None
+
+    async def _fetch_document(self, service, start_line, headers):
+        await self._node.fetcher.fetch(service, self._node.clock.monotonic())
+        self.headers_received(start_line, headers)
 
     def data_received(self, chunk):
         if self._ended:
@@ -191,9 +199,11 @@
         started_at = node.clock.monotonic()
         result = AttemptResult(False, False, 0)
         connection = None
+        refused, cancelled = False, True
         try:
             connection = await self._connect(upstream)
             if connection is None:
+                refused, cancelled = True, False
                 return None
             self._sent = True
             self._attempts += 1
@@ -201,6 +211,7 @@
             keep_bytes = 0 if plan.route.idempotent else MAX_ANSWER_BYTES
             attempt = Attempt(plan, connection, self._caller, keep_bytes)
             result = await attempt.run(headers, self._body, node.key)
+            cancelled = False
             self._short_answer = attempt.short_answer
             self._answered = result.started
             self._status = result.status if result.complete else 0
@@ -214,8 +225,10 @@
                     upstream.pool.put_back(connection, now)
                 else:
                     connection.close()
-            ended = Result(result.complete, result.status, now - started_at)
-            upstreams.release(upstream, ended, now)
+            ended = Result(
+                result.complete, result.status, now - started_at, refused, cancelled
+            )
+            upstreams.release(upstream, ended, now, plan)
 
     async def _connect(self, upstream):
         now = self._node.clock.monotonic()
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -11,6 +11,7 @@
 from ._counters import Counters
 from ._documents import Service
 from ._errors import (
+    DocumentMissingError,
     DrainingError,
     InvalidDocumentError,
     UnknownServiceError,
@@ -54,6 +55,7 @@
         self._announced_until = 0.0
         self._draining = False
         self._server = None
+        self.fetcher = None
         members.listen(self._member_changed)
 
     @property
@@ -98,10 +100,15 @@
         service = self._services[name] = Service(document, version)
         upstreams = self._upstream_sets.get(name)
         if upstreams is None:
-            upstreams = self._upstream_sets[name] = UpstreamSet(service)
+            now = self.clock.monotonic()
+            upstreams = self._upstream_sets[name] = UpstreamSet(
+                service, self.members.own, now, self.exchange.hasten
+            )
             for member in self.members.of_service(name):
-                upstreams.update(member)
+                upstreams.update(member, now)
         upstreams.service = service
+        if name == self.members.own.service:
+            self.exchange.owner.restrict(service.limits)
         log.info("Version {} of {} is in force.", version, name)
         return True
 
@@ -130,6 +137,12 @@
         :param now: monotonic seconds.
         :raises CallError: when it is refused.
         """
+        if plan.parent is not None:
+            parent = plan.parent
+            called = (plan.service.name, plan.route.route_id)
+            routes = self.exchange.owner.routes
+            routes.note_call(parent.route_id, parent.execution_id, called)
+        self._upstream_sets[plan.service.name].admit(plan, now)
 
     async def claim(self, plan):
         """Claims a keyed non-idempotent call before it is sent.
@@ -151,14 +164,13 @@
         """
         self.claims.finish(plan, sent, answer)
 
-    def adopt_roster(self, service, epoch, positions, **times):
+    def adopt_roster(self, roster):
         """Puts a roster in force unless a newer one is.
 
-        :param times: the other fields of :class:`~figpick._rosters.Roster`.
+        :param roster: :class:`~figpick._rosters.Roster`.
         :return: whether it was newer.
         """
-        fields = {"service": service, "epoch": epoch, "positions": positions}
-        return self.claims.adopt({**fields, **times})
+        return self.claims.adopt(roster)
 
     def report_break(self, plan, body, upstream, now):
         """Notes that a connection broke while a call was in flight on it.
@@ -196,12 +208,16 @@
     def begin(self, call, plan):
         """Notes a call that has started."""
         if plan.parent is not None:
-            self._executions.add(plan.parent.execution_id, call)
+            execution_id = plan.parent.execution_id
+            self._executions.add(execution_id, call)
+            self.exchange.owner.downstream.begin(execution_id, self.clock.monotonic())
 
     def end(self, call, plan):
         """Notes a call that has ended."""
         if plan.parent is not None:
-            self._executions.remove(plan.parent.execution_id, call)
+            execution_id = plan.parent.execution_id
+            self._executions.remove(execution_id, call)
+            self.exchange.owner.downstream.end(execution_id, self.clock.monotonic())
 
     def local_handler(self, start_line, caller):
         """Finds the handler of a request to the node itself.
@@ -215,7 +231,7 @@
 
     async def renew_permits(self):
         """Renews the permits at every known upstream."""
-        await self.exchange.renew(self._upstream_sets.values())
+        await self.exchange.renew(self._upstream_sets)
 
     async def check_announcement(self):
         """Marks the upstream as draining when its announcement has lapsed."""
@@ -251,15 +267,21 @@
     def _service(self, host):
         service = self._services.get(host)
         if service is None:
+            self._check_fetched(host)
             service = self._services.get(self._settings.get("service"))
         if service is None:
             raise UnknownServiceError(f"no document is known for {host!r}")
         return service
 
+    def _check_fetched(self, host):
+        now = self.clock.monotonic()
+        if self.fetcher is not None and self.fetcher.may_exist(host, now):
+            raise DocumentMissingError(host)
+
     def _member_changed(self, member):
         upstreams = self._upstream_sets.get(member.service)
         if upstreams is not None:
-            upstreams.update(member)
+            upstreams.update(member, self.clock.monotonic())
 
     def _announce(self, method, remote_ip, body):
         if remote_ip != split_address(self._settings["call_address"])[0]:
@@ -283,6 +305,8 @@
             "slots": announcement["slots"],
             "connections": announcement["connections"],
         }
-        self.exchange.pool.limit = announcement["slots"]
+        draining = changes["state"] == DRAINING
+        slots = 0 if draining else announcement["slots"]
+        self.exchange.owner.announce(slots, announcement["connections"])
         if own._replace(**changes) != own:
             self.members.update_own(**changes)
