Measure unit costs of state and messages at target size

Change: experiment 'costs' for member views, gossip rounds, permit exchanges, the registry and messages.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -30,6 +30,7 @@
     "restart",
     "membership",
     "control-cost",
+    "costs",
     "replay",
 )
 SEEDS = (1, 2, 3)
--- /dev/null
+++ b/bench/costs.py
@@ -0,0 +1,180 @@
+"""Unit costs of state and messages, at the sizes of the target.
+
+Pure parts are measured at full size in one process; messages between processes
+are measured over loopback with client and server in one process.
+"""
+
+import asyncio
+import random
+import time
+import tracemalloc
+import uuid
+
+import msgspec
+
+from bench.cluster import KEY, free_address
+from bench.rows import Row
+from figpick._auth import Authenticator
+from figpick._clock import Clock
+from figpick._events import EventStore
+from figpick._gossip import Gossip
+from figpick._headlines import Headline, Headlines
+from figpick._members import Member, Members
+from figpick._permits import Demand, PermitPool, Usage
+from figpick._registry import Registry
+from figpick._transport import PeerClient, PeerServer
+
+TARGET_NODES = 1600
+TARGET_SERVICES = 40
+CALLERS = (60, 400)
+CHANGES = 2000
+MESSAGES = 1500
+ROUNDS = 300
+
+
+def run(seeds):
+    """Measures every unit cost once; the seeds only order random choices."""
+    yield from _member_rows()
+    yield from _gossip_rows()
+    yield from _permit_rows()
+    yield from _registry_rows()
+    yield from asyncio.run(_message_rows())
+
+
+def _row(case, value, unit):
+    return Row("costs", case, 1, None, round(value, 4), None, unit)
+
+
+def _member(number):
+    service = f"service-{number % TARGET_SERVICES}"
+    return Member(
+        name=f"host-{number}",
+        incarnation=1_790_000_000_000 + number,
+        version=3,
+        state="ready",
+        role="node",
+        service=service,
+        peer_address=f"10.0.{number // 250}.{number % 250}:9000",
+        call_address=f"10.0.{number // 250}.{number % 250}:8000",
+        upstream_address=f"10.0.{number // 250}.{number % 250}:7000",
+        data_center=f"dc-{number % 6}",
+        region=f"region-{number % 3}",
+        slots=100,
+        connections=600,
+    )
+
+
+def _view(nodes):
+    members = Members(_member(0))
+    for number in range(1, nodes):
+        members.merge(_member(number))
+    headlines = Headlines()
+    for number in range(TARGET_SERVICES):
+        headlines.merge(f"service-{number}", Headline(number + 1, 1))
+    return members, Gossip(members, headlines, EventStore(), [], random.Random(1))
+
+
+def _member_rows():
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    view = _view(TARGET_NODES)
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert len(view[0]) == TARGET_NODES
+    yield _row("member view of 1,600 nodes, memory", size / 1e6, "MB")
+    record = msgspec.json.encode(_member(7))
+    yield _row("member record, encoded", len(record), "B")
+
+
+def _gossip_rows():
+    for nodes in (100, TARGET_NODES):
+        gossip = _view(nodes)[1]
+        greeting = msgspec.json.encode(gossip.greeting())
+        started_at = time.process_time()
+        for _ in range(ROUNDS):
+            gossip.choose_peer()
+            message = msgspec.json.decode(msgspec.json.encode(gossip.greeting()))
+            gossip.receive(message, 0.0)
+            msgspec.json.encode(gossip.answer(message))
+        spent_s = time.process_time() - started_at
+        case = f"gossip round at {nodes} nodes without differences"
+        yield _row(f"{case}, processor time", spent_s / ROUNDS * 1e3, "ms")
+        yield _row(f"{case}, greeting", len(greeting), "B")
+
+
+def _permit_rows():
+    for callers in CALLERS:
+        pool = PermitPool(200, 1, 0.0)
+        demand = Demand((0, 1, 0, 0, 1, 1, 0, 0, 0, 1), 1)
+        started_at = time.process_time()
+        exchanges = 0
+        for number in range(1, 4):
+            for caller in range(callers):
+                usage = Usage(number, 1, 0, 0, 1, demand)
+                pool.exchange(f"host-{caller}", usage, number * 2.0)
+                exchanges += 1
+        spent_s = time.process_time() - started_at
+        case = f"permit exchange with {callers} calling nodes, processor time"
+        yield _row(case, spent_s / exchanges * 1e3, "ms")
+
+
+def _registry_rows():
+    source = random.Random(1)
+    registry = Registry()
+    versions = {}
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    started_at = time.process_time()
+    for index in range(1, CHANGES + 1):
+        command = _command(index, versions, source)
+        registry.apply(command, index)
+    spent_s = time.process_time() - started_at
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    yield _row("registry, processor time a change", spent_s / CHANGES * 1e3, "ms")
+    yield _row("registry, memory a change", size / CHANGES, "B")
+    yield _row(f"snapshot after {CHANGES} changes", len(registry.encode()) / 1e6, "MB")
+
+
+def _command(index, versions, source):
+    service = f"service-{source.randrange(TARGET_SERVICES)}"
+    routes = [
+        {"method": "GET", "path": f"/r{n}", "importance": 3, "idempotent": True}
+        for n in range(10)
+    ]
+    command = {
+        "command": "put",
+        "document": {"service": service, "routes": routes},
+        "base": versions.get(service, 0),
+        "change": str(uuid.UUID(int=source.getrandbits(128))),
+        "author": "operator",
+        "time": 1_790_000_000.0 + index,
+    }
+    versions[service] = index
+    return command
+
+
+async def _message_rows():
+    clock = Clock()
+    address = free_address()
+    server = PeerServer(address, Authenticator(KEY), clock)
+
+    async def echo(message):
+        return message
+
+    server.handle("echo", echo)
+    server.start()
+    client = PeerClient(Authenticator(KEY), clock)
+    rows = []
+    for size in (200, 2000):
+        payload = {"text": "x" * size}
+        await client.send(address, "echo", payload)
+        started_at = time.process_time()
+        for _ in range(MESSAGES):
+            await client.send(address, "echo", payload)
+        spent_s = time.process_time() - started_at
+        case = f"message of {size} B and its answer, both ends, processor time"
+        rows.append(_row(case, spent_s / MESSAGES * 1e3, "ms"))
+    client.close()
+    await server.stop()
+    return rows
