Measure the spread of configuration changes

Cause: the bound of 3 s from acceptance to effect on all nodes had no experiment. Change: bench config runs 10 to 200 nodes as objects in six worker processes and measures steady changes and bursts of 50; supervisors nest with restart limits, and a process whose parts fail too often exits with 1.

--- /dev/null
+++ b/bench/config.py
@@ -0,0 +1,131 @@
+"""Time from the acceptance of a change until it is in effect on all nodes.
+
+Nodes run as objects inside a few worker processes, see :mod:`bench.fleet`; the
+control processes are real ones.
+"""
+
+import asyncio
+import random
+import time
+
+from bench.cluster import Cluster, wait_for
+from bench.fleet import Fleet
+from bench.rows import Row
+from figpick._errors import PeerError
+
+CONTROLS = 1
+SIZES = (10, 50, 100, 200)
+SERVICES = [f"service-{number}" for number in range(10)]
+BURST_CHANGES = 50
+STEADY_CHANGES = 8
+STEADY_PERIOD_S = 0.1
+BOUND_S = 3.0
+SETTLE_LIMIT_S = 8.0
+
+
+def run(seeds):
+    """Yields the rows of all sizes and seeds."""
+    for size in SIZES:
+        yield from asyncio.run(_measure(size, seeds))
+
+
+async def _measure(size, seeds):
+    rows = []
+    async with Cluster([], controls=CONTROLS) as cluster:
+        versions = dict.fromkeys(SERVICES, 0)
+        for service in SERVICES:
+            await _put_first(cluster, service, versions)
+        async with Fleet(size, SERVICES, cluster.controls) as fleet:
+            await fleet.wait_for_members()
+            for seed in seeds:
+                source = random.Random(seed)
+                for case, change in (("steady", _steady), ("burst", _burst)):
+                    await fleet.report()
+                    accepted = await change(cluster, versions, source)
+                    times = await _times(fleet, accepted)
+                    rows.extend(_rows(f"{size} nodes {case}", seed, times))
+    return rows
+
+
+async def _steady(cluster, versions, source):
+    accepted = []
+    for _ in range(STEADY_CHANGES):
+        accepted.append(await _change(cluster, source.choice(SERVICES), versions))
+        await asyncio.sleep(STEADY_PERIOD_S * source.uniform(0.5, 1.5))
+    return accepted
+
+
+async def _burst(cluster, versions, source):
+    each = BURST_CHANGES // len(SERVICES)
+
+    async def change_service(service):
+        return [await _change(cluster, service, versions) for _ in range(each)]
+
+    services = source.sample(SERVICES, len(SERVICES))
+    changed = await asyncio.gather(*(change_service(name) for name in services))
+    return [change for changes in changed for change in changes]
+
+
+async def _change(cluster, service, versions):
+    """Makes a change and gives the service, version and time of acceptance."""
+    document = {"service": service, "routes": []}
+    base = versions[service]
+    change = f"{service}-{base}-{time.time_ns()}"
+    answer = await cluster.put(document, base, change=change)
+    versions[service] = answer["version"]
+    return service, answer["version"], time.time()
+
+
+async def _put_first(cluster, service, versions):
+    async def put():
+        try:
+            await _change(cluster, service, versions)
+        except PeerError:
+            return False
+        return True
+
+    await wait_for(put, 15.0)
+
+
+async def _times(fleet, accepted):
+    """Gives seconds until each change is in effect, for each node and change.
+
+    A node that adopts a later version of the service has the change in effect.
+    """
+    notes = []
+    limit = time.monotonic() + SETTLE_LIMIT_S
+    while True:
+        notes.extend(await fleet.report())
+        times = _match(notes, accepted, len(fleet.names))
+        if None not in times or time.monotonic() > limit:
+            return [SETTLE_LIMIT_S if each is None else each for each in times]
+        await asyncio.sleep(0.1)
+
+
+def _match(notes, accepted, size):
+    adopted = {}
+    for at, observer, kind, service, version in notes:
+        if kind == "document":
+            adopted.setdefault(service, {}).setdefault(observer, []).append(
+                (version, at)
+            )
+    times = []
+    for service, version, accepted_at in accepted:
+        observers = adopted.get(service, {})
+        for entries in observers.values():
+            reached = [at for known, at in entries if known >= version]
+            times.append(max(0.0, min(reached) - accepted_at) if reached else None)
+        times.extend([None] * (size - len(observers)))
+    return times
+
+
+def _rows(case, seed, times):
+    times.sort()
+    figures = {
+        "p50": times[len(times) // 2],
+        "p99": times[int(len(times) * 0.99)],
+        "max": times[-1],
+    }
+    for name, figure in figures.items():
+        bound = BOUND_S if name == "max" else None
+        yield Row("config", f"{case} {name}", seed, None, round(figure, 3), bound, "s")
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import sys
 
 from ._auth import Authenticator
 from ._clock import Clock
@@ -19,9 +20,11 @@
 from ._node import Node
 from ._probing import Prober
 from ._storage import LogFile
-from ._supervisor import Supervisor
+from ._supervisor import RestartLimitError, Supervisor
 from ._transport import PeerClient, PeerServer
 
+EXIT_FAILED = 1
+
 log = logger("process")
 
 
@@ -40,7 +43,7 @@
         self._client = PeerClient(authenticator, self.clock)
         self._server = PeerServer(settings["peer_address"], authenticator, self.clock)
         self._members = Members(self._own_record())
-        self._supervisor = Supervisor("process", self.clock)
+        self.supervisor = Supervisor("process", self.clock)
         self._node = None
         self._control = None
         self._fetcher = None
@@ -52,6 +55,16 @@
             self._add_control()
         self._add_dissemination()
 
+    @property
+    def members(self):
+        """View of all processes."""
+        return self._members
+
+    @property
+    def node(self):
+        """The node role, or ``None``."""
+        return self._node
+
     async def run(self):
         """Runs until the process is told to stop."""
         stopped = asyncio.Event()
@@ -59,7 +72,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopped.set)
         await self.start()
-        tree = asyncio.ensure_future(self._supervisor.run())
+        tree = asyncio.ensure_future(self.supervisor.run())
         stop = asyncio.ensure_future(stopped.wait())
         await asyncio.wait([tree, stop], return_when=asyncio.FIRST_COMPLETED)
         try:
@@ -84,11 +97,15 @@
         """Leaves and stops the roles."""
         self._members.update_own(state=LEFT)
         await self._dissemination.flush()
+        self.close()
+        await self.close_listeners()
+        log.info("Process {} has stopped.", self._settings["name"])
+
+    async def close_listeners(self):
+        """Stops to take calls and messages."""
         if self._node is not None:
             await self._node.stop()
-        self.close()
         await self._server.stop()
-        log.info("Process {} has stopped.", self._settings["name"])
 
     def close(self):
         """Ends what runs in the background without telling others."""
@@ -103,10 +120,9 @@
             self._settings, self.clock, authenticator.key, self._members, self._client
         )
         self._server.handle("exchange", self._node.exchange.receive)
-        self._supervisor.add_periodic(
-            "permits", self._node.renew_permits, EXCHANGE_PERIOD_S
-        )
-        self._supervisor.add_periodic("announcement", self._node.check_announcement, 1)
+        group = self.supervisor.add_group("node")
+        group.add_periodic("permits", self._node.renew_permits, EXCHANGE_PERIOD_S)
+        group.add_periodic("announcement", self._node.check_announcement, 1)
 
     def _add_control(self):
         self._control = Control(self.clock, LogFile(self._settings["data_folder"]))
@@ -134,7 +150,9 @@
         self._server.handle("probe", self._prober.answer)
         self._server.handle("ping", self._ping)
         self._add_documents(source)
-        self._supervisor.add_periodic("gossip", self._exchange, GOSSIP_PERIOD_S)
+        group = self.supervisor.add_group("membership")
+        group.add_periodic("gossip", self._exchange, GOSSIP_PERIOD_S)
+        group.add_periodic("sweep", self._sweep, GOSSIP_PERIOD_S)
 
     def _add_documents(self, source):
         if self._node is None:
@@ -165,12 +183,14 @@
 
     async def _exchange(self):
         self._announce_versions()
-        self._dissemination.expire()
-        self._client.close_idle(self.clock.monotonic())
         await self._dissemination.exchange()
         if self._fetcher is not None:
             await self._fetcher.refresh()
 
+    async def _sweep(self):
+        self._dissemination.expire()
+        self._client.close_idle(self.clock.monotonic())
+
     async def _put(self, message):
         answer = await self._control.put(message)
         self._announce_versions()
@@ -225,7 +245,7 @@
         state = {
             "name": self._settings["name"],
             "members": [member._asdict() for member in self._members],
-            "supervisor": self._supervisor.dump(),
+            "supervisor": self.supervisor.dump(),
         }
         if self._node is not None:
             state["node"] = self._node.dump()
@@ -239,10 +259,16 @@
 def run(settings):
     """Runs one process until it is told to stop.
 
+    The process exits with 1 when a part of it fails too often.
+
     :param settings: :class:`~figpick._settings.Settings`.
     """
     with asyncio.Runner(loop_factory=_loop_factory()) as runner:
-        runner.run(_run_process(settings))
+        try:
+            runner.run(_run_process(settings))
+        except RestartLimitError as error:
+            log.critical("The process ends: {}.", error)
+            sys.exit(EXIT_FAILED)
 
 
 async def _run_process(settings):
--- a/src/figpick/_supervisor.py
+++ b/src/figpick/_supervisor.py
@@ -20,8 +20,8 @@
 class Supervisor:
     """Runs tasks and restarts those that fail.
 
-    A supervisor may itself be a child of another one: its ``run`` raises when a
-    child exceeds the restart limit, and the parent then restarts the whole group.
+    A supervisor may be a child of another one: when one of its tasks exceeds the
+    restart limit, its ``run`` raises, and the parent restarts the whole group.
 
     :param name: name for logs and state.
     :param clock: :class:`~figpick._clock.Clock`.
@@ -32,6 +32,10 @@
         self._clock = clock
         self._children = {}
         self._restarts = {}
+        self._groups = {}
+
+    def __repr__(self):
+        return f"<Supervisor {self.name} {len(self._children)}>"
 
     def add(self, name, factory):
         """Adds a child.
@@ -41,6 +45,15 @@
         self._children[name] = factory
         self._restarts[name] = deque()
 
+    def add_group(self, name):
+        """Adds a supervisor as a child.
+
+        :return: :class:`Supervisor`.
+        """
+        group = self._groups[name] = Supervisor(name, self._clock)
+        self.add(name, group.run)
+        return group
+
     def add_periodic(self, name, function, period_s):
         """Adds a child that awaits ``function()`` every ``period_s`` seconds."""
 
@@ -56,21 +69,28 @@
 
         :raises RestartLimitError: when a child fails too often.
         """
-        async with asyncio.TaskGroup() as group:
-            for name, factory in self._children.items():
-                group.create_task(self._supervise(name, factory))
+        for times in self._restarts.values():
+            times.clear()
+        try:
+            async with asyncio.TaskGroup() as group:
+                for name, factory in self._children.items():
+                    group.create_task(self._supervise(name, factory))
+        except ExceptionGroup as errors:
+            raise errors.exceptions[0] from None
 
     def dump(self):
-        """Gives the number of recent restarts by child."""
-        return {name: len(times) for name, times in self._restarts.items()}
+        """Gives the number of recent restarts by child and group."""
+        counts = {name: len(times) for name, times in self._restarts.items()}
+        groups = {name: group.dump() for name, group in self._groups.items()}
+        return {"restarts": counts, "groups": groups} if groups else counts
 
     async def _supervise(self, name, factory):
         while True:
             try:
                 await factory()
                 return
-            except asyncio.CancelledError:
-                raise
+            except RestartLimitError as error:
+                log.error("Group {} of {} restarts: {}.", name, self.name, error)
             except Exception:
                 log.exception("Task {} of {} failed.", name, self.name)
             self._count_restart(name, self._clock.monotonic())
--- /dev/null
+++ b/tests/test_supervisor.py
@@ -0,0 +1,59 @@
+"""Restarts of failing parts and their limits."""
+
+import asyncio
+
+import pytest
+
+from figpick import _supervisor
+from figpick._clock import Clock
+from figpick._supervisor import RestartLimitError, Supervisor
+
+
+def run(supervisor, seconds=2.0):
+    async def scenario():
+        async with asyncio.timeout(seconds):
+            await supervisor.run()
+
+    asyncio.run(scenario())
+
+
+@pytest.fixture(autouse=True)
+def no_delay(monkeypatch):
+    monkeypatch.setattr(_supervisor, "RESTART_DELAY_S", 0.0)
+
+
+def test_failing_part_is_restarted_without_its_neighbours():
+    """Guards against one failure that stops or restarts other parts."""
+    starts = {"bad": 0, "good": 0}
+    tree = Supervisor("process", Clock())
+    group = tree.add_group("group")
+
+    async def bad():
+        starts["bad"] += 1
+        if starts["bad"] < 3:
+            raise ValueError("fails twice")
+
+    async def good():
+        starts["good"] += 1
+
+    group.add("bad", bad)
+    group.add("good", good)
+    run(tree)
+    assert starts == {"bad": 3, "good": 1}
+    assert tree.dump()["groups"]["group"] == {"bad": 2, "good": 0}
+
+
+def test_part_that_always_fails_ends_the_tree():
+    """Guards against a process that runs on without one of its parts."""
+    tree = Supervisor("process", Clock())
+    starts = []
+
+    async def bad():
+        starts.append(1)
+        raise ValueError("always fails")
+
+    tree.add_group("group").add("bad", bad)
+    with pytest.raises(RestartLimitError):
+        run(tree)
+    per_group = _supervisor.MAX_RESTARTS + 1
+    assert len(starts) == per_group * per_group
