--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -5,8 +5,10 @@
 import random
 import signal
 import sys
+from functools import partial
 
 from ._auth import Authenticator
+from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
 from ._control import Control
 from ._dissemination import Dissemination
@@ -120,10 +122,24 @@
         )
         self._server.handle("exchange", self._node.exchange.receive)
         self._server.handle("permits", self._node.exchange.receive_push)
+        self._server.handle("retry_grant", self._node.retries.receive)
         group = self.supervisor.add_group("node")
+        self._add_claims(group)
         group.add_periodic("permits", self._node.renew_permits, EXCHANGE_PERIOD_S)
         group.add_periodic("announcement", self._node.check_announcement, 1)
 
+    def _add_claims(self, group):
+        claims = self._node.claims
+        control = [member["address"] for member in self._settings.get("control", [])]
+        copies = ClaimCopies(claims, self.clock, self._client, control)
+        for kind in ("claim", "lookup", "finish", "release"):
+            self._server.handle(kind, partial(claims.receive, kind))
+        self._server.handle("roster", claims.receive_roster)
+        self._server.handle("copy", copies.receive)
+        service = self._settings.get("service", "")
+        refresh = partial(copies.refresh, service)
+        group.add_periodic("claims", refresh, CLAIM_COPY_PERIOD_S)
+
     def _add_control(self):
         self._control = Control(self._settings, self.clock, self._client)
         self._control.add_handlers(self._server)
