Propose rosters from the member view and keep their fields

Cause: claims had no rosters, since nothing called the proposal, and the registry dropped the fields that tell a new holder what to copy. Change: the control leader follows nodes and proposes rosters; the registry keeps all fields; versions are announced with their roster epoch.

--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 from ._auth import Authenticator
+from ._candidates import RosterProposer
 from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
 from ._control import Control
@@ -144,6 +145,10 @@
         self._control = Control(self._settings, self.clock, self._client)
         self._control.add_handlers(self._server)
         self._control.add_tasks(self.supervisor.add_group("control"))
+        proposer = RosterProposer(
+            self._members, lambda: self._control.registry, self.clock
+        )
+        self._control.propose_rosters = proposer.propose
         # A change is announced at once by the process that has applied it.
         self._server.handle("put", self._put)
 
@@ -219,8 +224,10 @@
     def _announce_versions(self):
         if self._control is None:
             return
+        epochs = self._control.registry.epochs
         for service, version in self._control.versions.items():
-            self._dissemination.announce_version(service, version, 0)
+            epoch = epochs.get(service, 0)
+            self._dissemination.announce_version(service, version, epoch)
 
     def _control_holds(self, service):
         version = self._headlines.get(service).version
--- a/src/figpick/_fetching.py
+++ b/src/figpick/_fetching.py
@@ -245,9 +245,7 @@
         if known is not None and roster["epoch"] <= known["epoch"]:
             return False
         self._rosters[service] = roster
-        adopt = getattr(self._node, "adopt_roster", None)
-        if adopt is not None:
-            adopt(roster)
+        self._node.adopt_roster(**roster)
         return True
 
     def _entry(self, name):
--- a/src/figpick/_registry.py
+++ b/src/figpick/_registry.py
@@ -159,9 +159,9 @@
         service = command["service"]
         if command["epoch"] != self._epoch(service) + 1:
             return self._roster_conflict(service)
-        roster = {"epoch": command["epoch"], "positions": command["positions"]}
+        roster = {name: value for name, value in command.items() if name != "command"}
         self._rosters[service] = roster
-        return {"service": service, **roster}
+        return roster
 
     def _version(self, service):
         entry = self._documents.get(service)
--- a/src/figpick/_registry_commands.py
+++ b/src/figpick/_registry_commands.py
@@ -39,11 +39,17 @@
 
     :param epoch: number of the roster, one more than the current one.
     :param positions: names of the nodes that hold the positions.
+    :param epochs: epoch since which the node holds each position.
+    :param since: seconds since the epoch when the first roster was made.
+    :param changed: seconds since the epoch when this roster was made.
     """
 
     service: Name
     epoch: Annotated[int, Meta(ge=1)]
     positions: list[Name]
+    epochs: NotRequired[list[int]]
+    since: NotRequired[float]
+    changed: NotRequired[float]
 
 
 def parse_change(message):
