--- a/src/figpick/_registry.py
+++ b/src/figpick/_registry.py
@@ -47,7 +47,7 @@
         """Gives the current entry of a service, or ``None``.
 
         :return: dict with ``document``, ``version`` and ``roster``, which is
-            ``None`` or a :class:`~figpick._rosters.Roster`.
+            ``None`` or a dict with ``epoch`` and ``positions``.
         """
         entry = self._documents.get(service)
         if entry is None:
@@ -159,7 +159,7 @@
         service = command["service"]
         if command["epoch"] != self._epoch(service) + 1:
             return self._roster_conflict(service)
-        roster = {name: command[name] for name in command if name != "command"}
+        roster = {name: value for name, value in command.items() if name != "command"}
         self._rosters[service] = roster
         return roster
 
