--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -164,13 +164,14 @@
         """
         self.claims.finish(plan, sent, answer)
 
-    def adopt_roster(self, roster):
+    def adopt_roster(self, service, epoch, positions, **times):
         """Puts a roster in force unless a newer one is.
 
-        :param roster: :class:`~figpick._rosters.Roster`.
+        :param times: the other fields of :class:`~figpick._rosters.Roster`.
         :return: whether it was newer.
         """
-        return self.claims.adopt(roster)
+        fields = {"service": service, "epoch": epoch, "positions": positions}
+        return self.claims.adopt({**fields, **times})
 
     def report_break(self, plan, body, upstream, now):
         """Notes that a connection broke while a call was in flight on it.
