Measure at-most-once execution and keep rosters through restarts

Cause: a node that restarted had no upstream address for up to 1 s and was taken for failed, so its positions moved at each restart and whole groups lost their quorum. A caller that went away stopped its keyed call, which lost the answer.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -36,6 +36,7 @@
     slots: int
     connections: int = 1000
     shed: bool = False
+    journal: bool = False
 
     @property
     def name(self):
@@ -53,6 +54,20 @@
     upstream_address: str
 
 
+class Note(NamedTuple):
+    """One line of the journal of a stand-in.
+
+    :param at: seconds since the epoch.
+    :param kind: ``run`` for an execution, ``call`` for a call to a service.
+    :param identity: identity of the root request.
+    """
+
+    at: float
+    kind: str
+    identity: str
+    service: str
+
+
 def free_address(ip="127.0.0.1"):
     """Gives an ``ip:port`` that no process listens on."""
     with socket.socket() as probe:
@@ -173,6 +188,35 @@
         """Dumps the state of the process at a peer address."""
         return await self.peers.send(address, "state", {}, 5.0)
 
+    def journal(self):
+        """Reads what the stand-ins have noted.
+
+        :return: list of :class:`Note`, oldest first.
+        """
+        notes = []
+        for path in self.folder.glob("*.journal"):
+            for line in path.read_text().splitlines():
+                kind, at, identity, service = line.split()
+                notes.append(Note(float(at), kind, identity, service))
+        return sorted(notes)
+
+    async def wait_for_rosters(self, services):
+        """Waits until the claim holders of services are in sync."""
+
+        async def in_sync():
+            for host in self.hosts:
+                if host.service not in services:
+                    continue
+                state = await self.state(host.peer_address)
+                holder = state["node"]["claims"]["holders"].get(host.service)
+                if holder is None or not holder["confirmed"]:
+                    return False
+                if holder["in_sync"] < holder["groups"]:
+                    return False
+            return True
+
+        await wait_for(in_sync, READY_TIMEOUT_S)
+
     async def wait_until_ready(self):
         """Waits until each node has its document and knows all upstreams."""
         await wait_for(self._is_ready, READY_TIMEOUT_S)
@@ -247,7 +291,7 @@
             "control": self.controls,
             "shared_key": KEY,
         }
-        self._add_command(host.name, "figpick", ["run"], settings)
+        self._add_node(host, settings)
         spec = next(spec for spec in self._services if spec.name == host.service)
         config = {
             "service": host.service,
@@ -259,8 +303,13 @@
             "shed": spec.shed,
             "seed": number,
         }
+        if spec.journal:
+            config["journal"] = str(self.folder / f"{host.name}.journal")
         self._add_command(f"{host.name}-upstream", "bench.standin", [], config)
 
+    def _add_node(self, host, settings):
+        self._add_command(host.name, "figpick", ["run"], settings)
+
     def _add_command(self, name, module, arguments, config):
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(config))
--- /dev/null
+++ b/bench/forwarder.py
@@ -0,0 +1,149 @@
+"""Plain forwarding with three attempts per layer, the baseline of experiments.
+
+Started as ``python -m bench.forwarder CONFIG`` in place of a node, a JSON file of
+:class:`ForwarderConfig`.
+"""
+
+import asyncio
+import random
+import sys
+from typing import TypedDict
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
+from tornado.iostream import StreamClosedError
+
+from bench.client import HttpClient
+from bench.cluster import READY_TIMEOUT_S, Cluster, wait_for
+from bench.standin import ANNOUNCE_PATH
+
+ATTEMPTS = 3
+ATTEMPT_TIMEOUT_S = 3.0
+DROPPED_HEADERS = frozenset(("Connection", "Content-Length", "Transfer-Encoding"))
+
+
+class ForwarderConfig(TypedDict):
+    """Configuration of one forwarder.
+
+    :param address: ``ip:port`` on which it takes calls.
+    :param own: service for hosts that name no service.
+    :param services: upstream addresses by service.
+    """
+
+    address: str
+    own: str
+    services: dict[str, list[str]]
+
+
+class Forwarder:
+    """Sends each call to a random upstream, up to three times.
+
+    :param config: :class:`ForwarderConfig`.
+    """
+
+    def __init__(self, config):
+        self._config = config
+        self._client = HttpClient()
+
+    async def run(self):
+        """Serves until the process is ended."""
+        ip, port = self._config["address"].split(":")
+        server = HTTPServer(self._receive, max_body_size=1 << 30)
+        server.listen(int(port), ip)
+        await asyncio.Event().wait()
+
+    def _receive(self, request):
+        task = asyncio.ensure_future(self._answer(request))
+        request.connection.set_close_callback(task.cancel)
+
+    async def _answer(self, request):
+        if request.path == ANNOUNCE_PATH:
+            self._write(request, 200, HTTPHeaders(), b"{}")
+            return
+        answer = None
+        for _ in range(ATTEMPTS):
+            answer = await self._forward(request)
+            if 0 < answer.status < 500:
+                break
+        self._write(request, answer.status or 502, answer.headers, answer.body)
+
+    async def _forward(self, request):
+        host = request.headers.get("Host", "").partition(":")[0]
+        services = self._config["services"]
+        addresses = services.get(host) or services[self._config["own"]]
+        return await self._client.request(
+            random.choice(addresses),
+            request.method,
+            request.uri,
+            _copy(request.headers),
+            request.body,
+            ATTEMPT_TIMEOUT_S,
+        )
+
+    def _write(self, request, status, headers, body):
+        headers = _copy(headers)
+        headers["Content-Length"] = str(len(body))
+        line = ResponseStartLine("HTTP/1.1", status, responses[status])
+        try:
+            request.connection.write_headers(line, headers, body)
+            request.connection.finish()
+        except StreamClosedError:
+            pass
+
+
+def _copy(headers):
+    copied = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name not in DROPPED_HEADERS:
+            copied.add(name, value)
+    return copied
+
+
+class Forwarders(Cluster):
+    """A cluster whose hosts have a plain forwarder instead of a node."""
+
+    def __init__(self, services, data_centers=3):
+        super().__init__(services, 0, data_centers)
+
+    async def __aenter__(self):
+        try:
+            self._start_all()
+            await wait_for(self._answers, READY_TIMEOUT_S)
+        except BaseException:
+            self.stop_all()
+            raise
+        return self
+
+    async def _answers(self):
+        for host in self.hosts:
+            if await self.steer(host, "stats") is None:
+                return False
+            answer = await self.client.request(
+                host.call_address, "POST", ANNOUNCE_PATH, (), b"{}"
+            )
+            if answer.status != 200:
+                return False
+        return True
+
+    def _add_node(self, host, settings):
+        services = {}
+        for each in self.hosts:
+            services.setdefault(each.service, []).append(each.upstream_address)
+        config = {
+            "address": host.call_address,
+            "own": host.service,
+            "services": services,
+        }
+        self._add_command(host.name, "bench.forwarder", [], config)
+
+
+def main(path):
+    """Runs the forwarder of a configuration file."""
+    with open(path, "rb") as file:
+        config = msgspec.json.decode(file.read(), type=ForwarderConfig)
+    asyncio.run(Forwarder(config).run())
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -58,6 +58,8 @@
 
     :param node_address: call address of the node beside it.
     :param shed: whether it answers 503 when all slots are busy.
+    :param journal: file that gets one line for each execution and each call, so
+        that they can be counted after the stand-in was killed.
     """
 
     service: str
@@ -68,6 +70,7 @@
     routes: list[StandinRoute]
     shed: NotRequired[bool]
     seed: NotRequired[int]
+    journal: NotRequired[str]
 
 
 class Standin:
@@ -87,6 +90,9 @@
         self._executions = Counter()
         self._runs = Counter()
         self._started_at = []
+        self._journal = None
+        if "journal" in config:
+            self._journal = open(config["journal"], "ab", buffering=0)  # noqa: SIM115
 
     async def run(self):
         """Serves until the process is ended."""
@@ -121,10 +127,11 @@
         self._write(request, status, body)
 
     async def _execute(self, request):
-        if request.headers.get("X-Standin-Crash") == "yes":
-            os._exit(1)
         route = self._route(request)
         identity = request.headers.get("X-Request", "")
+        self._note("run", identity, self._config["service"])
+        if request.headers.get("X-Standin-Crash") == "yes":
+            os._exit(1)
         self._executions[identity] += 1
         self._runs[f"{identity} {request.method} {request.path}"] += 1
         self._started_at.append(time.time())
@@ -157,6 +164,7 @@
         }
         if "plan" in call:
             headers["X-Plan"] = msgspec.json.encode(call["plan"]).decode()
+        self._note("call", identity, call["service"])
         for _ in range(route.get("attempts", 1)):
             answer = await self._client.request(
                 self._config["node_address"], call["method"], call["path"], headers
@@ -165,6 +173,11 @@
                 break
         return answer.status
 
+    def _note(self, kind, identity, service):
+        if self._journal is not None:
+            line = f"{kind} {time.time():.6f} {identity or '-'} {service}\n"
+            self._journal.write(line.encode())
+
     def _route(self, request):
         plan = request.headers.get("X-Plan")
         if plan is not None:
--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -121,6 +121,10 @@
 
     def cancel(self):
         """Stops the call, because nobody waits for its answer."""
+        plan = self._plan
+        if self._sent and plan.key and not plan.route.idempotent:
+            # The answer is stored for a resend; stopping would only lose it.
+            return
         if self._task is not None and not self._ended:
             self._node.counters.cancelled += 1
             self._task.cancel()
--- a/src/figpick/_candidates.py
+++ b/src/figpick/_candidates.py
@@ -29,13 +29,18 @@
         """
         services = {}
         for member in self._members:
-            self._follow(member, now)
-            if member.service and member.upstream_address:
+            self._follow(member.name, member.state in (FAILED, LEFT), now)
+            # A restarted node holds claims before its upstream announces itself.
+            if member.service:
                 services.setdefault(member.service, []).append(member)
         proposals = []
         for service, members in services.items():
             current = self._registry().roster(service)
-            candidates = [self._candidate(member, now) for member in members]
+            candidates = [
+                self._candidate(member.name, member.data_center, now)
+                for member in members
+            ]
+            candidates += self._unknown(current, candidates, now)
             proposal = _rosters.propose(
                 service, current, candidates, self._clock.wall()
             )
@@ -43,20 +48,28 @@
                 proposals.append(proposal)
         return proposals
 
-    def _follow(self, member, now):
-        name = member.name
+    def _unknown(self, current, candidates, now):
+        """Lists the holders of a roster that are not in the member view.
+
+        They may only be unknown because this process has just started.
+        """
+        if current is None:
+            return []
+        known = {candidate.name for candidate in candidates}
+        names = sorted(set(current["positions"]) - known)
+        for name in names:
+            self._follow(name, True, now)
+        return [self._candidate(name, "", now) for name in names]
+
+    def _follow(self, name, failed, now):
         self._seen_at.setdefault(name, now)
-        if member.state in (FAILED, LEFT):
+        if failed:
             self._failed_at.setdefault(name, now)
         else:
             self._failed_at.pop(name, None)
 
-    def _candidate(self, member, now):
-        failed_at = self._failed_at.get(member.name)
+    def _candidate(self, name, data_center, now):
+        failed_at = self._failed_at.get(name)
         failed_s = 0.0 if failed_at is None else max(0.001, now - failed_at)
-        return Candidate(
-            name=member.name,
-            data_center=member.data_center,
-            seen_s=now - self._seen_at[member.name],
-            failed_s=failed_s,
-        )
+        seen_s = now - self._seen_at[name]
+        return Candidate(name, data_center, seen_s, failed_s)
--- a/src/figpick/_claim_copies.py
+++ b/src/figpick/_claim_copies.py
@@ -1,5 +1,6 @@
 """Keeps the claim holders of a node in sync and their rosters confirmed."""
 
+import asyncio
 import random
 
 from ._claims import STALE
@@ -7,12 +8,15 @@
 from ._logs import logger
 from ._plans import Moment
 
-PERIOD_S = 0.5
+PERIOD_S = 0.1
 # Control confirms often enough that a holder survives a long control outage.
 CONFIRM_PERIOD_S = 30.0
-CONFIRM_RETRY_S = 1.0
-# Copies are spread over several periods, since each blocks the event loop.
-GROUPS_PER_PERIOD = 16
+CONFIRM_RETRY_S = 0.5
+# Bounds the copies under way, since each blocks the event loop for a while.
+GROUPS_AT_ONCE = 4
+# After a failed copy; doubles while the other holders are not in sync.
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 3.2
 
 log = logger("claims")
 
@@ -33,6 +37,7 @@
         self._control = list(control)
         self._asked_at = {}
         self._silent = set()
+        self._pauses = {}
 
     async def refresh(self, service):
         """Does what is due.
@@ -43,8 +48,11 @@
         self._silent.clear()
         for name, holder in list(self._claims.holders.items()):
             holder.sweep(self._now())
-            for position, others in holder.missing()[:GROUPS_PER_PERIOD]:
-                await self._copy(name, holder, position, others)
+            missing = self._due(name, holder)
+            for index in range(0, len(missing), GROUPS_AT_ONCE):
+                chunk = missing[index : index + GROUPS_AT_ONCE]
+                copies = [self._copy(name, holder, *entry) for entry in chunk]
+                await asyncio.gather(*copies)
 
     async def receive(self, message):
         """Serves the records of a group.
@@ -62,9 +70,14 @@
 
     async def _confirm(self, service):
         now = self._clock.monotonic()
-        if not service or not self._control or now < self._asked_at.get(service, 0.0):
+        if not service or not self._control:
             return
-        self._asked_at[service] = now + CONFIRM_RETRY_S
+        holder = self._claims.holders.get(service)
+        settled = holder is not None and holder.confirmed(self._now())
+        period_s = CONFIRM_PERIOD_S if settled else CONFIRM_RETRY_S
+        if now < self._asked_at.get(service, -period_s) + period_s:
+            return
+        self._asked_at[service] = now
         address = random.choice(self._control)
         try:
             entry = await self._client.send(address, "get", {"service": service})
@@ -74,7 +87,20 @@
         roster = entry.get("roster")
         if roster:
             self._claims.adopt(roster, confirmed_at=now)
-            self._asked_at[service] = now + CONFIRM_PERIOD_S
+
+    def _due(self, service, holder):
+        now = self._clock.monotonic()
+        missing = holder.missing()
+        if not missing:
+            self._pauses.clear()
+        due = []
+        for position, others in missing:
+            key = (service, holder.epoch, position)
+            next_at, pause_s = self._pauses.get(key, (0.0, FIRST_PAUSE_S))
+            if next_at <= now:
+                self._pauses[key] = (now + pause_s, min(MAX_PAUSE_S, 2 * pause_s))
+                due.append((position, others))
+        return due
 
     async def _copy(self, service, holder, position, others):
         epoch = holder.epoch
@@ -97,7 +123,8 @@
             if answer["copy"] is None:
                 return
             copies.append(answer["copy"])
-        holder.install(epoch, position, copies, asked_at, self._now())
+        if holder.install(epoch, position, copies, asked_at, self._now()):
+            self._pauses.pop((service, epoch, position), None)
 
     def _now(self):
         return Moment(self._clock.monotonic(), self._clock.wall())
--- a/src/figpick/_claiming.py
+++ b/src/figpick/_claiming.py
@@ -182,9 +182,10 @@
 
     def dump(self):
         """Gives the state as a dict."""
+        now = self._now()
         return {
             "rosters": self.rosters.dump(),
-            "holders": {name: item.dump() for name, item in self._holders.items()},
+            "holders": {name: item.dump(now) for name, item in self._holders.items()},
             "held": len(self._held),
         }
 
--- a/src/figpick/_claims.py
+++ b/src/figpick/_claims.py
@@ -121,6 +121,14 @@
         if epoch == self.epoch:
             self._confirmed_at = max(asked_at, self._confirmed_at or asked_at)
 
+    def confirmed(self, now):
+        """Whether control confirmed the roster within the epoch lease.
+
+        :param now: :class:`~figpick._plans.Moment`.
+        """
+        at = self._confirmed_at
+        return at is not None and now.monotonic - at < EPOCH_LEASE_S
+
     def claim(self, claim, now):
         """Decides on a claim and records it when it is granted.
 
@@ -207,7 +215,7 @@
             ``None`` unless this holder is in sync at the same epoch.
         """
         group = self._groups.get(position)
-        if group is None or epoch != self.epoch or not self._confirmed(now):
+        if group is None or epoch != self.epoch or not self.confirmed(now):
             return None
         if not self._complete(group, now):
             return None
@@ -243,13 +251,17 @@
         for group in self._groups.values():
             self._store.expire(group.records, now.monotonic)
 
-    def dump(self):
-        """Gives the state as a dict."""
+    def dump(self, now):
+        """Gives the state as a dict.
+
+        :param now: :class:`~figpick._plans.Moment`.
+        """
         synced = sum(group.synced for group in self._groups.values())
         return {
             "epoch": self.epoch,
             "groups": len(self._groups),
             "in_sync": synced,
+            "confirmed": self.confirmed(now),
             "records": self._store.count,
             "answer_bytes": self._store.answer_bytes,
         }
@@ -304,7 +316,7 @@
         return self._groups.get(claim.position) if self._roster else None
 
     def _in_sync(self, group, claim, now):
-        if not self._confirmed(now):
+        if not self.confirmed(now):
             return False
         if self._complete(group, now):
             return True
@@ -312,10 +324,6 @@
             return False
         return claim.created > self._safe_from(group) + CLOCK_SKEW_S
 
-    def _confirmed(self, now):
-        at = self._confirmed_at
-        return at is not None and now.monotonic - at < EPOCH_LEASE_S
-
     def _complete(self, group, now):
         """Whether the group holds all records of its retention period."""
         if now.wall > self._safe_from(group) + RETENTION_S + CLOCK_SKEW_S:
--- a/src/figpick/_rosters.py
+++ b/src/figpick/_rosters.py
@@ -17,7 +17,7 @@
 # All nodes of a fresh deployment announce themselves within this time.
 SETTLE_S = 2.0
 # A group that starts with fewer than three holders is hard to complete later.
-SMALL_SETTLE_S = 10.0
+SMALL_SETTLE_S = 5.0
 # A new holder copies its records before the next change of the same group.
 CHANGE_PERIOD_S = 5.0
 
@@ -138,9 +138,7 @@
         known = {item.name: item for item in candidates}
         self._centers = {name: item.data_center for name, item in known.items()}
         self._failed = {
-            name
-            for name in set(positions) | set(known)
-            if name not in known or known[name].failed_s >= REPLACE_AFTER_S
+            name for name, item in known.items() if item.failed_s >= REPLACE_AFTER_S
         }
         self._healthy = sorted(
             name for name, item in known.items() if item.failed_s == 0
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -79,6 +79,12 @@
     assert "n1" not in roster["positions"]
 
 
+def test_holder_that_is_not_known_keeps_its_positions():
+    """Guards against a new roster when a leader starts with an empty view."""
+    roster = propose("parts", None, candidates(5), 0.0)
+    assert propose("parts", roster, candidates(4), 100.0) is None
+
+
 def test_roster_grows_with_its_service():
     """Guards against a service that keeps the roster of its first node."""
     roster = settle(propose("parts", None, candidates(1), 0.0), candidates(3))
