Move permits between calling nodes without idle time

Change: a waiting call asks one owner; nodes report unused permits at once while others wait and give up what they do not want in the same message; several nodes are asked for each missing permit. The level is held while the slots are full and waits are short. A lease that ended is renounced, so that a late reply cannot revive it.

--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -198,13 +198,14 @@
     Counts the mean work that a root request causes at the bottleneck.
     """
     spec = next(s for s in deployment.services if s.name == deployment.bottleneck)
-    work_s = sum(
-        kind.share * _work_s(deployment.bottleneck, kind) for kind in deployment.kinds
+    mean_s = sum(
+        kind.share * work_s(deployment.bottleneck, kind) for kind in deployment.kinds
     )
-    return spec.servers * spec.slots / work_s
+    return spec.servers * spec.slots / mean_s
 
 
-def _work_s(service, kind):
+def work_s(service, kind):
+    """Gives the seconds of work that a root request causes at a service."""
     own = kind.service_ms if kind.service == service else 0.0
     return (own + sum(_tree_ms(service, call) for call in kind.calls)) / 1000
 
--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -7,12 +7,14 @@
 from ._logs import logger
 from ._members import FAILED, LEFT
 from ._owner import UpstreamOwner
-from ._permits import Grant
+from ._permits import Grant, highest
 
 PERIOD_S = LEVEL_PERIOD_S
 CALM_PERIOD_S = 2.0
 LEAST_GAP_S = 0.02
-GREATEST_GAP_S = 0.1
+# Changes that arrive together are answered by one push.
+PUSH_DELAY_S = 0.002
+BUSY_PERIOD_S = 0.09
 
 log = logger("permits")
 
@@ -20,15 +22,27 @@
 class _Line:
     """The state of the exchange with one owner."""
 
-    __slots__ = ("busy", "due_at", "gap_s", "sent_at", "timer", "incarnation")
+    __slots__ = (
+        "busy",
+        "due_at",
+        "sent_at",
+        "timer",
+        "incarnation",
+        "asked",
+        "in_use",
+        "again",
+    )
 
     def __init__(self, incarnation):
         self.busy = False
         self.due_at = 0.0
-        self.gap_s = LEAST_GAP_S
         self.sent_at = 0.0
         self.timer = None
         self.incarnation = incarnation
+        # What the owner knows: the highest importance that waits, and the calls.
+        self.asked = -1
+        self.in_use = 0
+        self.again = False
 
 
 class PermitExchange:
@@ -73,22 +87,45 @@
                         self._start(upstreams, upstream, now)
         self._push()
 
-    def hasten(self, upstreams):
-        """Exchanges at once, because calls wait for permits.
+    def ask(self, upstreams):
+        """Asks for permits at once, because calls wait for them.
 
         :param upstreams: :class:`~figpick._upstreams.UpstreamSet`.
         """
-        now = self._clock.monotonic()
         for upstream in upstreams.used:
-            line = self._line(upstream)
-            if line.busy or line.timer is not None:
+            demand = upstreams.demand(upstream)
+            if demand.total <= upstream.permits.granted:
                 continue
-            wait_s = line.sent_at + line.gap_s - now
-            if wait_s <= 0:
-                self._start(upstreams, upstream, now)
-            else:
-                loop = asyncio.get_running_loop()
-                line.timer = loop.call_later(wait_s, self._fire, upstreams, upstream)
+            line = self._line(upstream)
+            # The owner pushes permits for demand that it knows.
+            if highest(demand) > line.asked:
+                self._hasten(upstreams, upstream, line)
+
+    def give_back(self, upstreams, upstream):
+        """Tells an owner at once of permits that are no longer used.
+
+        :param upstreams: :class:`~figpick._upstreams.UpstreamSet`.
+        """
+        permits = upstream.permits
+        line = self._line(upstream)
+        unused = min(permits.granted, line.in_use) > upstreams.demand(upstream).total
+        recalled = permits.granted < line.in_use
+        if unused or (recalled and permits.in_use < line.in_use):
+            self._hasten(upstreams, upstream, line)
+
+    def _hasten(self, upstreams, upstream, line):
+        if line.timer is not None:
+            return
+        if line.busy:
+            line.again = True
+            return
+        now = self._clock.monotonic()
+        wait_s = line.sent_at + LEAST_GAP_S - now
+        if wait_s <= 0:
+            self._start(upstreams, upstream, now)
+        else:
+            loop = asyncio.get_running_loop()
+            line.timer = loop.call_later(wait_s, self._fire, upstreams, upstream)
 
     async def receive(self, message):
         """Answers a calling node that renews its permits."""
@@ -115,15 +152,22 @@
         now = self._clock.monotonic()
         self._accept(upstream, message, now)
         upstreams.wake(now)
-        usage = upstream.permits.usage(
-            self._next_number(), upstreams.demand(upstream), now
-        )
-        return {"usage": usage}
+        return {"usage": self._usage(upstreams, upstream, now)}
+
+    def _usage(self, upstreams, upstream, now):
+        self._number += 1
+        demand = upstreams.demand(upstream)
+        line = self._line(upstream)
+        line.in_use = upstream.permits.in_use
+        unmet = demand.total > upstream.permits.granted
+        line.asked = highest(demand) if unmet else -1
+        return upstream.permits.usage(self._number, demand, now)
 
     def _accept(self, upstream, message, sent_at):
         upstream.take_levels(
             message["level"], message["routes"], self._clock.monotonic()
         )
+        upstream.permits.contended = message["contended"]
         if message["grant"] is not None:
             upstream.permits.accept(Grant(*message["grant"]), sent_at)
 
@@ -139,18 +183,19 @@
         if line.busy:
             return False
         if upstreams.waiting or upstream.restrained:
-            return now - line.sent_at >= GREATEST_GAP_S * 0.9
+            return now - line.sent_at >= BUSY_PERIOD_S
         return now >= line.due_at
 
     def _fire(self, upstreams, upstream):
         line = self._line(upstream)
         line.timer = None
-        if upstreams.waiting and not line.busy:
+        if not line.busy:
             self._start(upstreams, upstream, self._clock.monotonic())
 
     def _start(self, upstreams, upstream, now):
         line = self._line(upstream)
         line.busy = True
+        line.again = False
         line.sent_at = now
         line.due_at = now + CALM_PERIOD_S
         self._spawn(self._renew(upstreams, upstream, line))
@@ -162,26 +207,21 @@
 
     async def _renew(self, upstreams, upstream, line):
         try:
-            before = upstream.permits.granted
             await self._exchange(upstreams, upstream)
             upstreams.wake(self._clock.monotonic())
-            if upstream.permits.granted > before:
-                line.gap_s = LEAST_GAP_S
-            else:
-                line.gap_s = min(2 * line.gap_s, GREATEST_GAP_S)
             upstream.permits.owner_silent = False
         except PeerError as error:
             upstream.permits.owner_silent = True
             log.debug("No permits from {}: {}.", upstream.name, error)
         finally:
             line.busy = False
+            if line.again:
+                self._hasten(upstreams, upstream, line)
 
     async def _exchange(self, upstreams, upstream):
         own_name = self._members.own.name
         now = self._clock.monotonic()
-        usage = upstream.permits.usage(
-            self._next_number(), upstreams.demand(upstream), now
-        )
+        usage = self._usage(upstreams, upstream, now)
         report = upstream.statistics.report(max(1, len(upstreams.used)), now)
         message = {"caller": own_name, "usage": usage, "report": report}
         if upstream.name == own_name:
@@ -194,7 +234,7 @@
     def _push_soon(self):
         if self._push_timer is None and self.pool.short:
             loop = asyncio.get_running_loop()
-            self._push_timer = loop.call_later(LEAST_GAP_S, self._push)
+            self._push_timer = loop.call_later(PUSH_DELAY_S, self._push)
 
     def _push(self):
         if self._push_timer is not None:
@@ -235,7 +275,3 @@
             for member in self._members
             if member.call_address and member.state not in (LEFT, FAILED)
         }
-
-    def _next_number(self):
-        self._number += 1
-        return self._number
--- a/src/figpick/_levels.py
+++ b/src/figpick/_levels.py
@@ -17,7 +17,14 @@
 HEADROOM = 1.05
 FIRST_STEP = 0.05
 STEP_GROWTH = 1.5
-WAIT_TARGET_S = 0.04
+# Measured load fluctuates by a fifth at 50 requests a second, so only a greater
+# excess moves the level straight to the capacity.
+EXCESS = 1.25
+LEAST_LOAD = 0.9
+# Share of the slots in use at which a level is not lowered.
+FULL = 0.93
+WAIT_TARGET_S = 0.02
+WAIT_WINDOW_S = 0.25
 RATE_TIME_S = 0.5
 SERVICE_WINDOW_S = 0.5
 REPORT_LIFETIME_S = 5.0
@@ -148,15 +155,19 @@
         capacity = limit / self._service_s
         rates = self.offered()
         admitted = rate_above(rates, self.level)
-        lowest = level_for(rates, capacity * HEADROOM)
-        if admitted > capacity * HEADROOM:
-            return self._raise(lowest)
-        if self._mean_wait() > WAIT_TARGET_S:
-            # The capacity is less than it seems: give up a share of the load.
-            return self._raise(level_for(rates, admitted / HEADROOM))
-        if admitted >= capacity:
+        highest = level_for(rates, capacity * LEAST_LOAD)
+        if self.level > highest:
+            # Callers follow a lower level of another upstream of the service.
+            self.level = highest
+        if admitted > capacity * EXCESS:
+            return self._raise(level_for(rates, capacity * HEADROOM))
+        if self._mean_wait(now) > WAIT_TARGET_S:
+            # Not all of the load gets permits in time: give up a share of it.
+            return self._raise(min(highest, level_for(rates, admitted / HEADROOM)))
+        if self._utilisation(limit) >= FULL:
+            self._step = FIRST_STEP
             return self.level
-        return self._lower(lowest)
+        return self._lower(level_for(rates, capacity * HEADROOM))
 
     def _raise(self, level):
         self._step = FIRST_STEP
@@ -188,11 +199,20 @@
         age_s = sum(caller.age_s for caller in self._callers.values())
         return max(mean_s, age_s / in_flight)
 
-    def _mean_wait(self):
-        waits = sum(report.waits for _, report in self._window)
-        if not waits:
-            return 0.0
-        return sum(report.wait_s for _, report in self._window) / waits
+    def _mean_wait(self, now):
+        waits = 0
+        wait_s = 0.0
+        for at, report in reversed(self._window):
+            if now - at > WAIT_WINDOW_S:
+                break
+            waits += report.waits
+            wait_s += report.wait_s
+        return wait_s / waits if waits else 0.0
+
+    def _utilisation(self, limit):
+        """Gives the share of the slots that ended requests have used."""
+        used_s = sum(report.latency_s for _, report in self._window)
+        return used_s / (SERVICE_WINDOW_S * limit)
 
     def _forget(self, now):
         while self._window and now - self._window[0][0] > SERVICE_WINDOW_S:
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -97,7 +97,11 @@
         if upstreams is None:
             now = self.clock.monotonic()
             upstreams = self._upstream_sets[name] = UpstreamSet(
-                service, self.members.own, now, self.exchange.hasten
+                service,
+                self.members.own,
+                now,
+                self.exchange.ask,
+                self.exchange.give_back,
             )
             for member in self.members.of_service(name):
                 upstreams.update(member, now)
@@ -212,6 +216,10 @@
             "documents": self.versions,
             "executions": len(self._executions),
             "permits": self.exchange.dump(),
+            "waiting": {
+                name: upstreams.waiting
+                for name, upstreams in self._upstream_sets.items()
+            },
             "upstreams": {
                 name: [self._dump_upstream(item) for item in upstreams]
                 for name, upstreams in self._upstream_sets.items()
@@ -225,6 +233,7 @@
             "granted": upstream.permits.granted,
             "in_use": upstream.permits.in_use,
             "latency_ms": round(upstream.latency_s * 1000, 3),
+            "ejected": upstream.health.ejected,
         }
 
     def _service(self, host):
--- a/src/figpick/_owner.py
+++ b/src/figpick/_owner.py
@@ -127,6 +127,7 @@
             "grant": None if grant is None else list(grant),
             "level": self._level,
             "routes": self._route_levels,
+            "contended": self.pool.short,
         }
 
     def _rose_for(self, caller):
--- a/src/figpick/_permits.py
+++ b/src/figpick/_permits.py
@@ -5,6 +5,10 @@
 
 LEASE_S = 5.0
 IMPORTANCES = 10
+LEAST_MOVE = 2
+# Several calling nodes are asked for each missing permit, since the one whose
+# request ends first is not known; the others get theirs back.
+RECALLS = 3
 
 
 class Demand(NamedTuple):
@@ -75,7 +79,7 @@
     """
     shares = dict.fromkeys(demands, 0)
     active = [caller for caller, demand in demands.items() if demand.total]
-    active.sort(key=lambda caller: (-_highest(demands[caller]), caller))
+    active.sort(key=lambda caller: (-highest(demands[caller]), caller))
     minimum = active[: max(0, limit)]
     shares.update(dict.fromkeys(minimum, 1))
     left = limit - len(minimum)
@@ -97,9 +101,10 @@
     return shares
 
 
-def _highest(demand):
+def highest(demand):
+    """Gives the highest importance among the requests of a demand, or -1."""
     wanted = demand.by_importance
-    return max(index for index in range(IMPORTANCES) if wanted[index])
+    return max((index for index in range(IMPORTANCES) if wanted[index]), default=-1)
 
 
 def _share(left, needs, shares):
@@ -123,6 +128,16 @@
     return left
 
 
+def lowest_served(holding):
+    """Gives the importance that the last granted permit of a holding serves."""
+    left = holding.granted
+    for importance in range(IMPORTANCES - 1, -1, -1):
+        left -= holding.demand.by_importance[importance]
+        if left <= 0:
+            return importance
+    return -1
+
+
 class _Holding:
     """What the owner knows of one calling node.
 
@@ -146,10 +161,6 @@
         most = max((permits for _, permits in self.pending), default=0)
         return max(most, self.in_use)
 
-    def acknowledge(self, order):
-        """Forgets the grants that the calling node has replaced."""
-        self.pending = [item for item in self.pending if item[0] >= order]
-
 
 class PermitPool:
     """Divides the slots of one upstream among calling nodes.
@@ -231,25 +242,69 @@
         if self.confirming or not (self.short or self.committed > self.limit):
             return []
         targets = self._targets()
-        pushes = []
-        for caller, holding in self._holdings.items():
-            if targets[caller] < holding.granted:
-                pushes.append((caller, self._grant(holding, targets[caller], 0.0)))
-        free = self.limit - self.committed
+        waiting = self._waiting(targets)
+        return self._recall(targets, waiting) + self._raise(targets, waiting)
+
+    def _waiting(self, targets):
+        """Lists the calling nodes below their target, most important first."""
         waiting = [
-            (-_highest(item.demand) if item.demand.total else 1, caller)
+            (-highest(item.demand), caller)
             for caller, item in self._holdings.items()
             if min(targets[caller], item.demand.total) > item.granted
         ]
-        for _, caller in sorted(waiting):
+        return sorted(waiting)
+
+    def _recall(self, targets, waiting):
+        wanted = -waiting[0][0] if waiting else -1
+        pushes = []
+        for caller, holding in self._holdings.items():
+            if self._recalls(holding, targets[caller], wanted):
+                pushes.append((caller, self._grant(holding, targets[caller], 0.0)))
+        missing = sum(
+            min(targets[caller], self._holdings[caller].demand.total)
+            - self._holdings[caller].granted
+            for importance, caller in waiting
+            if -importance == wanted
+        )
+        coming = sum(item.committed - item.granted for item in self._holdings.values())
+        named = {caller for caller, _ in pushes}
+        for caller, holding in self._holdings.items():
+            if coming >= RECALLS * missing:
+                break
+            lowest = lowest_served(holding) if holding.granted else wanted
+            if caller not in named and lowest < wanted:
+                permits = holding.granted - 1
+                pushes.append((caller, self._grant(holding, permits, 0.0)))
+                coming += 1
+        return pushes
+
+    def _raise(self, targets, waiting):
+        free = self.limit - self.committed
+        pushes = []
+        for _, caller in waiting:
             holding = self._holdings[caller]
+            wanted = min(targets[caller], max(holding.demand.total, holding.granted))
             # Permits up to the committed number cost nothing more.
-            permits = min(targets[caller], holding.committed + max(0, free))
+            permits = min(wanted, holding.committed + max(0, free))
             if permits > holding.granted:
                 free -= max(0, permits - holding.committed)
                 pushes.append((caller, self._grant(holding, permits, 0.0)))
+            if permits < wanted:
+                # What is recalled must not go back to less important requests.
+                break
         return pushes
 
+    def _recalls(self, holding, target, wanted):
+        """Whether permits are taken back for a wanted importance."""
+        surplus = holding.granted - target
+        if surplus <= 0:
+            return False
+        if self.committed > self.limit or holding.granted > holding.demand.total:
+            return True
+        # Moving a permit leaves it unused for a moment, so an even division
+        # within one importance is not worth the move of a single one.
+        return wanted > lowest_served(holding) or surplus >= LEAST_MOVE
+
     def confirm_members(self, names):
         """Ends the phase after a start once every member has exchanged.
 
@@ -277,10 +332,9 @@
         holding.number = usage.number
         holding.in_use = usage.in_use
         order = (usage.incarnation, usage.sequence)
-        if usage.held and all(known != order for known, _ in holding.pending):
-            # Granted by an earlier process of this owner.
-            holding.pending.append((order, usage.held))
-        holding.acknowledge(order)
+        later = [item for item in holding.pending if item[0] > order]
+        # What is held may be less than granted, or come from an earlier process.
+        holding.pending = [(order, usage.held), *later]
 
     def _allowed(self, caller, holding, usage):
         others = self.committed - holding.committed
@@ -290,7 +344,9 @@
         demand = holding.demand
         if demand.total + demand.spare <= free:
             return demand.total + demand.spare
-        return min(self._targets()[caller], free)
+        # A reply takes nothing back, since only the answer to a push tells at
+        # once that the calling node has lowered its allocation.
+        return min(max(self._targets()[caller], usage.held), free)
 
     def _targets(self):
         demands = {caller: item.demand for caller, item in self._holdings.items()}
@@ -312,6 +368,7 @@
         self.expires_at = 0.0
         self.order = (0, 0)
         self.owner_silent = False
+        self.contended = False
         self._by_importance = [0] * IMPORTANCES
         self._peaks = [0.0] * IMPORTANCES
 
@@ -376,12 +433,15 @@
         return tuple(round(peak) for peak in self._peaks)
 
     def usage(self, number, demand, now):
-        """Makes the message to the owner.
+        """Makes the message to the owner and gives up the permits not wanted.
 
         :param number: number of the message.
         :param demand: :class:`Demand`.
         :param now: monotonic seconds.
         :return: :class:`Usage`.
         """
-        held = self.granted if now < self.expires_at else 0
-        return Usage(number, *self.order, held, self.in_use, demand)
+        wanted = demand.total + demand.spare if now < self.expires_at else 0
+        # What is not reported as held must not be used, even if a late reply
+        # extends the lease.
+        self.granted = min(self.granted, wanted)
+        return Usage(number, *self.order, self.granted, self.in_use, demand)
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -10,7 +10,7 @@
 from ._levels import REPORT_LIFETIME_S
 from ._members import COLD, TAKES_CALLS
 from ._observations import CallStatistics, OfferedLoad, UsualTimes
-from ._permits import Demand, PermitCache
+from ._permits import IMPORTANCES, Demand, PermitCache
 from ._queues import WaitQueue
 
 # Services that were not called for this long are forgotten by their owners.
@@ -140,18 +140,22 @@
     :param own: :class:`Member` record of this node, or ``None``.
     :param now: monotonic seconds.
     :param when_short: function called with the set when a call must wait.
+    :param when_idle: function called with the set and an upstream when a permit
+        that others wait for may have become unused.
     """
 
-    def __init__(self, service, own=None, now=0.0, when_short=None):
+    def __init__(self, service, own=None, now=0.0, when_short=None, when_idle=None):
         self._service = service
         self._own = own
         self._when_short = when_short
+        self._when_idle = when_idle
         self._upstreams = {}
         self._used = []
         self._subset_size = _routing.SUBSET_SIZE
         self._queue = WaitQueue(service.limits.queue_length)
         self._random = random.Random()
         self._short_ticks = 0
+        self._rotation = 0
         self._last_call_at = now
         self.offered = OfferedLoad()
         self.usual_times = UsualTimes()
@@ -236,20 +240,41 @@
 
         :return: :class:`~figpick._permits.Demand`.
         """
-        count = max(1, len(self._used))
-        waiting = self._queue.by_importance
-        wanted = tuple(
-            peak + -(-waiting[importance] // count)
-            for importance, peak in enumerate(upstream.permits.peaks(PEAK_KEPT))
-        )
+        waiting = self._waiting_for(upstream)
+        if upstream.permits.contended:
+            # Others wait: only permits for calls that exist are asked for.
+            in_use = upstream.permits.by_importance
+            return Demand(tuple(map(sum, zip(in_use, waiting, strict=True))))
+        peaks = upstream.permits.peaks(PEAK_KEPT)
+        wanted = tuple(map(sum, zip(peaks, waiting, strict=True)))
         return Demand(wanted, max(LEAST_SPARE, sum(wanted) // 2))
 
+    def _waiting_for(self, upstream):
+        """Counts the waiting calls that ask for this upstream, by importance.
+
+        Each call asks for one upstream, since asking for more would keep permits
+        from other nodes that the call can't use.
+        """
+        asked = [item for item in self._used if not item.permits.owner_silent]
+        if upstream not in asked:
+            return (0,) * IMPORTANCES
+        count = len(asked)
+        place = (asked.index(upstream) + self._rotation) % count
+        numbers = [0] * IMPORTANCES
+        for importance in range(IMPORTANCES - 1, -1, -1):
+            waiting = self._queue.by_importance[importance]
+            if waiting > place:
+                numbers[importance] = (waiting - 1 - place) // count + 1
+            place = (place - waiting) % count
+        return tuple(numbers)
+
     def review(self, now):
         """Ejects failing upstreams and adapts the number in use; each 100 ms.
 
         :param now: monotonic seconds.
         """
         _routing.review([upstream.health for upstream in self._used], now)
+        self._rotation += 1
         self._short_ticks = self._short_ticks + 1 if len(self._queue) else 0
         if self._short_ticks >= SHORT_TICKS and len(self._used) < len(self._upstreams):
             self._subset_size += SUBSET_GROWTH
@@ -290,6 +315,9 @@
         if result.complete or result.cancelled:
             self.usual_times.add(plan.route.route_id, result.latency_s)
         self.wake(now)
+        # Others wait for the permit that this node has just stopped to use.
+        if self._when_idle is not None and upstream.permits.contended:
+            self._when_idle(self, upstream)
 
     def wake(self, now):
         """Hands free permits to waiting calls.
