--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -199,6 +199,8 @@
             }
             if not names <= ready or host.service not in state["node"]["documents"]:
                 return False
+            if host.service not in state["documents"]["rosters"]:
+                return False
         return True
 
     def _start_all(self):
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -60,6 +60,7 @@
         self.completions = []
         self.executions = Counter()
         self.runs = Counter()
+        self.answers = Counter()
 
     async def run(self):
         """Starts the deployment and sends the trace through it."""
@@ -157,17 +158,20 @@
 
     async def _send(self, number, request):
         tree = self._trace.head["trees"][request["tree"]]
-        identity = f"r{number}"
         call = tree["call"]
         delay_s = self._deployment.client_delay_ms / 1000
         addresses = self._cluster.entry(call["service"])
         for attempt in range(1 + self._trace.head["resends"]):
+            # Without a key, nothing tells that two sends are the same request.
+            suffix = f".{attempt}" if tree["idempotent"] else ""
+            identity = f"r{number}{suffix}"
             await asyncio.sleep(delay_s)
             address = addresses[(number + attempt) % len(addresses)]
             answer = await self._cluster.client.request(
                 address, call["method"], call["path"], _headers(identity, tree)
             )
             await asyncio.sleep(delay_s)
+            self.answers[_reason(request, answer)] += 1
             if answer.status == 200:
                 break
             await asyncio.sleep(RESEND_PAUSE_S)
@@ -186,6 +190,11 @@
         )
 
 
+def _reason(request, answer):
+    reason = answer.headers.get("Figpick-Reason", "upstream")
+    return f"{request['tree']} {answer.status} {reason} {answer.outcome}".strip()
+
+
 def _headers(identity, tree):
     call = tree["call"]
     headers = {
@@ -238,7 +247,11 @@
 
 def main(path):
     """Replays a trace file and gives the exit code."""
-    rows = replay(path)
+    replay_run = Replay(traces.load(path))
+    asyncio.run(replay_run.run())
+    rows = replay_run.rows()
+    for answer, count in sorted(replay_run.answers.items()):
+        print(f"{count:6} {answer}", file=sys.stderr)
     for row in rows:
         print(msgspec.json.encode({**row._asdict(), "holds": row.holds}).decode())
     return 0 if all(row.holds for row in rows) else 1
