--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -230,8 +230,11 @@
             self._dissemination.announce_version(service, version, epoch)
 
     def _control_holds(self, service):
-        version = self._headlines.get(service).version
-        return self._control.versions.get(service, 0) >= version
+        newest = self._headlines.get(service)
+        registry = self._control.registry
+        version = registry.versions.get(service, 0)
+        epoch = registry.epochs.get(service, 0)
+        return version >= newest.version and epoch >= newest.epoch
 
     def _message_ended(self, address, kind, answered):
         contacts = self._members.contacts
