--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -199,6 +199,8 @@
             }
             if not names <= ready or host.service not in state["node"]["documents"]:
                 return False
+            if host.service not in state["documents"]["rosters"]:
+                return False
         return True
 
     def _start_all(self):
@@ -243,6 +245,7 @@
             "call_address": host.call_address,
             "peer_address": host.peer_address,
             "service": host.service,
+            "calls": [spec.name for spec in self._services],
             "control": self.controls,
             "shared_key": KEY,
         }
--- a/src/figpick/_errors.py
+++ b/src/figpick/_errors.py
@@ -128,6 +128,17 @@
     outcome = OUTCOME_NOT_RUN
 
 
+class DocumentMissingError(FigpickError):
+    """The document of a called service has to be fetched first.
+
+    :param service: name of the service.
+    """
+
+    def __init__(self, service):
+        self.service = service
+        super().__init__(f"the document of {service} is not here")
+
+
 class OverloadedError(CallError):
     """Refused because capacity is short."""
 
@@ -183,6 +194,20 @@
     reason = "duplicate"
 
 
+class NoRosterError(CallError):
+    """No claim holders are known for the service of a keyed request."""
+
+    status = 503
+    reason = "no-roster"
+
+
+class NoClaimQuorumError(CallError):
+    """Too few claim holders can decide on a keyed request."""
+
+    status = 503
+    reason = "no-claim-quorum"
+
+
 class BrokenAnswerError(CallError):
     """The upstream gave no complete answer."""
 
