--- a/src/figpick/_control.py
+++ b/src/figpick/_control.py
@@ -138,6 +138,18 @@
         """
         return self._entry(message["service"])
 
+    async def documents(self, message):
+        """Gives the documents of several services that this process has applied.
+
+        :param message: dict with ``services``; unknown ones are left out.
+        """
+        entries = map(self._registry.get, message["services"])
+        return {"documents": [entry for entry in entries if entry is not None]}
+
+    async def confirmed_documents(self, message):
+        """Gives the documents of several services, confirmed by a quorum."""
+        return await self._at_leader("document", message, self._confirmed_documents)
+
     def dump(self):
         """Gives the state of the role as a dict."""
         replica = self._quorum.replica
@@ -165,6 +177,10 @@
         await self._quorum.confirm()
         return self._entry(message["service"])
 
+    async def _confirmed_documents(self, message):
+        await self._quorum.confirm()
+        return await self.documents(message)
+
     async def _history(self, message):
         await self._quorum.confirm()
         self._entry(message["service"])
--- a/src/figpick/_fetching.py
+++ b/src/figpick/_fetching.py
@@ -272,12 +272,7 @@
     async def serve(self, message):
         """Gives committed documents; a missing one is left out of a list."""
         if "services" not in message:
-            return await self._control.get(message)
-        entries = []
-        for service in message["services"]:
-            try:
-                entries.append(await self._control.get({"service": service}))
-            except PeerRefusedError as error:
-                if error.status != NOT_FOUND:
-                    raise
-        return {"documents": entries}
+            return await self._control.document(message)
+        if message.get("confirm"):
+            return await self._control.confirmed_documents(message)
+        return await self._control.documents(message)
