--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -102,7 +102,11 @@
         if upstreams is None:
             now = self.clock.monotonic()
             upstreams = self._upstream_sets[name] = UpstreamSet(
-                service, self.members.own, now, self.exchange.hasten
+                service,
+                self.members.own,
+                now,
+                self.exchange.ask,
+                self.exchange.give_back,
             )
             for member in self.members.of_service(name):
                 upstreams.update(member, now)
@@ -248,6 +252,10 @@
             "documents": self.versions,
             "executions": len(self._executions),
             "permits": self.exchange.dump(),
+            "waiting": {
+                name: upstreams.waiting
+                for name, upstreams in self._upstream_sets.items()
+            },
             "claims": self.claims.dump(),
             "retries": self.retries.dump(),
             "upstreams": {
@@ -263,6 +271,7 @@
             "granted": upstream.permits.granted,
             "in_use": upstream.permits.in_use,
             "latency_ms": round(upstream.latency_s * 1000, 3),
+            "ejected": upstream.health.ejected,
         }
 
     def _service(self, host):
