--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -74,6 +74,7 @@
         self._attempts = 0
         self._upstream_name = ""
         self._short_answer = None
+        self._repeated = False
 
     def headers_received(self, start_line, headers):
         self._headers = headers
@@ -167,6 +168,7 @@
 
     async def _attempt_all(self):
         node, plan = self._node, self._plan
+        self._repeated = node.repeats(plan, self._body)
         node.admit(plan, self._body, node.clock.monotonic())
         headers = forwarded_headers(self._headers)
         excluded = await node.admit_resend(plan, self._body)
@@ -264,16 +266,19 @@
             and error.outcome == OUTCOME_NOT_RUN
         ):
             error.outcome = await self._node.claimed_outcome(plan)
+            self._repeated = False
         self._abort(error)
 
     def _outcome(self, error):
         if error.outcome != OUTCOME_NOT_RUN:
             return error.outcome
         # Once a byte was sent, no later refusal of this call may say not-run.
+        # An earlier attempt of the same request may have sent some as well.
         # Without a plan nobody knows whether a keyed request ran before.
         headers = self._headers or HTTPHeaders()
         unplanned = self._task is None and KEY_HEADER in headers
-        return OUTCOME_UNKNOWN if self._sent or unplanned else OUTCOME_NOT_RUN
+        doubtful = self._sent or self._repeated or unplanned
+        return OUTCOME_UNKNOWN if doubtful else OUTCOME_NOT_RUN
 
     def _abort(self, error):
         self._ended = True
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -185,6 +185,10 @@
         :param now: monotonic seconds.
         """
 
+    def repeats(self, plan, body):
+        """Whether an earlier attempt of a call may have run."""
+        return self.retries.repeats(plan, body)
+
     async def admit_resend(self, plan, body):
         """Asks for a retry grant when a call repeats an earlier one.
 
--- a/src/figpick/_retries.py
+++ b/src/figpick/_retries.py
@@ -7,6 +7,11 @@
 from ._expiring import ExpiringTable
 
 BUDGET_WINDOW_S = 1.0
+# A call or retry reaches its upstream up to this long after it was counted, and
+# the bound applies to any second at the upstream.
+QUEUE_MARGIN_S = 0.1
+# The budget follows a falling load within this time.
+RECENT_S = 0.3
 MIN_RETRIES_PER_WINDOW = 1
 # A caller that resends later than this counts as a new request.
 KEYED_ROOT_S = 60.0
@@ -42,7 +47,9 @@
         :return: whether the retry is within the budget.
         """
         self._expire(now)
-        allowed = max(MIN_RETRIES_PER_WINDOW, int(ratio * len(self._calls)))
+        recent = sum(at > now - RECENT_S for at in reversed(self._calls))
+        calls = min(len(self._calls), recent / RECENT_S * BUDGET_WINDOW_S)
+        allowed = max(MIN_RETRIES_PER_WINDOW, int(ratio * calls))
         if len(self._retries) >= allowed:
             return False
         self._retries.append(now)
@@ -54,9 +61,12 @@
             self._retries.pop()
 
     def _expire(self, now):
-        for times in (self._calls, self._retries):
-            while times and times[0] <= now - BUDGET_WINDOW_S:
-                times.popleft()
+        calls_from = now - BUDGET_WINDOW_S + QUEUE_MARGIN_S
+        while self._calls and self._calls[0] <= calls_from:
+            self._calls.popleft()
+        retries_from = now - BUDGET_WINDOW_S - QUEUE_MARGIN_S
+        while self._retries and self._retries[0] <= retries_from:
+            self._retries.popleft()
 
 
 class RetryLedger:
--- a/src/figpick/_retrying.py
+++ b/src/figpick/_retrying.py
@@ -59,6 +59,16 @@
         context = plan.context._replace(root_id=root_id)
         return plan._replace(context=context, resend=known)
 
+    def repeats(self, plan, body):
+        """Whether an earlier attempt of a call may have run.
+
+        :param body: :class:`~figpick._bodies.RequestBody`.
+        """
+        if plan.resend or plan.attempt > 1:
+            return True
+        failure = self._failure(plan, body, self._clock.monotonic())
+        return failure is not None and failure.sent
+
     async def admit(self, plan, body):
         """Counts a call, and asks for a grant when it repeats an earlier one.
 
