Stream answers whole, cancel below, find silent connections

Cause: a truncated answer could pass as whole, a caller that went away left the calls of its execution running, and a connection that stopped responding held its call until the deadline. Change: relay answers through one object that holds small bodies, resumes tagged ones by range and cuts the rest; send cancel messages by execution id; judge silent connections from overtaking calls and probes; add a fault proxy and an origin whose bodies can be checked. Before: no check of these cases.

--- /dev/null
+++ b/bench/faultproxy.py
@@ -0,0 +1,244 @@
+"""A TCP proxy that injects faults between a node and an upstream.
+
+Runs inside a process, or as ``python -m bench.faultproxy CONFIG`` with a JSON file of
+:class:`ProxyConfig`. As a process it is steered by ``POST /<action>`` on its control
+address, with a JSON object of keyword arguments; actions are the public methods of
+:class:`FaultProxy`.
+"""
+
+import asyncio
+import random
+import socket
+import struct
+import sys
+from typing import NotRequired, TypedDict
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+READ_BYTES = 64 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+UP = "up"
+DOWN = "down"
+ACTIONS = ("configure", "silence", "silence_share", "cut", "reset", "stats")
+
+
+class ProxyConfig(TypedDict):
+    """Configuration of one proxy process.
+
+    :param listen: ``ip:port`` that takes connections.
+    :param target: ``ip:port`` to which they are forwarded.
+    :param control: ``ip:port`` on which the proxy is steered.
+    :param delay_ms: milliseconds by which each direction is delayed.
+    """
+
+    listen: str
+    target: str
+    control: str
+    delay_ms: NotRequired[float]
+
+
+class Link:
+    """One proxied connection.
+
+    :param client: stream from the node.
+    """
+
+    def __init__(self, client):
+        self.client = client
+        self.server = None
+        self.silent = set()
+        self.cut_after = None
+        self.resets = False
+        self.passed = {UP: 0, DOWN: 0}
+        self.due = {UP: 0.0, DOWN: 0.0}
+
+    def close(self, reset=False):
+        """Closes both sides, by a reset when asked."""
+        for stream in (self.client, self.server):
+            if stream is None or stream.closed():
+                continue
+            if reset:
+                level, option = socket.SOL_SOCKET, socket.SO_LINGER
+                stream.socket.setsockopt(level, option, RESET_ON_CLOSE)
+            stream.close()
+
+
+class FaultProxy(TCPServer):
+    """Forwards connections to one target and injects faults.
+
+    :param target: ``ip:port``.
+    :param on_link: called with each new :class:`Link`, or ``None``.
+    """
+
+    def __init__(self, target, on_link=None):
+        super().__init__()
+        ip, port = target.split(":")
+        self._target = (ip, int(port))
+        self._on_link = on_link
+        self._delay_s = 0.0
+        self._bytes_per_s = None
+        self._accepts = True
+        self._links = set()
+        self._tasks = set()
+        self._silenced = 0
+
+    @property
+    def links(self):
+        """The open connections."""
+        return self._links
+
+    def configure(self, delay_ms=None, bytes_per_s=None, accepts=None):
+        """Changes what applies to all connections.
+
+        :param delay_ms: milliseconds by which each direction is delayed.
+        :param bytes_per_s: rate of each direction, 0 for no limit.
+        :param accepts: whether new connections are taken.
+        """
+        if delay_ms is not None:
+            self._delay_s = delay_ms / 1000
+        if bytes_per_s is not None:
+            self._bytes_per_s = bytes_per_s or None
+        if accepts is not None:
+            self._accepts = accepts
+
+    def silence(self, directions=(UP, DOWN)):
+        """Stops forwarding on all open connections, which stay open."""
+        for link in self._links:
+            link.silent.update(directions)
+        self._silenced += len(self._links)
+        return len(self._links)
+
+    def silence_share(self, share, seed=1):
+        """Silences each open connection with the probability ``share``."""
+        source = random.Random(seed)
+        for link in self._links:
+            if not link.silent and source.random() < share:
+                link.silent.update((UP, DOWN))
+                self._silenced += 1
+
+    def cut(self):
+        """Closes all open connections."""
+        for link in list(self._links):
+            link.close()
+
+    def reset(self):
+        """Resets all open connections."""
+        for link in list(self._links):
+            link.close(reset=True)
+
+    def stats(self):
+        """Gives the number of open and of silenced connections."""
+        return {"open": len(self._links), "silenced": self._silenced}
+
+    async def handle_stream(self, stream, address):
+        if not self._accepts:
+            stream.close()
+            return
+        link = Link(stream)
+        self._links.add(link)
+        try:
+            link.server = IOStream(socket.socket())
+            await link.server.connect(self._target)
+        except StreamClosedError:
+            link.close(reset=True)
+            self._links.discard(link)
+            return
+        for side in (link.client, link.server):
+            side.set_nodelay(True)
+        if self._on_link is not None:
+            self._on_link(link)
+        self._start(self._pump(link, UP, link.client, link.server))
+        self._start(self._pump(link, DOWN, link.server, link.client))
+
+    def _start(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _pump(self, link, direction, source, sink):
+        try:
+            while True:
+                data = await source.read_bytes(READ_BYTES, partial=True)
+                await self._forward(link, direction, sink, data)
+        except StreamClosedError:
+            pass
+        if source.error is not None:
+            link.resets = True
+        self._links.discard(link)
+        if not link.silent:
+            delay_s = link.due[direction] - _now()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            link.close(reset=link.resets)
+
+    async def _forward(self, link, direction, sink, data):
+        limit = link.cut_after if direction == DOWN else None
+        if limit is not None and link.passed[direction] + len(data) > limit:
+            data = data[: limit - link.passed[direction]]
+        link.passed[direction] += len(data)
+        if direction not in link.silent:
+            await self._write(link, direction, sink, data)
+        if limit is not None and link.passed[direction] >= limit:
+            await asyncio.sleep(max(0, link.due[direction] - _now()))
+            link.close(reset=link.resets)
+
+    async def _write(self, link, direction, sink, data):
+        if self._bytes_per_s is not None:
+            await asyncio.sleep(len(data) / self._bytes_per_s)
+        if self._delay_s == 0 and link.due[direction] <= _now():
+            await sink.write(data)
+            return
+        due = max(_now() + self._delay_s, link.due[direction])
+        link.due[direction] = due
+        asyncio.get_running_loop().call_at(due, self._deliver, link, sink, data)
+
+    def _deliver(self, link, sink, data):
+        if not sink.closed() and not link.silent:
+            sink.write(data)
+
+
+def _now():
+    return asyncio.get_running_loop().time()
+
+
+async def serve(config):
+    """Runs a proxy with its control address until the process is ended.
+
+    :param config: :class:`ProxyConfig`.
+    """
+    proxy = FaultProxy(config["target"])
+    proxy.configure(delay_ms=config.get("delay_ms"))
+    ip, port = config["listen"].split(":")
+    proxy.listen(int(port), ip)
+    control = HTTPServer(lambda request: _steer(proxy, request))
+    ip, port = config["control"].split(":")
+    control.listen(int(port), ip)
+    await asyncio.Event().wait()
+
+
+def _steer(proxy, request):
+    action = request.path.removeprefix("/")
+    arguments = msgspec.json.decode(request.body or b"{}")
+    status, answer = 404, {"error": f"unknown action {action!r}"}
+    if action in ACTIONS:
+        status, answer = 200, getattr(proxy, action)(**arguments)
+    body = msgspec.json.encode(answer)
+    headers = HTTPHeaders({"Content-Length": str(len(body))})
+    line = ResponseStartLine("HTTP/1.1", status, "")
+    request.connection.write_headers(line, headers, body)
+    request.connection.finish()
+
+
+def main(path):
+    """Runs the proxy of a configuration file."""
+    with open(path, "rb") as file:
+        config = msgspec.json.decode(file.read(), type=ProxyConfig)
+    asyncio.run(serve(config))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- a/src/figpick/_attempts.py
+++ b/src/figpick/_attempts.py
@@ -8,125 +8,179 @@
 
 from . import _context
 from ._connections import PARAMETERS
-
-HOP_HEADERS = frozenset(
-    (
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Authenticate",
-        "Proxy-Authorization",
-        "Proxy-Connection",
-        "Te",
-        "Trailer",
-        "Transfer-Encoding",
-        "Upgrade",
-    )
-)
-OWN_PREFIX = "Figpick-"
+from ._errors import CallError
+from ._headers import closes, content_length
 
 
 class AttemptResult(NamedTuple):
     """How an attempt ended.
 
     :param complete: whether the whole answer was relayed.
-    :param started: whether any part of the answer reached the caller.
+    :param broken: whether the upstream closed or reset the connection.
     :param status: HTTP status of the answer, 0 without one.
     """
 
     complete: bool
-    started: bool
+    broken: bool
     status: int
 
 
-def forwarded_headers(headers):
-    """Copies the headers that travel end to end.
-
-    :param headers: headers from a caller or an upstream.
-    :return: ``HTTPHeaders`` without hop headers and without ``Figpick-*``.
-    """
-    copied = HTTPHeaders()
-    named = headers.get("Connection")
-    dropped = _named_headers(named) if named else ()
-    for name, value in headers.get_all():
-        if name in HOP_HEADERS or name.startswith(OWN_PREFIX) or name in dropped:
-            continue
-        copied.add(name, value)
-    return copied
-
-
-def _named_headers(value):
-    return {name.strip().title() for name in value.split(",")}
-
-
 class Attempt(HTTPMessageDelegate):
     """Sends a call on one connection and relays the answer to the caller.
 
     :param plan: :class:`~figpick._plans.CallPlan`.
+    :param upstream: :class:`~figpick._upstreams.Upstream`.
     :param connection: :class:`~figpick._connections.Connection`.
-    :param caller: connection to the caller.
+    :param relay: :class:`~figpick._answers.AnswerRelay`.
+    :param silence: :class:`~figpick._silence.SilenceWatch`.
+    :param dispatch: told by ``suspect(attempt)`` and ``give_up(attempt)`` that the
+        connection may be silent.
     """
 
-    def __init__(self, plan, connection, caller):
+    def __init__(self, plan, upstream, connection, relay, silence, dispatch):
         self._plan = plan
+        self._upstream = upstream
         self._connection = connection
-        self._caller = caller
-        self._start_line = None
-        self._headers = None
+        self._relay = relay
+        self._silence = silence
+        self._dispatch = dispatch
+        self._flight = None
+        self._body = None
+        self._abandoned = False
+        self._relays = False
+        self._closes = False
+        self._until_close = False
+        self._ended = False
         self._complete = False
-        self.started = False
-        self.status = 0
+        self._status = 0
+
+    @property
+    def active(self):
+        """Whether the attempt can still relay its answer."""
+        return not self._abandoned and not self._ended
+
+    @property
+    def suspected(self):
+        """Whether its connection is suspected of being silent."""
+        return self._flight is not None and self._flight.suspected
 
-    async def run(self, headers, body, key):
+    @property
+    def reusable(self):
+        """Whether the connection can serve another request."""
+        return self._complete and not self._closes
+
+    async def run(self, headers, body, context, key):
         """Sends the request and relays the answer.
 
         :param headers: end-to-end headers of the request.
         :param body: :class:`~figpick._bodies.RequestBody`.
+        :param context: :class:`~figpick._context.CallContext` of the execution.
         :param key: shared key that signs the context.
         :return: :class:`AttemptResult`.
         """
         plan = self._plan
-        headers[_context.HEADER] = _context.encode(plan.context, key)
-        stream = self._connection.stream
-        http = HTTP1Connection(stream, True, PARAMETERS)
+        headers[_context.HEADER] = _context.encode(context, key)
+        resumption = self._relay.resumption
+        if resumption is not None:
+            headers = HTTPHeaders(headers)
+            headers["Range"] = f"bytes={resumption.offset}-"
+            headers["If-Range"] = resumption.etag
+        http = HTTP1Connection(self._connection.stream, True, PARAMETERS)
+        self._body = body
+        self._flight = self._silence.start(plan, self._upstream, self._connection, self)
+        self._flight.waiting = body.complete
         start_line = RequestStartLine(plan.method, plan.target, "HTTP/1.1")
-        body.send(http, start_line, headers)
         try:
+            body.send(http, start_line, headers, self._sent)
             await http.read_response(self)
         except StreamClosedError:
-            self._complete = False
-        if not self._complete:
-            body.detach()
-            self._connection.close()
-        return AttemptResult(self._complete, self.started, self.status)
+            pass
+        finally:
+            self._ended = True
+            self._silence.end(self._upstream, self._flight)
+            body.detach(http)
+        if self._until_close and not self._complete:
+            await self._finish_closed()
+        broken = not self._complete and not self._abandoned
+        return AttemptResult(self._complete, broken, self._status)
+
+    def abandon(self):
+        """Closes the connection, because its answer is no longer wanted."""
+        self._abandoned = True
+        self._connection.close()
+
+    def on_suspect(self):
+        self._dispatch.suspect(self)
+
+    def on_give_up(self):
+        self._dispatch.give_up(self)
 
     def headers_received(self, start_line, headers):
         if 100 <= start_line.code < 200:
+            self._silence.note_progress(self._flight, self._flight.waiting)
             return
-        self.status = start_line.code
-        self._start_line = start_line
-        self._headers = forwarded_headers(headers)
+        self._silence.note_head(self._upstream, self._flight)
+        self._flight.waiting = True
+        try:
+            self._relays = self._relay.begin(self, start_line, headers)
+        except CallError:
+            self._relays = False
+        if not self._relays:
+            self.abandon()
+            return
+        self._status = start_line.code
+        self._closes = closes(start_line, headers)
+        self._until_close = (
+            content_length(headers) is None
+            and "Transfer-Encoding" not in headers
+            and self._plan.method != "HEAD"
+            and start_line.code not in (204, 304)
+        )
 
     def data_received(self, chunk):
-        if not self.started:
-            return self._start(chunk)
-        return self._pending(self._caller.write(chunk))
+        if self._abandoned:
+            return None
+        pending = self._relay.pass_on(self, chunk)
+        self._silence.note_progress(self._flight, pending is None)
+        if pending is not None:
+            pending.add_done_callback(self._passed)
+        return pending
 
     def finish(self):
-        if self._connection.stream.error is not None:
+        if self._abandoned or self._connection.stream.error is not None:
             # A body that ends with its connection looks whole after a reset.
             return
-        if not self.started:
-            self._start(None)
-        self._caller.finish()
-        self._complete = True
+        if self._until_close:
+            return
+        self._complete = self._relay.end(self)
+        if not self._body.complete:
+            # The upstream answered without the rest of the request.
+            self._closes = True
+            self._connection.close()
 
     def on_connection_close(self):
-        self._complete = False
+        pass
+
+    def _sent(self):
+        self._silence.note_progress(self._flight)
+
+    def _passed(self, future):
+        if not self._ended:
+            self._silence.note_progress(self._flight)
 
-    def _start(self, chunk):
-        self.started = True
-        written = self._caller.write_headers(self._start_line, self._headers, chunk)
-        return self._pending(written)
+    async def _finish_closed(self):
+        """Ends an answer that is delimited by the close of its connection.
 
-    def _pending(self, written):
-        return None if written.done() else written
+        The end of such a body looks the same when the upstream crashed, so the
+        answer counts as whole only while the upstream accepts connections.
+        """
+        if self._abandoned or self._connection.stream.error is not None:
+            return
+        try:
+            probe = await self._upstream.pool.connect(self._connection.answered_at)
+        except StreamClosedError:
+            return
+        probe.close()
+        if not self._abandoned:
+            self._complete = self._relay.end(self)
+            self._closes = True
--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -1,6 +1,8 @@
-"""The request path: takes calls and sends them to upstreams."""
+"""The request path: takes calls and answers them."""
 
 import asyncio
+import socket
+import struct
 
 import msgspec
 from tornado.httputil import (
@@ -12,20 +14,24 @@
 )
 from tornado.iostream import StreamClosedError
 
-from ._attempts import Attempt, AttemptResult, forwarded_headers
-from ._bodies import REPLAY_BYTES, RequestBody
+from ._answers import AnswerRelay
+from ._bodies import BODY_METHODS, REPLAY_BYTES, RequestBody
+from ._dispatch import Dispatch
 from ._errors import (
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
-    BrokenAnswerError,
+    AbandonedError,
     CallError,
     DeadlineError,
-    NoUpstreamError,
+    MalformedRequestError,
 )
+from ._headers import content_length, forwarded_headers
 from ._logs import logger
-from ._upstreams import Result
 
-MAX_CONNECT_ATTEMPTS = 3
+# The rest of a refused body is read for this long. Closing with unread bytes resets
+# the connection, and the caller may lose the answer.
+LINGER_S = 1.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 log = logger("calls")
 
@@ -59,30 +65,36 @@
         self._plan = None
         self._headers = None
         self._body = None
+        self._relay = None
+        self._dispatch = None
         self._task = None
         self._timer = None
+        self._linger = None
+        self._failure = None
+        self._claimed = False
+        self._received = False
         self._ended = False
-        self._expired = False
-        self._sent = False
-        self._answered = False
-        self._status = 0
+        self._finishing = False
+        self._head = None
 
     def headers_received(self, start_line, headers):
+        self._head = start_line
         local = self._node.local_handler(start_line, self._caller)
         if local is not None:
             self._body = RequestBody(REPLAY_BYTES)
-            self._headers = headers
             self._plan = local
             return
         try:
+            self._headers = forwarded_headers(headers)
             self._plan = self._node.plan(start_line, headers)
         except CallError as error:
+            # Without its body read, the connection cannot serve another request,
+            # and a caller that awaits the go-ahead for its body sends none.
+            malformed = isinstance(error, MalformedRequestError)
+            self._received = malformed or "Expect" in headers
             self._refuse(error)
             return
-        self._headers = headers
-        self._body = RequestBody(self._plan.service.limits.body_bytes)
-        if "Transfer-Encoding" in headers or self._length() > REPLAY_BYTES:
-            self._begin()
+        self._accept(headers)
 
     def data_received(self, chunk):
         if self._ended:
@@ -90,10 +102,13 @@
         try:
             return self._body.feed(chunk)
         except CallError as error:
-            self._abort(error)
+            self._fail(error)
             return None
 
     def finish(self):
+        self._received = True
+        if self._finishing:
+            self._finish_caller()
         if self._ended:
             return
         self._body.finish()
@@ -107,128 +122,106 @@
 
     def cancel(self):
         """Stops the call, because nobody waits for its answer."""
+        if self._linger is not None:
+            self._linger.cancel()
         if self._task is not None and not self._ended:
             self._node.counters.cancelled += 1
+            self._ended = True
             self._task.cancel()
 
-    def _length(self):
-        return int(self._headers.get("Content-Length", 0))
+    def abandon(self):
+        """Stops the call, because the execution that made it was cancelled."""
+        self._node.counters.cancelled += 1
+        self._fail(AbandonedError("the execution that made this call was cancelled"))
+
+    def _accept(self, headers):
+        plan = self._plan
+        limit = plan.service.limits.body_bytes
+        chunked = "Transfer-Encoding" in headers
+        if chunked and plan.method not in BODY_METHODS:
+            # The HTTP client frames such a body by its length only.
+            self._body = RequestBody(min(limit, REPLAY_BYTES))
+            return
+        self._body = RequestBody(limit)
+        if chunked or (content_length(headers) or 0) > REPLAY_BYTES:
+            self._begin()
 
     def _begin(self):
         loop = asyncio.get_running_loop()
+        node, plan = self._node, self._plan
         self._caller.set_close_callback(self.cancel)
-        self._timer = loop.call_at(self._plan.deadline, self._expire)
+        resumable = plan.method == "GET" and "Range" not in self._headers
+        resumable = resumable and plan.route.idempotent
+        self._relay = AnswerRelay(self._caller, resumable, self._finish_caller)
+        self._relay.closing = node.draining
+        self._dispatch = Dispatch(node, plan, self._headers, self._body, self._relay)
+        delay_s = plan.deadline - node.clock.monotonic()
+        self._timer = loop.call_later(delay_s, self._expire)
         self._task = loop.create_task(self._run())
 
     def _expire(self):
-        if not self._ended:
-            self._expired = True
+        self._fail(DeadlineError("the deadline has passed"))
+
+    def _fail(self, error):
+        if self._ended or self._failure is not None:
+            return
+        self._failure = error
+        if self._task is None:
+            self._abort(error)
+        else:
             self._task.cancel()
 
     async def _run(self):
         node, plan = self._node, self._plan
         node.begin(self, plan)
         try:
-            await self._attempt_all()
+            await self._carry_out()
+            self._ended = True
         except CallError as error:
             self._abort(error)
         except asyncio.CancelledError:
-            if self._expired:
-                self._abort(DeadlineError("the deadline has passed"))
+            if self._failure is not None:
+                self._abort(self._failure)
         except Exception:
             log.exception("Call to {} failed.", plan.service.name)
             self._abort(CallError("internal error"))
         finally:
             self._ended = True
             self._timer.cancel()
-            if not plan.route.idempotent:
-                node.finish_claim(plan, self._sent, self._status)
+            self._body.discard()
+            if self._claimed:
+                status = self._relay.status if self._relay.complete else 0
+                node.finish_claim(plan, self._dispatch.sent, status)
             node.end(self, plan)
 
-    async def _attempt_all(self):
+    async def _carry_out(self):
         node, plan = self._node, self._plan
+        if plan.parent is not None and node.is_cancelled(plan.parent.execution_id):
+            raise AbandonedError("the execution that made this call was cancelled")
         node.admit(plan, self._body, node.clock.monotonic())
-        headers = forwarded_headers(self._headers)
         if not plan.route.idempotent:
-            await node.claim(plan)
-        excluded = set()
-        failures = 0
-        while True:
-            upstreams = node.upstreams(plan.service.name)
-            upstream = await upstreams.acquire(plan, node.clock.monotonic(), excluded)
-            result = await self._attempt(upstreams, upstream, headers)
-            if result is None:
-                failures += 1
-                excluded.add(upstream.name)
-                if failures >= MAX_CONNECT_ATTEMPTS:
-                    message = f"no upstream of {plan.service.name} accepts connections"
-                    raise NoUpstreamError(message, retry_after_s=1)
-                continue
-            if result.complete:
-                return
-            if result.started:
-                self._cut()
-                return
-            await self._await_retry(upstream, excluded)
-
-    async def _attempt(self, upstreams, upstream, headers):
-        """Makes one attempt.
-
-        :return: :class:`AttemptResult`, or ``None`` when nothing was sent.
-        """
-        node, plan = self._node, self._plan
-        started_at = node.clock.monotonic()
-        result = AttemptResult(False, False, 0)
-        connection = None
-        try:
-            connection = await self._connect(upstream)
-            if connection is None:
-                return None
-            self._sent = True
-            attempt = Attempt(plan, connection, self._caller)
-            result = await attempt.run(headers, self._body, node.key)
-            self._answered = result.started
-            self._status = result.status if result.complete else 0
-            if not result.complete:
-                node.report_break(plan, self._body, upstream, node.clock.monotonic())
-            return result
-        finally:
-            now = node.clock.monotonic()
-            if connection is not None:
-                if result.complete:
-                    upstream.pool.put_back(connection, now)
-                else:
-                    connection.close()
-            ended = Result(result.complete, result.status, now - started_at)
-            upstreams.release(upstream, ended, now)
-
-    async def _connect(self, upstream):
-        now = self._node.clock.monotonic()
-        connection = upstream.pool.take_idle(now)
-        if connection is not None:
-            return connection
-        try:
-            return await upstream.pool.connect(now)
-        except StreamClosedError:
-            return None
-
-    async def _await_retry(self, upstream, excluded):
-        plan = self._plan
-        message = f"{upstream.name} gave no answer"
-        if not plan.route.idempotent or not self._body.replayable:
-            raise BrokenAnswerError(message)
-        await self._node.allow_retry(plan)
-        excluded.add(upstream.name)
+            self._claimed = True
+            try:
+                await node.claim(plan)
+            except CallError:
+                self._claimed = False
+                raise
+        await self._dispatch.run()
 
     def _outcome(self, error):
         # Once a byte was sent, no later refusal of this call may say not-run.
-        if self._sent and error.outcome == OUTCOME_NOT_RUN:
+        sent = self._dispatch is not None and self._dispatch.sent
+        if sent and error.outcome == OUTCOME_NOT_RUN:
             return OUTCOME_UNKNOWN
         return error.outcome
 
     def _abort(self, error):
         self._ended = True
-        if self._answered:
+        if self._body is not None:
+            self._body.discard()
+        if self._relay is not None and self._relay.complete:
+            return
+        if self._relay is not None and self._relay.started:
             self._cut()
         else:
             self._refuse(error)
@@ -236,6 +229,11 @@
     def _cut(self):
         """Closes the caller's connection, so that a part never looks whole."""
         self._node.counters.cut += 1
+        stream = self._caller.stream
+        if self._head.version == "HTTP/1.0" and not stream.closed():
+            # The close ends the body of such an answer; a reset tells them apart.
+            linger = socket.SO_LINGER
+            stream.socket.setsockopt(socket.SOL_SOCKET, linger, RESET_ON_CLOSE)
         self._caller.close()
 
     def _refuse(self, error):
@@ -248,9 +246,12 @@
         headers["Figpick-Reason"] = error.reason
         if error.retry_after_s is not None:
             headers["Retry-After"] = str(error.retry_after_s)
+        if self._node.draining:
+            headers["Connection"] = "close"
         self._write(error.status, headers, body)
 
     def _answer_locally(self):
+        self._ended = True
         status, body = self._plan(self._body.head)
         self._write(status, HTTPHeaders(), body)
 
@@ -260,7 +261,25 @@
         headers["Content-Length"] = str(len(data))
         start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, ""))
         try:
-            self._caller.write_headers(start_line, headers, data)
-            self._caller.finish()
+            # The answer to HEAD has the length of a body, but no body.
+            head_only = self._head.method == "HEAD"
+            self._caller.write_headers(start_line, headers, None if head_only else data)
+            self._finish_caller()
         except StreamClosedError:
             pass
+
+    def _finish_caller(self):
+        """Ends the answer once the request was read, or soon after."""
+        if self._received:
+            if self._linger is not None:
+                self._linger.cancel()
+            self._finishing = False
+            self._caller.finish()
+        elif not self._finishing:
+            self._finishing = True
+            loop = asyncio.get_running_loop()
+            self._linger = loop.call_later(LINGER_S, self._stop_lingering)
+
+    def _stop_lingering(self):
+        self._received = True
+        self._finish_caller()
--- /dev/null
+++ b/src/figpick/_cancellations.py
@@ -0,0 +1,71 @@
+"""Tells nodes that executions at their upstreams are no longer wanted."""
+
+import asyncio
+
+from ._errors import PeerError
+from ._logs import logger
+
+# Callers that go away often do so together; one message carries all their calls.
+COALESCE_S = 0.005
+MAX_IDS_PER_MESSAGE = 1000
+
+log = logger("cancel")
+
+
+class Cancellations:
+    """Sends and receives ``cancel`` messages.
+
+    :param executions: :class:`~figpick._executions.ExecutionTable`.
+    :param client: :class:`~figpick._transport.PeerClient`.
+    :param clock: :class:`~figpick._clock.Clock`.
+    :param own_name: name of this node.
+    """
+
+    def __init__(self, executions, client, clock, own_name):
+        self._executions = executions
+        self._client = client
+        self._clock = clock
+        self._own_name = own_name
+        self._waiting = {}
+        self._tasks = set()
+
+    def send(self, member, execution_id):
+        """Cancels an execution at the upstream beside a node.
+
+        :param member: :class:`~figpick._members.Member` record of that node.
+        """
+        if member.name == self._own_name:
+            self._executions.cancel(execution_id, self._clock.monotonic())
+            return
+        waiting = self._waiting.get(member.peer_address)
+        if waiting is not None:
+            waiting.append(execution_id)
+            return
+        self._waiting[member.peer_address] = [execution_id]
+        loop = asyncio.get_running_loop()
+        loop.call_later(COALESCE_S, self._flush, member.peer_address)
+
+    async def receive(self, message):
+        """Cancels the calls made under the named executions.
+
+        :param message: dict with ``executions``, a list of ids.
+        """
+        now = self._clock.monotonic()
+        cancelled = 0
+        for execution_id in message["executions"]:
+            cancelled += self._executions.cancel(execution_id, now)
+        return {"cancelled": cancelled}
+
+    def _flush(self, address):
+        ids = self._waiting.pop(address)
+        for start in range(0, len(ids), MAX_IDS_PER_MESSAGE):
+            message = {"executions": ids[start : start + MAX_IDS_PER_MESSAGE]}
+            task = asyncio.ensure_future(self._deliver(address, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _deliver(self, address, message):
+        try:
+            await self._client.send(address, "cancel", message)
+        except PeerError as error:
+            log.debug("Cancellation at {} failed: {}.", address, error)
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -44,6 +44,11 @@
             self._add_control()
         self._add_dissemination()
 
+    @property
+    def node(self):
+        """The node role, or ``None``."""
+        return self._node
+
     async def run(self):
         """Runs until the process is told to stop."""
         stopped = asyncio.Event()
@@ -79,6 +84,7 @@
             self._settings, self.clock, authenticator.key, self._members, self._client
         )
         self._server.handle("exchange", self._node.exchange.receive)
+        self._server.handle("cancel", self._node.cancellations.receive)
         self._supervisor.add_periodic(
             "permits", self._node.renew_permits, EXCHANGE_PERIOD_S
         )
--- a/src/figpick/_connections.py
+++ b/src/figpick/_connections.py
@@ -42,6 +42,23 @@
         """Closes the connection at once."""
         self.stream.close()
 
+    def is_quiet(self):
+        """Whether the connection is open and has received nothing.
+
+        Bytes that arrive between two requests would be read as the answer to the
+        next one.
+        """
+        stream = self.stream
+        if stream.closed() or stream._read_buffer_size:
+            return False
+        try:
+            stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
 
 class ConnectionPool:
     """Connections to one address.
@@ -76,9 +93,10 @@
                     self.close_idle()
                 return None
             self._idle.pop()
-            if not connection.stream.closed():
+            if connection.is_quiet():
                 connection.fresh = False
                 return connection
+            connection.close()
         return None
 
     async def connect(self, now):
@@ -102,6 +120,8 @@
         finally:
             loop.remove_timeout(timer)
         stream.set_nodelay(True)
+        # The HTTP connection would switch it off and on again for each request.
+        stream.set_nodelay = _keep_nodelay
         return Connection(stream, now)
 
     def put_back(self, connection, now):
@@ -119,3 +139,7 @@
         for connection in self._idle:
             connection.close()
         self._idle.clear()
+
+
+def _keep_nodelay(value):
+    pass
--- a/src/figpick/_context.py
+++ b/src/figpick/_context.py
@@ -73,7 +73,7 @@
     :return: :class:`CallContext`, or ``None`` when the value is not valid.
     """
     text, _, mac = value.rpartition(";")
-    if not hmac.compare_digest(_mac(text, key), mac):
+    if not value.isascii() or not hmac.compare_digest(_mac(text, key), mac):
         return None
     fields = text.split(";")
     if len(fields) != len(CallContext._fields):
--- a/src/figpick/_counters.py
+++ b/src/figpick/_counters.py
@@ -11,6 +11,7 @@
         self.cancelled = 0
         self.cut = 0
         self.retries = 0
+        self.rescues = 0
         self.refused = Counter()
 
     def refuse(self, reason):
@@ -27,5 +28,6 @@
             "cancelled": self.cancelled,
             "cut": self.cut,
             "retries": self.retries,
+            "rescues": self.rescues,
             "refused": dict(self.refused),
         }
--- /dev/null
+++ b/src/figpick/_dispatch.py
@@ -0,0 +1,182 @@
+"""Makes the attempts of one call until one of them relays the whole answer."""
+
+import asyncio
+
+from tornado.iostream import StreamClosedError
+
+from . import _context
+from ._attempts import Attempt, AttemptResult
+from ._errors import BrokenAnswerError, CallError, NoUpstreamError
+from ._upstreams import Result
+
+MAX_CONNECT_ATTEMPTS = 3
+# A kept connection may have become silent unnoticed. A call that cannot be sent again
+# uses one only if it answered within this time.
+MAX_IDLE_ONCE_S = 0.25
+
+
+class Dispatch:
+    """The attempts of one call.
+
+    :param node: :class:`~figpick._node.Node`.
+    :param plan: :class:`~figpick._plans.CallPlan`.
+    :param headers: end-to-end headers of the request.
+    :param body: :class:`~figpick._bodies.RequestBody`.
+    :param relay: :class:`~figpick._answers.AnswerRelay`.
+    """
+
+    def __init__(self, node, plan, headers, body, relay):
+        self._node = node
+        self._plan = plan
+        self._headers = headers
+        self._body = body
+        self._relay = relay
+        self._refusing = set()
+        self._broken = set()
+        self._rescue = None
+        self._silent = False
+        self._attempts = 0
+        self.sent = False
+
+    async def run(self):
+        """Makes attempts until the whole answer was relayed.
+
+        :raises CallError: when no answer can be relayed.
+        """
+        try:
+            while not await self._attempt(False):
+                if self._rescue is not None and await self._rescued():
+                    return
+                await self._await_retry()
+        finally:
+            if self._rescue is not None:
+                self._rescue.cancel()
+
+    def suspect(self, attempt):
+        """Tries an idempotent call again, because its connection may be silent.
+
+        :param attempt: :class:`~figpick._attempts.Attempt`.
+        """
+        running = self._rescue is not None and not self._rescue.done()
+        if self._can_repeat() and not running:
+            self._rescue = asyncio.ensure_future(self._run_rescue())
+            self._rescue.add_done_callback(_note_error)
+
+    def give_up(self, attempt):
+        """Ends an attempt whose connection is silent.
+
+        :param attempt: :class:`~figpick._attempts.Attempt`.
+        """
+        running = self._rescue is not None and not self._rescue.done()
+        if running or self._relay.started:
+            return
+        self._silent = True
+        attempt.abandon()
+
+    def _can_repeat(self):
+        idempotent = self._plan.route.idempotent
+        return idempotent and self._body.replayable and self._relay.restartable
+
+    async def _run_rescue(self):
+        await self._node.allow_retry(self._plan)
+        self._node.counters.rescues += 1
+        return await self._attempt(True)
+
+    async def _rescued(self):
+        try:
+            return await self._rescue
+        except CallError:
+            return False
+        finally:
+            self._rescue = None
+
+    async def _await_retry(self):
+        if self._silent:
+            raise BrokenAnswerError("the connection to the upstream is silent")
+        if not self._can_repeat():
+            raise BrokenAnswerError("the upstream gave no whole answer")
+        await self._node.allow_retry(self._plan)
+
+    async def _attempt(self, new_connection):
+        """Makes one attempt, at the first upstream that accepts a connection.
+
+        :return: whether the whole answer was relayed.
+        """
+        node, plan = self._node, self._plan
+        upstreams = node.upstreams(plan.service.name)
+        for _ in range(MAX_CONNECT_ATTEMPTS):
+            upstream = await self._acquire(upstreams)
+            started_at = node.clock.monotonic()
+            result = AttemptResult(False, False, 0)
+            try:
+                connection = await self._connect(upstream, new_connection)
+                if connection is not None:
+                    result = await self._send(upstream, connection)
+                    return result.complete
+                self._refusing.add(upstream.name)
+            finally:
+                now = node.clock.monotonic()
+                ended = Result(result.complete, result.status, now - started_at)
+                upstreams.release(upstream, ended, now)
+        message = f"no upstream of {plan.service.name} accepts connections"
+        raise NoUpstreamError(message, retry_after_s=1)
+
+    async def _acquire(self, upstreams):
+        now = self._node.clock.monotonic()
+        if self._broken:
+            try:
+                excluded = self._refusing | self._broken
+                return await upstreams.acquire(self._plan, now, excluded)
+            except NoUpstreamError:
+                now = self._node.clock.monotonic()
+        return await upstreams.acquire(self._plan, now, self._refusing)
+
+    async def _connect(self, upstream, new_connection):
+        now = self._node.clock.monotonic()
+        connection = None
+        if self._plan.route.idempotent:
+            if not new_connection:
+                connection = upstream.pool.take_idle(now)
+        else:
+            connection = upstream.pool.take_idle(now, MAX_IDLE_ONCE_S)
+        if connection is not None:
+            return connection
+        try:
+            return await upstream.pool.connect(now)
+        except StreamClosedError:
+            return None
+
+    async def _send(self, upstream, connection):
+        node, plan = self._node, self._plan
+        context = self._next_context()
+        self.sent = True
+        attempt = Attempt(plan, upstream, connection, self._relay, node.silence, self)
+        result = None
+        try:
+            result = await attempt.run(self._headers, self._body, context, node.key)
+        finally:
+            if attempt.reusable:
+                upstream.pool.put_back(connection, node.clock.monotonic())
+            else:
+                connection.close()
+            if result is None or not result.complete:
+                node.cancellations.send(upstream.member, context.execution_id)
+        if result.broken:
+            self._broken.add(upstream.name)
+            node.report_break(plan, self._body, upstream, node.clock.monotonic())
+        return result
+
+    def _next_context(self):
+        # Each execution has its own id, so that the cancellation of one attempt
+        # leaves the calls made under another one alone.
+        self._attempts += 1
+        context = self._plan.context
+        if self._attempts == 1:
+            return context
+        return context._replace(execution_id=_context.new_id())
+
+
+def _note_error(task):
+    # Marks the error as seen; the waiting call reports it, if it still runs.
+    if not task.cancelled():
+        task.exception()
--- a/src/figpick/_errors.py
+++ b/src/figpick/_errors.py
@@ -120,6 +120,22 @@
     outcome = OUTCOME_NOT_RUN
 
 
+class HeadTooLargeError(CallError):
+    """The request headers exceed their limit."""
+
+    status = 431
+    reason = "head-too-large"
+    outcome = OUTCOME_NOT_RUN
+
+
+class AbandonedError(CallError):
+    """The execution that made the call was cancelled."""
+
+    status = 503
+    reason = "cancelled"
+    outcome = OUTCOME_NOT_RUN
+
+
 class UnknownServiceError(CallError):
     """No document is known for the service."""
 
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -6,6 +6,7 @@
 
 from . import _announcements, _context, _plans
 from ._calls import CallServer
+from ._cancellations import Cancellations
 from ._connections import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFER_BYTES
 from ._counters import Counters
 from ._documents import Service
@@ -21,9 +22,11 @@
 from ._members import DRAINING, READY
 from ._plans import Moment
 from ._settings import split_address
+from ._silence import SilenceWatch
 from ._upstreams import UpstreamSet
 
-MAX_HEADER_BYTES = 32 * 1024
+# Heads over the limit of a call still need to be read to be refused with 431.
+MAX_HEADER_BYTES = 128 * 1024
 
 log = logger("node")
 
@@ -47,6 +50,10 @@
         self._services = {}
         self._upstream_sets = {}
         self._executions = ExecutionTable()
+        self.cancellations = Cancellations(
+            self._executions, client, clock, settings["name"]
+        )
+        self.silence = SilenceWatch(clock)
         self.exchange = PermitExchange(members, client, clock)
         self._announced_until = 0.0
         self._draining = False
@@ -63,6 +70,11 @@
         """Documents in force, by service."""
         return self._services
 
+    @property
+    def draining(self):
+        """Whether the node is shutting down."""
+        return self._draining
+
     def start(self):
         """Starts to take calls."""
         ip, port = split_address(self._settings["call_address"])
@@ -159,6 +171,10 @@
         """Gives the :class:`UpstreamSet` of a service."""
         return self._upstream_sets[service]
 
+    def is_cancelled(self, execution_id):
+        """Whether an execution at the local upstream was cancelled."""
+        return self._executions.is_cancelled(execution_id)
+
     def begin(self, call, plan):
         """Notes a call that has started."""
         if plan.parent is not None:
--- a/src/figpick/_plans.py
+++ b/src/figpick/_plans.py
@@ -12,6 +12,7 @@
 DEADLINE_HEADER = "Figpick-Deadline-Ms"
 ATTEMPT_HEADER = "Figpick-Attempt"
 MAX_KEY_LENGTH = 256
+MAX_LENGTH_DIGITS = 18
 
 
 class CallPlan(NamedTuple):
@@ -105,11 +106,16 @@
 
 def _check_body(service, headers):
     length = headers.get("Content-Length")
+    coding = headers.get("Transfer-Encoding")
+    if coding is not None:
+        if length is not None:
+            message = "Content-Length and Transfer-Encoding are both set"
+            raise MalformedRequestError(message)
+        if coding.lower() != "chunked":
+            raise MalformedRequestError("Transfer-Encoding is not chunked")
     if length is None:
         return
-    if "Transfer-Encoding" in headers:
-        raise MalformedRequestError("Content-Length and Transfer-Encoding are both set")
-    if not length.isdigit():
+    if not (length.isascii() and length.isdigit()) or len(length) > MAX_LENGTH_DIGITS:
         raise MalformedRequestError("Content-Length is not a number")
     if int(length) > service.limits.body_bytes:
         limit = service.limits.body_bytes
@@ -130,7 +136,7 @@
     value = headers.get(name)
     if value is None:
         return default
-    if not value.isdigit() or len(value) > 9:
+    if not (value.isascii() and value.isdigit()) or len(value) > 9:
         raise MalformedRequestError(f"{name} is not a whole number")
     return int(value)
 
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,109 @@
+"""Answers reach callers whole or are visibly cut."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from bench.cluster import free_address
+from bench.faultproxy import FaultProxy
+from bench.local import LocalGraph, LocalNode, document
+from bench.origin import Origin, pattern
+
+
+@asynccontextmanager
+async def path(on_link=None):
+    """One node before an origin, with a fault proxy between them."""
+    origin, target, listen = Origin(), free_address(), free_address()
+    origin.listen(target)
+    proxy = FaultProxy(target, on_link)
+    ip, port = listen.split(":")
+    proxy.listen(int(port), ip)
+    node = LocalNode("parts-1", "parts", listen)
+    async with LocalGraph([node], [document("parts")]) as graph:
+        yield graph, node, origin, proxy
+    proxy.stop()
+    await origin.stop()
+
+
+def allow_retries(node):
+    async def allow(*arguments):
+        node.node.counters.retries += 1
+
+    node.node.allow_retry = allow
+
+
+def get(graph, node, target, **options):
+    return graph.client.request(
+        node.call_address, "GET", target, {"Host": "parts"}, **options
+    )
+
+
+@pytest.mark.parametrize("framing", ["length", "tagged", "chunked", "close"])
+@pytest.mark.parametrize("size", [0, 1, 70_000, 3_000_000])
+def test_bodies_arrive_unchanged(framing, size):
+    """Guards against lost, doubled or reordered parts of a body."""
+
+    async def scenario():
+        async with path() as (graph, node, _, _):
+            answer = await get(graph, node, f"/body/{size}/{framing}/7")
+            assert answer.status == 200
+            assert answer.body == pattern(7, 0, size)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+def test_cut_body_never_looks_whole(framing):
+    """Guards against a truncated answer that the caller takes for a whole one."""
+
+    def cut(link):
+        link.cut_after = 300_000
+        link.resets = framing == "close"
+
+    async def scenario():
+        async with path(cut) as (graph, node, _, _):
+            allow_retries(node)
+            answer = await get(graph, node, f"/body/1000000/{framing}/7")
+            assert answer.status in (0, 502)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("size", [50_000, 1_000_000])
+def test_tagged_body_is_resumed(size):
+    """Guards against a cut answer that could have been completed by a range."""
+    cuts = [40_000, 300_000]
+
+    def cut(link):
+        link.cut_after = cuts.pop(0) if cuts else None
+
+    async def scenario():
+        async with path(cut) as (graph, node, _, _):
+            allow_retries(node)
+            answer = await get(graph, node, f"/body/{size}/tagged/7")
+            assert answer.status == 200
+            assert answer.body == pattern(7, 0, size)
+            assert node.node.counters.retries >= 1
+
+    asyncio.run(scenario())
+
+
+def test_large_upload_arrives_unchanged():
+    """Guards against a request body that is damaged or buffered without bound."""
+
+    async def scenario():
+        async with path() as (graph, node, origin, proxy):
+            proxy.configure(delay_ms=1)
+            body = pattern(3, 0, 5_000_000)
+            headers = {"Host": "parts"}
+            answer = await graph.client.request(
+                node.call_address, "PUT", "/upload", headers, body
+            )
+            direct = await graph.client.request(
+                node.upstream_address, "PUT", "/upload", headers, body
+            )
+            assert answer.status == 200
+            assert answer.body == direct.body
+
+    asyncio.run(scenario())
