--- a/src/figpick/_answers.py
+++ b/src/figpick/_answers.py
@@ -27,12 +27,14 @@
 class AnswerRelay:
     """Passes one answer on to the caller, from one attempt or several in turn.
 
+    :param node: :class:`~figpick._node.Node`.
     :param caller: connection to the caller.
     :param resumable: whether the request is an idempotent GET for the whole body.
     :param finish: function that ends the answer to the caller.
     """
 
-    def __init__(self, caller, resumable, finish):
+    def __init__(self, node, caller, resumable, finish):
+        self._node = node
         self._caller = caller
         self._resumable = resumable
         self._finish = finish
@@ -46,7 +48,6 @@
         self.started = False
         self.complete = False
         self.status = 0
-        self.closing = False
 
     @property
     def restartable(self):
@@ -118,7 +119,7 @@
     def _start(self, chunk):
         self.started = True
         line = self._start_line
-        if self.closing:
+        if self._node.draining:
             self._headers["Connection"] = "close"
         start_line = ResponseStartLine("HTTP/1.1", line.code, line.reason)
         return self._caller.write_headers(start_line, self._headers, chunk)
--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -152,8 +152,7 @@
         self._caller.set_close_callback(self.cancel)
         resumable = plan.method == "GET" and "Range" not in self._headers
         resumable = resumable and plan.route.idempotent
-        self._relay = AnswerRelay(self._caller, resumable, self._finish_caller)
-        self._relay.closing = node.draining
+        self._relay = AnswerRelay(node, self._caller, resumable, self._finish_caller)
         self._dispatch = Dispatch(node, plan, self._headers, self._body, self._relay)
         delay_s = plan.deadline - node.clock.monotonic()
         self._timer = loop.call_later(delay_s, self._expire)
--- a/src/figpick/_cancellations.py
+++ b/src/figpick/_cancellations.py
@@ -56,8 +56,14 @@
             cancelled += self._executions.cancel(execution_id, now)
         return {"cancelled": cancelled}
 
+    def close(self):
+        """Drops the messages that were not sent yet."""
+        self._waiting.clear()
+        for task in self._tasks:
+            task.cancel()
+
     def _flush(self, address):
-        ids = self._waiting.pop(address)
+        ids = self._waiting.pop(address, ())
         for start in range(0, len(ids), MAX_IDS_PER_MESSAGE):
             message = {"executions": ids[start : start + MAX_IDS_PER_MESSAGE]}
             task = asyncio.ensure_future(self._deliver(address, message))
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -5,6 +5,7 @@
 import random
 import signal
 
+from . import _shutdown
 from ._auth import Authenticator
 from ._clock import Clock
 from ._control import Control
@@ -12,7 +13,7 @@
 from ._exchange import PERIOD_S as EXCHANGE_PERIOD_S
 from ._gossip import PERIOD_S as GOSSIP_PERIOD_S, Gossip
 from ._logs import logger
-from ._members import LEFT, Member, Members
+from ._members import Member, Members
 from ._node import Node
 from ._storage import LogFile
 from ._supervisor import Supervisor
@@ -37,6 +38,7 @@
         self._supervisor = Supervisor("process", self.clock)
         self._node = None
         self._control = None
+        self._stopped = asyncio.Event()
         self._server.handle("state", self._dump)
         if "node" in settings["roles"]:
             self._add_node(authenticator)
@@ -51,10 +53,9 @@
 
     async def run(self):
         """Runs until the process is told to stop."""
-        stopped = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stopped.set)
+            loop.add_signal_handler(number, self.stop)
         if self._control is not None:
             self._control.start()
         self._server.start()
@@ -62,21 +63,32 @@
             self._node.start()
         log.info("Process {} has started.", self._settings["name"])
         tree = asyncio.ensure_future(self._supervisor.run())
-        stop = asyncio.ensure_future(stopped.wait())
-        await asyncio.wait([tree, stop], return_when=asyncio.FIRST_COMPLETED)
+        stop = asyncio.ensure_future(self._stopped.wait())
         try:
+            await asyncio.wait([tree, stop], return_when=asyncio.FIRST_COMPLETED)
             if tree.done():
                 tree.result()
+            await self._leave()
         finally:
-            await self._shut_down(tree)
+            tree.cancel()
+            stop.cancel()
+            await self._close()
 
-    async def _shut_down(self, tree):
-        self._members.update_own(state=LEFT)
-        await self._dissemination.exchange()
-        tree.cancel()
+    def stop(self):
+        """Makes :meth:`run` drain the node, leave and return."""
+        self._stopped.set()
+
+    async def _leave(self):
+        spread = self._dissemination.exchange
+        if self._node is not None:
+            await _shutdown.drain(self._node, spread, self.clock)
+        await _shutdown.leave(self._members, spread)
+
+    async def _close(self):
         if self._node is not None:
             await self._node.stop()
         await self._server.stop()
+        self._client.close()
         log.info("Process {} has stopped.", self._settings["name"])
 
     def _add_node(self, authenticator):
--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -1,5 +1,7 @@
 """Exchanges permits between calling nodes and the owners of upstreams."""
 
+import asyncio
+
 from ._errors import PeerError
 from ._logs import logger
 from ._permits import Grant, PermitPool
@@ -31,6 +33,11 @@
                 await self._renew(upstream)
             upstreams.wake(self._clock.monotonic())
 
+    async def return_all(self, upstream_sets):
+        """Returns the permits at every upstream, before this node leaves."""
+        upstreams = [upstream for group in upstream_sets for upstream in group]
+        await asyncio.gather(*(self._renew(item, leaving=True) for item in upstreams))
+
     async def receive(self, message):
         """Answers a calling node that renews its permits."""
         grant = self.pool.exchange(
@@ -45,11 +52,11 @@
         """Gives the state as a dict."""
         return {"limit": self.pool.limit, "committed": self.pool.committed}
 
-    async def _renew(self, upstream):
+    async def _renew(self, upstream, leaving=False):
         own_name = self._members.own.name
         message = {
             "caller": own_name,
-            "want": upstream.permits.in_use + SPARE_PERMITS,
+            "want": 0 if leaving else upstream.permits.in_use + SPARE_PERMITS,
             "in_use": upstream.permits.in_use,
         }
         address = upstream.member.peer_address
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -19,7 +19,7 @@
 from ._exchange import PermitExchange
 from ._executions import ExecutionTable
 from ._logs import logger
-from ._members import DRAINING, READY
+from ._members import DRAINING, LEFT, READY, TAKES_CALLS
 from ._plans import Moment
 from ._settings import split_address
 from ._silence import SilenceWatch
@@ -57,6 +57,7 @@
         self.exchange = PermitExchange(members, client, clock)
         self._announced_until = 0.0
         self._draining = False
+        self._in_flight = 0
         self._server = None
         members.listen(self._member_changed)
 
@@ -87,8 +88,33 @@
         )
         self._server.listen(port, ip)
 
+    def begin_draining(self):
+        """Marks the upstream as draining and refuses new root requests."""
+        self._draining = True
+        self.members.update_own(state=DRAINING)
+        self._set_limit()
+
+    @property
+    def has_peers(self):
+        """Whether another node may send calls to the local upstream."""
+        own = self.members.own
+        return any(
+            member.name != own.name and member.call_address and member.state != LEFT
+            for member in self.members
+        )
+
+    @property
+    def is_idle(self):
+        """Whether no call is in flight at this node or at its upstream."""
+        return self._in_flight == 0 and self.exchange.pool.committed == 0
+
+    async def return_permits(self):
+        """Returns the permits at other upstreams, when no call is in flight."""
+        await self.exchange.return_all(self._upstream_sets.values())
+
     async def stop(self):
         """Stops to take calls and closes the connections of callers."""
+        self.cancellations.close()
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
@@ -121,12 +147,13 @@
         :raises CallError: when the call cannot be planned.
         """
         self.counters.calls += 1
-        if self._draining:
+        header = headers.get(_context.HEADER)
+        parent = _context.decode(header, self.key) if header else None
+        if self._draining and parent is None:
+            # Calls made under a request in flight are needed to complete it.
             raise DrainingError("the node is shutting down", retry_after_s=1)
         start_line, host = _plans.split_target(start_line, headers)
         service = self._service(host)
-        header = headers.get(_context.HEADER)
-        parent = _context.decode(header, self.key) if header else None
         now = Moment(self.clock.monotonic(), self.clock.wall())
         home = self._settings["peer_address"]
         return _plans.make_plan(service, start_line, headers, parent, home, now)
@@ -177,11 +204,13 @@
 
     def begin(self, call, plan):
         """Notes a call that has started."""
+        self._in_flight += 1
         if plan.parent is not None:
             self._executions.add(plan.parent.execution_id, call)
 
     def end(self, call, plan):
         """Notes a call that has ended."""
+        self._in_flight -= 1
         if plan.parent is not None:
             self._executions.remove(plan.parent.execution_id, call)
 
@@ -202,15 +231,19 @@
     async def check_announcement(self):
         """Marks the upstream as draining when its announcement has lapsed."""
         lapsed = self._announced_until < self.clock.monotonic()
-        if lapsed and self.members.own.state == READY:
+        own = self.members.own
+        if lapsed and own.upstream_address and own.state in TAKES_CALLS:
             log.warning("The upstream stopped announcing itself.")
             self.members.update_own(state=DRAINING)
+            self._set_limit()
 
     def dump(self):
         """Gives the state of the node as a dict."""
         return {
             "counters": self.counters.dump(),
             "documents": self.versions,
+            "draining": self._draining,
+            "in_flight": self._in_flight,
             "executions": len(self._executions),
             "permits": self.exchange.dump(),
             "upstreams": {
@@ -257,12 +290,17 @@
         self._announced_until = self.clock.monotonic() + _announcements.LEASE_S
         own = self.members.own
         changes = {
-            "state": announcement.get("state", READY),
+            "state": DRAINING if self._draining else announcement.get("state", READY),
             "service": announcement["service"],
             "upstream_address": announcement["address"],
             "slots": announcement["slots"],
             "connections": announcement["connections"],
         }
-        self.exchange.pool.limit = announcement["slots"]
         if own._replace(**changes) != own:
             self.members.update_own(**changes)
+        self._set_limit()
+
+    def _set_limit(self):
+        own = self.members.own
+        takes_calls = own.state in TAKES_CALLS
+        self.exchange.pool.limit = own.slots if takes_calls else 0
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -1,11 +1,12 @@
 """The upstreams of one service as a calling node sees them."""
 
 import asyncio
+import itertools
 from typing import NamedTuple
 
 from ._connections import ConnectionPool
 from ._errors import NoUpstreamError, OverloadedError
-from ._members import TAKES_CALLS
+from ._members import DRAINING, TAKES_CALLS
 from ._permits import PermitCache
 from ._queues import WaitQueue
 
@@ -72,13 +73,15 @@
     def __init__(self, service):
         self.service = service
         self._upstreams = {}
+        self._leaving = {}
         self._queue = WaitQueue(service.limits.queue_length)
 
     def __repr__(self):
         return f"<UpstreamSet {self.service.name} {len(self._upstreams)}>"
 
     def __iter__(self):
-        return iter(self._upstreams.values())
+        """Upstreams that take calls, and those that still run some."""
+        return itertools.chain(self._upstreams.values(), self._leaving.values())
 
     @property
     def waiting(self):
@@ -92,14 +95,25 @@
         """
         known = self._upstreams.get(member.name)
         if member.state not in TAKES_CALLS or not member.upstream_address:
-            if known is not None:
-                known.pool.close_idle()
-                del self._upstreams[member.name]
+            self._remove(member, known)
             return
+        if known is None:
+            known = self._leaving.pop(member.name, None)
         if known is None or known.member.upstream_address != member.upstream_address:
             self._upstreams[member.name] = Upstream(member)
         else:
             known.member = member
+            self._upstreams[member.name] = known
+
+    def _remove(self, member, upstream):
+        if upstream is not None:
+            upstream.pool.close_idle()
+            del self._upstreams[member.name]
+            # Its owner waits for the end of the calls in flight, which it learns
+            # from the permit exchange.
+            self._leaving[member.name] = upstream
+        if member.state != DRAINING:
+            self._leaving.pop(member.name, None)
 
     async def acquire(self, plan, now, excluded=()):
         """Takes a permit, waiting for one within the queue time of the service.
--- /dev/null
+++ b/tests/paths.py
@@ -0,0 +1,36 @@
+"""One node before an origin, with a fault proxy between them."""
+
+from contextlib import asynccontextmanager
+
+from bench.cluster import free_address
+from bench.faultproxy import FaultProxy
+from bench.local import LocalGraph, LocalNode, document
+from bench.origin import Origin
+
+
+@asynccontextmanager
+async def path(on_link=None):
+    """Starts the path and gives graph, node, origin and proxy."""
+    origin, target, listen = Origin(), free_address(), free_address()
+    origin.listen(target)
+    proxy = FaultProxy(target, on_link)
+    ip, port = listen.split(":")
+    proxy.listen(int(port), ip)
+    node = LocalNode("parts-1", "parts", listen)
+    async with LocalGraph([node], [document("parts")]) as graph:
+        yield graph, node, origin, proxy
+    proxy.stop()
+    await origin.stop()
+
+
+def allow_retries(node):
+    async def allow(*arguments):
+        node.node.counters.retries += 1
+
+    node.node.allow_retry = allow
+
+
+def call(graph, node, method, target, headers=(), **options):
+    """Sends a request to the node."""
+    headers = {"Host": "parts", **dict(headers)}
+    return graph.client.request(node.call_address, method, target, headers, **options)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -1,42 +1,11 @@
 """Answers reach callers whole or are visibly cut."""
 
 import asyncio
-from contextlib import asynccontextmanager
 
 import pytest
 
-from bench.cluster import free_address
-from bench.faultproxy import FaultProxy
-from bench.local import LocalGraph, LocalNode, document
-from bench.origin import Origin, pattern
-
-
-@asynccontextmanager
-async def path(on_link=None):
-    """One node before an origin, with a fault proxy between them."""
-    origin, target, listen = Origin(), free_address(), free_address()
-    origin.listen(target)
-    proxy = FaultProxy(target, on_link)
-    ip, port = listen.split(":")
-    proxy.listen(int(port), ip)
-    node = LocalNode("parts-1", "parts", listen)
-    async with LocalGraph([node], [document("parts")]) as graph:
-        yield graph, node, origin, proxy
-    proxy.stop()
-    await origin.stop()
-
-
-def allow_retries(node):
-    async def allow(*arguments):
-        node.node.counters.retries += 1
-
-    node.node.allow_retry = allow
-
-
-def get(graph, node, target, **options):
-    return graph.client.request(
-        node.call_address, "GET", target, {"Host": "parts"}, **options
-    )
+from bench.origin import pattern
+from tests.paths import allow_retries, call, path
 
 
 @pytest.mark.parametrize("framing", ["length", "tagged", "chunked", "close"])
@@ -46,7 +15,7 @@
 
     async def scenario():
         async with path() as (graph, node, _, _):
-            answer = await get(graph, node, f"/body/{size}/{framing}/7")
+            answer = await call(graph, node, "GET", f"/body/{size}/{framing}/7")
             assert answer.status == 200
             assert answer.body == pattern(7, 0, size)
 
@@ -64,7 +33,7 @@
     async def scenario():
         async with path(cut) as (graph, node, _, _):
             allow_retries(node)
-            answer = await get(graph, node, f"/body/1000000/{framing}/7")
+            answer = await call(graph, node, "GET", f"/body/1000000/{framing}/7")
             assert answer.status in (0, 502)
 
     asyncio.run(scenario())
@@ -81,7 +50,7 @@
     async def scenario():
         async with path(cut) as (graph, node, _, _):
             allow_retries(node)
-            answer = await get(graph, node, f"/body/{size}/tagged/7")
+            answer = await call(graph, node, "GET", f"/body/{size}/tagged/7")
             assert answer.status == 200
             assert answer.body == pattern(7, 0, size)
             assert node.node.counters.retries >= 1
