--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -5,6 +5,7 @@
 import struct
 
 import msgspec
+from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
     HTTPMessageDelegate,
@@ -16,6 +17,7 @@
 
 from ._answers import AnswerRelay
 from ._bodies import BODY_METHODS, REPLAY_BYTES, RequestBody
+from ._connections import keep_nodelay
 from ._dispatch import Dispatch
 from ._errors import (
     OUTCOME_NOT_RUN,
@@ -36,6 +38,14 @@
 log = logger("calls")
 
 
+class CallListener(HTTPServer):
+    """The HTTP server on the call address."""
+
+    def handle_stream(self, stream, address):
+        keep_nodelay(stream)
+        super().handle_stream(stream, address)
+
+
 class CallServer(HTTPServerConnectionDelegate):
     """Gives each request on the call address to a :class:`Call`.
 
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -1,6 +1,7 @@
 """The composition root: wires the parts of one process."""
 
 import asyncio
+import gc
 import os
 import random
 import signal
@@ -19,6 +20,9 @@
 from ._supervisor import Supervisor
 from ._transport import PeerClient, PeerServer
 
+# The default first threshold of 700 starts several collections for each request.
+GC_THRESHOLDS = (20_000, 20, 50)
+
 log = logger("process")
 
 
@@ -168,7 +172,16 @@
         runner.run(_run_process(settings))
 
 
+def prepare_process():
+    """Keeps garbage collection short, which would otherwise delay calls."""
+    gc.collect()
+    # Modules live as long as the process and need no further examination.
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 async def _run_process(settings):
+    prepare_process()
     await Process(settings).run()
 
 
--- a/src/figpick/_connections.py
+++ b/src/figpick/_connections.py
@@ -119,9 +119,7 @@
             raise StreamClosedError(real_error=error) from error
         finally:
             loop.remove_timeout(timer)
-        stream.set_nodelay(True)
-        # The HTTP connection would switch it off and on again for each request.
-        stream.set_nodelay = _keep_nodelay
+        keep_nodelay(stream)
         return Connection(stream, now)
 
     def put_back(self, connection, now):
@@ -141,5 +139,17 @@
         self._idle.clear()
 
 
-def _keep_nodelay(value):
+def keep_nodelay(stream):
+    """Sends small writes at once for the whole life of a connection.
+
+    The HTTP connection would otherwise switch this off and on for each message, at
+    the cost of two system calls.
+
+    :param stream: ``IOStream``.
+    """
+    stream.set_nodelay(True)
+    stream.set_nodelay = _ignore
+
+
+def _ignore(value):
     pass
--- a/src/figpick/_headers.py
+++ b/src/figpick/_headers.py
@@ -37,7 +37,11 @@
         size += len(name) + len(value) + 4
         if name in HOP_HEADERS or name.startswith(OWN_PREFIX) or name in dropped:
             continue
-        copied.add(name, value)
+        if name in copied:
+            copied.add(name, value)
+        else:
+            # Parsing has checked the name and value; add() would check them again.
+            copied[name] = value
     if size > MAX_HEAD_BYTES:
         raise HeadTooLargeError(f"the headers are over {MAX_HEAD_BYTES} bytes")
     return copied
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -2,10 +2,8 @@
 
 from functools import partial
 
-from tornado.httpserver import HTTPServer
-
 from . import _announcements, _context, _plans
-from ._calls import CallServer
+from ._calls import CallListener, CallServer
 from ._cancellations import Cancellations
 from ._connections import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFER_BYTES
 from ._counters import Counters
@@ -79,7 +77,7 @@
     def start(self):
         """Starts to take calls."""
         ip, port = split_address(self._settings["call_address"])
-        self._server = HTTPServer(
+        self._server = CallListener(
             CallServer(self),
             chunk_size=CHUNK_BYTES,
             max_buffer_size=MAX_BUFFER_BYTES,
