--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -41,8 +41,15 @@
 class CallListener(HTTPServer):
     """The HTTP server on the call address."""
 
+    def initialize(self, *arguments, **options):
+        super().initialize(*arguments, **options)
+        # The time-out of an hour costs a timer for each request. Keep-alive probes of
+        # TCP end the connections of callers that disappeared.
+        self.conn_params.header_timeout = None
+
     def handle_stream(self, stream, address):
         keep_nodelay(stream)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         super().handle_stream(stream, address)
 
 
