--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,6 +1,7 @@
 """Starts control processes, nodes and stand-in upstreams on loopback."""
 
 import asyncio
+import random
 import socket
 import subprocess
 import sys
@@ -19,6 +20,7 @@
 
 KEY = "a key for tests on loopback"
 READY_TIMEOUT_S = 30.0
+LISTEN_PORTS = (12_000, 32_000)
 STOP_TIMEOUT_S = 10.0
 
 
@@ -55,9 +57,16 @@
 
 def free_address(ip="127.0.0.1"):
     """Gives an ``ip:port`` that no process listens on."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return f"{ip}:{probe.getsockname()[1]}"
+    # The system gives ports of its ephemeral range, which starts above, to outgoing
+    # connections before the caller listens.
+    while True:
+        port = random.randrange(*LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        return f"{ip}:{port}"
 
 
 class Cluster:
@@ -174,7 +183,7 @@
         return await self.peers.send(address, "state", {}, 5.0)
 
     async def wait_until_ready(self):
-        """Waits until each node has every document and can call each service."""
+        """Waits until each node has its document and knows all upstreams."""
         await wait_for(self._is_ready, READY_TIMEOUT_S)
 
     async def steer(self, host, action, body=b""):
@@ -186,16 +195,21 @@
         return msgspec.json.decode(answer.body) if answer.status == 200 else None
 
     async def _is_ready(self):
-        sizes = {spec.name: spec.servers for spec in self._services}
+        names = {host.name for host in self.hosts}
         for host in self.hosts:
             try:
-                state = (await self.state(host.peer_address))["node"]
+                state = await self.state(host.peer_address)
             except PeerError:
                 return False
-            for service, servers in sizes.items():
-                upstreams = state["upstreams"].get(service, [])
-                if sum(item["granted"] > 0 for item in upstreams) < servers:
-                    return False
+            ready = {
+                member["name"]
+                for member in state["members"]
+                if member["state"] == "ready"
+            }
+            if not names <= ready or host.service not in state["node"]["documents"]:
+                return False
+            if host.service not in state["documents"]["rosters"]:
+                return False
         return True
 
     def _start_all(self):
@@ -240,6 +254,7 @@
             "call_address": host.call_address,
             "peer_address": host.peer_address,
             "service": host.service,
+            "calls": [spec.name for spec in self._services],
             "control": self.controls,
             "shared_key": KEY,
         }
--- a/bench/local.py
+++ b/bench/local.py
@@ -55,6 +55,8 @@
         self.process = Process(settings)
         for document in documents:
             self.node.adopt(document, 1)
+        # No control process confirms the documents.
+        self.node.fetcher.confirm = _confirm
         self.task = asyncio.ensure_future(self.process.run())
 
     async def announce(self, client):
@@ -134,3 +136,7 @@
     ]
     route = {"method": "POST", "path": "/*", "importance": 5, "idempotent": False}
     return {"service": service, "routes": [*routes, route], "limits": limits}
+
+
+async def _confirm():
+    pass
--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -15,8 +15,8 @@
 )
 from tornado.iostream import StreamClosedError
 
-from ._answers import AnswerRelay
 from ._bodies import BODY_METHODS, REPLAY_BYTES, RequestBody
+from ._claim_records import MAX_ANSWER_BYTES
 from ._connections import keep_nodelay
 from ._dispatch import Dispatch
 from ._errors import (
@@ -25,10 +25,13 @@
     AbandonedError,
     CallError,
     DeadlineError,
+    DocumentMissingError,
     MalformedRequestError,
 )
 from ._headers import content_length, forwarded_headers
 from ._logs import logger
+from ._plans import KEY_HEADER
+from ._relays import AnswerRelay
 
 # The rest of a refused body is read for this long. Closing with unread bytes resets
 # the connection, and the caller may lose the answer.
@@ -88,19 +91,20 @@
         self._timer = None
         self._linger = None
         self._failure = None
-        self._claimed = False
         self._received = False
         self._ended = False
         self._finishing = False
         self._head = None
+        self._keyed = False
 
     def headers_received(self, start_line, headers):
         self._head = start_line
+        self._keyed = KEY_HEADER in headers
         local = self._node.local_handler(start_line, self._caller)
         if local is not None:
             self._body = RequestBody(REPLAY_BYTES)
             self._plan = local
-            return
+            return None
         try:
             self._headers = forwarded_headers(headers)
             self._plan = self._node.plan(start_line, headers)
@@ -110,8 +114,15 @@
             malformed = isinstance(error, MalformedRequestError)
             self._received = malformed or "Expect" in headers
             self._refuse(error)
-            return
+            return None
+        except DocumentMissingError as error:
+            return self._fetch_document(error.service, start_line, headers)
         self._accept(headers)
+        return None
+
+    async def _fetch_document(self, service, start_line, headers):
+        await self._node.fetcher.fetch(service, self._node.clock.monotonic())
+        self.headers_received(start_line, headers)
 
     def data_received(self, chunk):
         if self._ended:
@@ -169,8 +180,10 @@
         self._caller.set_close_callback(self.cancel)
         resumable = plan.method == "GET" and "Range" not in self._headers
         resumable = resumable and plan.route.idempotent
-        self._relay = AnswerRelay(node, self._caller, resumable, self._finish_caller)
-        self._dispatch = Dispatch(node, plan, self._headers, self._body, self._relay)
+        keep_bytes = 0 if plan.route.idempotent else MAX_ANSWER_BYTES
+        self._relay = AnswerRelay(
+            node, self._caller, resumable, keep_bytes, self._finish_caller
+        )
         delay_s = plan.deadline - node.clock.monotonic()
         self._timer = loop.call_later(delay_s, self._expire)
         self._task = loop.create_task(self._run())
@@ -194,10 +207,10 @@
             await self._carry_out()
             self._ended = True
         except CallError as error:
-            self._abort(error)
+            await self._abort_claimed(error)
         except asyncio.CancelledError:
             if self._failure is not None:
-                self._abort(self._failure)
+                await self._abort_claimed(self._failure)
         except Exception:
             log.exception("Call to {} failed.", plan.service.name)
             self._abort(CallError("internal error"))
@@ -205,31 +218,51 @@
             self._ended = True
             self._timer.cancel()
             self._body.discard()
-            if self._claimed:
-                status = self._relay.status if self._relay.complete else 0
-                node.finish_claim(plan, self._dispatch.sent, status)
+            self._close()
             node.end(self, plan)
 
+    def _close(self):
+        node, plan, relay = self._node, self._plan, self._relay
+        if not plan.route.idempotent:
+            node.finish_claim(plan, self._sent, relay.short_answer)
+        status = relay.status if relay.complete else 0
+        name = self._dispatch.upstream_name if self._dispatch is not None else ""
+        node.close_retries(plan, self._body, self._sent, status, name)
+
     async def _carry_out(self):
         node, plan = self._node, self._plan
         if plan.parent is not None and node.is_cancelled(plan.parent.execution_id):
             raise AbandonedError("the execution that made this call was cancelled")
         node.admit(plan, self._body, node.clock.monotonic())
+        excluded = await node.admit_resend(plan, self._body)
         if not plan.route.idempotent:
-            self._claimed = True
-            try:
-                await node.claim(plan)
-            except CallError:
-                self._claimed = False
-                raise
+            stored = await node.claim(plan)
+            if stored is not None:
+                self._write_stored(stored)
+                return
+        self._dispatch = Dispatch(
+            node, plan, self._headers, self._body, self._relay, excluded
+        )
         await self._dispatch.run()
 
+    @property
+    def _sent(self):
+        return self._dispatch is not None and self._dispatch.sent
+
+    async def _abort_claimed(self, error):
+        plan = self._plan
+        asks = plan.key and not plan.route.idempotent and not self._sent
+        if asks and error.outcome == OUTCOME_NOT_RUN:
+            error.outcome = await self._node.claimed_outcome(plan)
+        self._abort(error)
+
     def _outcome(self, error):
+        if error.outcome != OUTCOME_NOT_RUN:
+            return error.outcome
         # Once a byte was sent, no later refusal of this call may say not-run.
-        sent = self._dispatch is not None and self._dispatch.sent
-        if sent and error.outcome == OUTCOME_NOT_RUN:
-            return OUTCOME_UNKNOWN
-        return error.outcome
+        # Without a plan nobody knows whether a keyed request ran before.
+        unplanned = self._task is None and self._keyed
+        return OUTCOME_UNKNOWN if self._sent or unplanned else OUTCOME_NOT_RUN
 
     def _abort(self, error):
         self._ended = True
@@ -266,14 +299,25 @@
             headers["Connection"] = "close"
         self._write(error.status, headers, body)
 
+    def _write_stored(self, stored):
+        """Answers a resend with the answer of the execution."""
+        self._ended = True
+        headers = HTTPHeaders()
+        for name, value in stored["headers"]:
+            headers.add(name, value)
+        data = stored["body"].encode("latin-1")
+        self._write_body(stored["status"], headers, data)
+
     def _answer_locally(self):
         self._ended = True
         status, body = self._plan(self._body.head)
         self._write(status, HTTPHeaders(), body)
 
     def _write(self, status, headers, body):
-        data = msgspec.json.encode(body)
         headers["Content-Type"] = "application/json"
+        self._write_body(status, headers, msgspec.json.encode(body))
+
+    def _write_body(self, status, headers, data):
         headers["Content-Length"] = str(len(data))
         start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, ""))
         try:
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -5,21 +5,29 @@
 import os
 import random
 import signal
+import sys
+from functools import partial
 
 from . import _shutdown
 from ._auth import Authenticator
+from ._candidates import RosterProposer
+from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
 from ._control import Control
 from ._dissemination import Dissemination
+from ._events import EventStore
 from ._exchange import PERIOD_S as EXCHANGE_PERIOD_S
+from ._fetching import ControlDocuments, DocumentFetcher
 from ._gossip import PERIOD_S as GOSSIP_PERIOD_S, Gossip
+from ._headlines import Headlines
 from ._logs import logger
-from ._members import Member, Members
+from ._members import LEFT, Member, Members
 from ._node import Node
-from ._storage import LogFile
-from ._supervisor import Supervisor
+from ._probing import Prober
+from ._supervisor import RestartLimitError, Supervisor
 from ._transport import PeerClient, PeerServer
 
+EXIT_FAILED = 1
 # The default first threshold of 700 starts several collections for each request.
 GC_THRESHOLDS = (20_000, 20, 50)
 
@@ -35,14 +43,18 @@
     def __init__(self, settings):
         self._settings = settings
         self.clock = Clock()
-        authenticator = Authenticator(settings["shared_key"])
+        authenticator = Authenticator(
+            settings["shared_key"], settings.get("previous_keys", ())
+        )
         self._client = PeerClient(authenticator, self.clock)
         self._server = PeerServer(settings["peer_address"], authenticator, self.clock)
         self._members = Members(self._own_record())
-        self._supervisor = Supervisor("process", self.clock)
+        self.supervisor = Supervisor("process", self.clock)
         self._node = None
         self._control = None
-        self._stopped = asyncio.Event()
+        self._fetcher = None
+        self._headlines = Headlines()
+        self._told_to_stop = asyncio.Event()
         self._server.handle("state", self._dump)
         if "node" in settings["roles"]:
             self._add_node(authenticator)
@@ -50,6 +62,11 @@
             self._add_control()
         self._add_dissemination()
 
+    @property
+    def members(self):
+        """View of all processes."""
+        return self._members
+
     @property
     def node(self):
         """The node role, or ``None``."""
@@ -59,70 +76,189 @@
         """Runs until the process is told to stop."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
-        if self._control is not None:
-            self._control.start()
-        self._server.start()
-        if self._node is not None:
-            self._node.start()
-        log.info("Process {} has started.", self._settings["name"])
-        tree = asyncio.ensure_future(self._supervisor.run())
-        stop = asyncio.ensure_future(self._stopped.wait())
+            loop.add_signal_handler(number, self.request_stop)
+        await self.start()
+        tree = asyncio.ensure_future(self.supervisor.run())
+        stop = asyncio.ensure_future(self._told_to_stop.wait())
         try:
             await asyncio.wait([tree, stop], return_when=asyncio.FIRST_COMPLETED)
             if tree.done():
                 tree.result()
-            await self._leave()
+            if self._node is not None:
+                spread = self._dissemination.flush
+                await _shutdown.drain(self._node, spread, self.clock)
         finally:
             tree.cancel()
             stop.cancel()
-            await self._close()
+            await self.stop()
 
-    def stop(self):
+    def request_stop(self):
         """Makes :meth:`run` drain the node, leave and return."""
-        self._stopped.set()
+        self._told_to_stop.set()
 
-    async def _leave(self):
-        spread = self._dissemination.exchange
+    async def start(self):
+        """Starts the roles; the supervisor is not started yet."""
+        if self._control is not None:
+            self._control.start()
+            self._announce_versions()
+        self._server.start()
         if self._node is not None:
-            await _shutdown.drain(self._node, spread, self.clock)
-        await _shutdown.leave(self._members, spread)
+            await self._fetcher.confirm()
+            self._node.start()
+        log.info("Process {} has started.", self._settings["name"])
 
-    async def _close(self):
+    async def stop(self):
+        """Leaves and stops the roles."""
+        self._members.update_own(state=LEFT)
+        await self._dissemination.flush()
+        self.close()
+        await self.close_listeners()
+        log.info("Process {} has stopped.", self._settings["name"])
+
+    async def close_listeners(self):
+        """Stops to take calls and messages."""
         if self._node is not None:
             await self._node.stop()
         await self._server.stop()
+
+    def close(self):
+        """Ends what runs in the background without telling others."""
+        self._dissemination.stop()
+        self._prober.stop()
+        if self._fetcher is not None:
+            self._fetcher.stop()
         self._client.close()
-        log.info("Process {} has stopped.", self._settings["name"])
 
     def _add_node(self, authenticator):
         self._node = Node(
             self._settings, self.clock, authenticator.key, self._members, self._client
         )
         self._server.handle("exchange", self._node.exchange.receive)
+        self._server.handle("permits", self._node.exchange.receive_push)
         self._server.handle("cancel", self._node.cancellations.receive)
-        self._supervisor.add_periodic(
-            "permits", self._node.renew_permits, EXCHANGE_PERIOD_S
-        )
-        self._supervisor.add_periodic("announcement", self._node.check_announcement, 1)
+        self._server.handle("retry_grant", self._node.retries.receive)
+        group = self.supervisor.add_group("node")
+        self._add_claims(group)
+        group.add_periodic("permits", self._node.renew_permits, EXCHANGE_PERIOD_S)
+        group.add_periodic("announcement", self._node.check_announcement, 1)
+
+    def _add_claims(self, group):
+        claims = self._node.claims
+        control = [member["address"] for member in self._settings.get("control", [])]
+        copies = ClaimCopies(claims, self.clock, self._client, control)
+        for kind in ("claim", "lookup", "finish", "release"):
+            self._server.handle(kind, partial(claims.receive, kind))
+        self._server.handle("roster", claims.receive_roster)
+        self._server.handle("copy", copies.receive)
+        service = self._settings.get("service", "")
+        refresh = partial(copies.refresh, service)
+        group.add_periodic("claims", refresh, CLAIM_COPY_PERIOD_S)
 
     def _add_control(self):
-        self._control = Control(self.clock, LogFile(self._settings["data_folder"]))
-        self._server.handle("put", self._control.put)
-        self._server.handle("get", self._control.get)
-        self._server.handle("history", self._control.history)
+        self._control = Control(self._settings, self.clock, self._client)
+        self._control.add_handlers(self._server)
+        self._control.add_tasks(self.supervisor.add_group("control"))
+        proposer = RosterProposer(
+            self._members, lambda: self._control.registry, self.clock
+        )
+        self._control.propose_rosters = proposer.propose
+        # A change is announced at once by the process that has applied it.
+        self._server.handle("put", self._put)
 
     def _add_dissemination(self):
-        gossip = Gossip(self._members, self._versions, self._seeds(), random.Random())
+        events = EventStore()
+        source = random.Random()
+        gossip = Gossip(self._members, self._headlines, events, self._seeds(), source)
         self._dissemination = Dissemination(
-            gossip, self._client, self._node, self._control
+            self._members, gossip, self._headlines, events, self._client, self.clock
         )
+        self._prober = Prober(
+            self._members,
+            self._client,
+            self.clock,
+            source,
+            self._dissemination.announce_suspect,
+        )
+        self._client.listen(self._message_ended)
         self._server.handle("gossip", self._dissemination.receive)
-        self._server.handle("document", self._dissemination.serve_document)
-        self._supervisor.add_periodic(
-            "gossip", self._dissemination.exchange, GOSSIP_PERIOD_S
+        self._server.handle("news", self._dissemination.receive_news)
+        self._server.handle("probe", self._prober.answer)
+        self._server.handle("ping", self._ping)
+        self._add_documents(source)
+        group = self.supervisor.add_group("membership")
+        group.add_periodic("gossip", self._exchange, GOSSIP_PERIOD_S)
+        group.add_periodic("sweep", self._sweep, GOSSIP_PERIOD_S)
+
+    def _add_documents(self, source):
+        if self._node is None:
+            documents = ControlDocuments(self._control)
+        else:
+            documents = self._fetcher = self._make_fetcher(source)
+            self._dissemination.listen_versions(documents.note)
+            self._dissemination.holds = documents.holds
+            self._node.fetcher = documents
+        if self._control is not None:
+            documents = ControlDocuments(self._control)
+            self._dissemination.holds = self._control_holds
+        self._server.handle("document", documents.serve)
+
+    def _make_fetcher(self, source):
+        settings = self._settings
+        own = [settings["service"]] if "service" in settings else []
+        return DocumentFetcher(
+            self._node,
+            self._members,
+            self._headlines,
+            self._client,
+            [member["address"] for member in settings.get("control", [])],
+            self._seeds(),
+            own + settings.get("calls", []),
+            source,
         )
 
+    async def _exchange(self):
+        self._announce_versions()
+        await self._dissemination.exchange()
+        if self._fetcher is not None:
+            await self._fetcher.refresh()
+
+    async def _sweep(self):
+        self._dissemination.expire()
+        self._client.close_idle(self.clock.monotonic())
+
+    async def _put(self, message):
+        answer = await self._control.put(message)
+        self._announce_versions()
+        return answer
+
+    async def _ping(self, message):
+        return {}
+
+    def _announce_versions(self):
+        if self._control is None:
+            return
+        epochs = self._control.registry.epochs
+        for service, version in self._control.versions.items():
+            epoch = epochs.get(service, 0)
+            self._dissemination.announce_version(service, version, epoch)
+
+    def _control_holds(self, service):
+        newest = self._headlines.get(service)
+        registry = self._control.registry
+        version = registry.versions.get(service, 0)
+        epoch = registry.epochs.get(service, 0)
+        return version >= newest.version and epoch >= newest.epoch
+
+    def _message_ended(self, address, kind, answered):
+        contacts = self._members.contacts
+        if answered:
+            contacts.answered(address, self.clock.monotonic())
+            return
+        contacts.failed(address)
+        # A check by a helper must not cause further checks.
+        if kind != "ping":
+            self._prober.check(address)
+
     def _own_record(self):
         settings = self._settings
         return Member(
@@ -145,19 +281,16 @@
         control = [member["address"] for member in self._settings.get("control", [])]
         return control + self._settings.get("seeds", [])
 
-    def _versions(self):
-        if self._control is not None:
-            return self._control.versions
-        return self._node.versions
-
     async def _dump(self, message):
         state = {
             "name": self._settings["name"],
             "members": [member._asdict() for member in self._members],
-            "supervisor": self._supervisor.dump(),
+            "supervisor": self.supervisor.dump(),
         }
         if self._node is not None:
             state["node"] = self._node.dump()
+        if self._fetcher is not None:
+            state["documents"] = self._fetcher.dump()
         if self._control is not None:
             state["control"] = self._control.dump()
         return state
@@ -166,10 +299,16 @@
 def run(settings):
     """Runs one process until it is told to stop.
 
+    The process exits with 1 when a part of it fails too often.
+
     :param settings: :class:`~figpick._settings.Settings`.
     """
     with asyncio.Runner(loop_factory=_loop_factory()) as runner:
-        runner.run(_run_process(settings))
+        try:
+            runner.run(_run_process(settings))
+        except RestartLimitError as error:
+            log.critical("The process ends: {}.", error)
+            sys.exit(EXIT_FAILED)
 
 
 def prepare_process():
--- a/tests/paths.py
+++ b/tests/paths.py
@@ -6,10 +6,11 @@
 from bench.faultproxy import FaultProxy
 from bench.local import LocalGraph, LocalNode, document
 from bench.origin import Origin
+from figpick._errors import RetryBoundError
 
 
 @asynccontextmanager
-async def path(on_link=None):
+async def start_path(on_link=None):
     """Starts the path and gives graph, node, origin and proxy."""
     origin, target, listen = Origin(), free_address(), free_address()
     origin.listen(target)
@@ -30,6 +31,15 @@
     node.node.allow_retry = allow
 
 
+def refuse_retries(node):
+    """Makes the home of each request refuse its retry grants."""
+
+    async def refuse(*arguments):
+        raise RetryBoundError("no further attempt is allowed")
+
+    node.node.allow_retry = refuse
+
+
 def call(graph, node, method, target, headers=(), **options):
     """Sends a request to the node."""
     headers = {"Host": "parts", **dict(headers)}
