End silent attempts when another one has answered

Cause: when a rescue attempt answered, the attempt on the silent connection kept its permit until the deadline; its age counted as service time and raised the level. Change: the attempts that are still waiting are ended with the first whole answer.

--- a/src/figpick/_dispatch.py
+++ b/src/figpick/_dispatch.py
@@ -35,6 +35,7 @@
         self._refusing = set(excluded)
         self._broken = set()
         self._rescue = None
+        self._active = set()
         self._silent = False
         self._attempts = 0
         self.sent = False
@@ -82,7 +83,11 @@
     async def _run_rescue(self):
         await self._node.allow_retry(self._plan, self._attempts)
         self._node.counters.rescues += 1
-        return await self._attempt(True)
+        complete = await self._attempt(True)
+        if complete:
+            for attempt in self._active:
+                attempt.abandon()
+        return complete
 
     async def _rescued(self):
         try:
@@ -161,9 +166,11 @@
         self.upstream_name = upstream.name
         attempt = Attempt(plan, upstream, connection, self._relay, node.silence, self)
         result = None
+        self._active.add(attempt)
         try:
             result = await attempt.run(self._headers, self._body, node.key)
         finally:
+            self._active.discard(attempt)
             if attempt.reusable:
                 upstream.pool.put_back(connection, node.clock.monotonic())
             else:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -29,6 +29,9 @@
             answers = await asyncio.gather(*calls)
             assert [answer.status for answer in answers] == [200, 200, 200]
             assert time.monotonic() - started_at < RECOVERY_S
+            # The silent attempts end with the call and return their permits.
+            await asyncio.sleep(0.05)
+            assert node.node.dump()["upstreams"]["parts"][0]["in_use"] == 0
 
     asyncio.run(scenario())
 
