--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -152,6 +152,10 @@
         """Stops the call, because nobody waits for its answer."""
         if self._linger is not None:
             self._linger.cancel()
+        plan = self._plan
+        if self._sent and plan.key and not plan.route.idempotent:
+            # The answer is stored for a resend; stopping would only lose it.
+            return
         if self._task is not None and not self._ended:
             self._node.counters.cancelled += 1
             self._ended = True
