--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -5,8 +5,11 @@
 import random
 import signal
 import sys
+from functools import partial
 
 from ._auth import Authenticator
+from ._candidates import RosterProposer
+from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
 from ._control import Control
 from ._dissemination import Dissemination
@@ -19,7 +22,6 @@
 from ._members import LEFT, Member, Members
 from ._node import Node
 from ._probing import Prober
-from ._storage import LogFile
 from ._supervisor import RestartLimitError, Supervisor
 from ._transport import PeerClient, PeerServer
 
@@ -121,15 +123,35 @@
             self._settings, self.clock, authenticator.key, self._members, self._client
         )
         self._server.handle("exchange", self._node.exchange.receive)
+        self._server.handle("permits", self._node.exchange.receive_push)
+        self._server.handle("retry_grant", self._node.retries.receive)
         group = self.supervisor.add_group("node")
+        self._add_claims(group)
         group.add_periodic("permits", self._node.renew_permits, EXCHANGE_PERIOD_S)
         group.add_periodic("announcement", self._node.check_announcement, 1)
 
+    def _add_claims(self, group):
+        claims = self._node.claims
+        control = [member["address"] for member in self._settings.get("control", [])]
+        copies = ClaimCopies(claims, self.clock, self._client, control)
+        for kind in ("claim", "lookup", "finish", "release"):
+            self._server.handle(kind, partial(claims.receive, kind))
+        self._server.handle("roster", claims.receive_roster)
+        self._server.handle("copy", copies.receive)
+        service = self._settings.get("service", "")
+        refresh = partial(copies.refresh, service)
+        group.add_periodic("claims", refresh, CLAIM_COPY_PERIOD_S)
+
     def _add_control(self):
-        self._control = Control(self.clock, LogFile(self._settings["data_folder"]))
+        self._control = Control(self._settings, self.clock, self._client)
+        self._control.add_handlers(self._server)
+        self._control.add_tasks(self.supervisor.add_group("control"))
+        proposer = RosterProposer(
+            self._members, lambda: self._control.registry, self.clock
+        )
+        self._control.propose_rosters = proposer.propose
+        # A change is announced at once by the process that has applied it.
         self._server.handle("put", self._put)
-        self._server.handle("get", self._control.get)
-        self._server.handle("history", self._control.history)
 
     def _add_dissemination(self):
         events = EventStore()
@@ -203,12 +225,17 @@
     def _announce_versions(self):
         if self._control is None:
             return
+        epochs = self._control.registry.epochs
         for service, version in self._control.versions.items():
-            self._dissemination.announce_version(service, version, 0)
+            epoch = epochs.get(service, 0)
+            self._dissemination.announce_version(service, version, epoch)
 
     def _control_holds(self, service):
-        version = self._headlines.get(service).version
-        return self._control.versions.get(service, 0) >= version
+        newest = self._headlines.get(service)
+        registry = self._control.registry
+        version = registry.versions.get(service, 0)
+        epoch = registry.epochs.get(service, 0)
+        return version >= newest.version and epoch >= newest.epoch
 
     def _message_ended(self, address, kind, answered):
         contacts = self._members.contacts
--- a/src/figpick/_fetching.py
+++ b/src/figpick/_fetching.py
@@ -245,9 +245,7 @@
         if known is not None and roster["epoch"] <= known["epoch"]:
             return False
         self._rosters[service] = roster
-        adopt = getattr(self._node, "adopt_roster", None)
-        if adopt is not None:
-            adopt(roster)
+        self._node.adopt_roster(**roster)
         return True
 
     def _entry(self, name):
@@ -274,12 +272,7 @@
     async def serve(self, message):
         """Gives committed documents; a missing one is left out of a list."""
         if "services" not in message:
-            return await self._control.get(message)
-        entries = []
-        for service in message["services"]:
-            try:
-                entries.append(await self._control.get({"service": service}))
-            except PeerRefusedError as error:
-                if error.status != NOT_FOUND:
-                    raise
-        return {"documents": entries}
+            return await self._control.document(message)
+        if message.get("confirm"):
+            return await self._control.confirmed_documents(message)
+        return await self._control.documents(message)
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -6,6 +6,7 @@
 
 from . import _announcements, _context, _plans
 from ._calls import CallServer
+from ._claiming import Claims
 from ._connections import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFER_BYTES
 from ._counters import Counters
 from ._documents import Service
@@ -13,7 +14,6 @@
     DocumentMissingError,
     DrainingError,
     InvalidDocumentError,
-    RetryBoundError,
     UnknownServiceError,
 )
 from ._exchange import PermitExchange
@@ -21,6 +21,7 @@
 from ._logs import logger
 from ._members import DRAINING, READY
 from ._plans import Moment
+from ._retrying import Retries
 from ._settings import split_address
 from ._upstreams import UpstreamSet
 
@@ -49,6 +50,8 @@
         self._upstream_sets = {}
         self._executions = ExecutionTable()
         self.exchange = PermitExchange(members, client, clock)
+        self.claims = Claims(clock, members, client)
+        self.retries = Retries(settings["peer_address"], clock, client)
         self._announced_until = 0.0
         self._draining = False
         self._server = None
@@ -97,10 +100,19 @@
         service = self._services[name] = Service(document, version)
         upstreams = self._upstream_sets.get(name)
         if upstreams is None:
-            upstreams = self._upstream_sets[name] = UpstreamSet(service)
+            now = self.clock.monotonic()
+            upstreams = self._upstream_sets[name] = UpstreamSet(
+                service,
+                self.members.own,
+                now,
+                self.exchange.ask,
+                self.exchange.give_back,
+            )
             for member in self.members.of_service(name):
-                upstreams.update(member)
+                upstreams.update(member, now)
         upstreams.service = service
+        if name == self.members.own.service:
+            self.exchange.owner.restrict(service.limits)
         log.info("Version {} of {} is in force.", version, name)
         return True
 
@@ -119,7 +131,8 @@
         parent = _context.decode(header, self.key) if header else None
         now = Moment(self.clock.monotonic(), self.clock.wall())
         home = self._settings["peer_address"]
-        return _plans.make_plan(service, start_line, headers, parent, home, now)
+        plan = _plans.make_plan(service, start_line, headers, parent, home, now)
+        return plan if parent is not None else self.retries.open(plan)
 
     def admit(self, plan, body, now):
         """Decides whether a call may wait for a permit.
@@ -128,19 +141,41 @@
         :param now: monotonic seconds.
         :raises CallError: when it is refused.
         """
+        if plan.parent is not None:
+            parent = plan.parent
+            called = (plan.service.name, plan.route.route_id)
+            routes = self.exchange.owner.routes
+            routes.note_call(parent.route_id, parent.execution_id, called)
+        self._upstream_sets[plan.service.name].admit(plan, now)
 
     async def claim(self, plan):
-        """Claims a non-idempotent call before it is sent.
+        """Claims a keyed non-idempotent call before it is sent.
 
-        :raises DuplicateError: when it may have run before.
+        :return: stored answer of an earlier execution, or ``None``.
+        :raises CallError: when it may have run before.
         """
+        return await self.claims.claim(plan) if plan.key else None
+
+    async def claimed_outcome(self, plan):
+        """Gives the outcome that a refusal of a keyed call may state."""
+        return await self.claims.outcome(plan)
 
-    def finish_claim(self, plan, sent, status):
+    def finish_claim(self, plan, sent, answer):
         """Notes the end of a claimed call.
 
         :param sent: whether any byte may have reached an upstream.
-        :param status: HTTP status of the whole answer, 0 without one.
+        :param answer: short whole answer, or ``None``.
         """
+        self.claims.finish(plan, sent, answer)
+
+    def adopt_roster(self, service, epoch, positions, **times):
+        """Puts a roster in force unless a newer one is.
+
+        :param times: the other fields of :class:`~figpick._rosters.Roster`.
+        :return: whether it was newer.
+        """
+        fields = {"service": service, "epoch": epoch, "positions": positions}
+        return self.claims.adopt({**fields, **times})
 
     def report_break(self, plan, body, upstream, now):
         """Notes that a connection broke while a call was in flight on it.
@@ -150,12 +185,26 @@
         :param now: monotonic seconds.
         """
 
-    async def allow_retry(self, plan):
+    async def admit_resend(self, plan, body):
+        """Asks for a retry grant when a call repeats an earlier one.
+
+        :return: names of upstreams that must not be used.
+        :raises CallError: when it is refused.
+        """
+        return await self.retries.admit(plan, body)
+
+    async def allow_retry(self, plan, attempts):
         """Asks the home of the root request for a retry grant.
 
+        :param attempts: number of times that the call was sent.
         :raises RetryBoundError: when the call may not be sent again.
         """
-        raise RetryBoundError("no further attempt is allowed", retry_after_s=1)
+        self.counters.retries += 1
+        await self.retries.allow(plan, attempts)
+
+    def close_retries(self, plan, body, sent, status, upstream):
+        """Notes the end of a call for the recognition of retries."""
+        self.retries.close(plan, body, sent, status, upstream)
 
     def upstreams(self, service):
         """Gives the :class:`UpstreamSet` of a service."""
@@ -164,12 +213,16 @@
     def begin(self, call, plan):
         """Notes a call that has started."""
         if plan.parent is not None:
-            self._executions.add(plan.parent.execution_id, call)
+            execution_id = plan.parent.execution_id
+            self._executions.add(execution_id, call)
+            self.exchange.owner.downstream.begin(execution_id, self.clock.monotonic())
 
     def end(self, call, plan):
         """Notes a call that has ended."""
         if plan.parent is not None:
-            self._executions.remove(plan.parent.execution_id, call)
+            execution_id = plan.parent.execution_id
+            self._executions.remove(execution_id, call)
+            self.exchange.owner.downstream.end(execution_id, self.clock.monotonic())
 
     def local_handler(self, start_line, caller):
         """Finds the handler of a request to the node itself.
@@ -183,7 +236,7 @@
 
     async def renew_permits(self):
         """Renews the permits at every known upstream."""
-        await self.exchange.renew(self._upstream_sets.values())
+        await self.exchange.renew(self._upstream_sets)
 
     async def check_announcement(self):
         """Marks the upstream as draining when its announcement has lapsed."""
@@ -199,6 +252,12 @@
             "documents": self.versions,
             "executions": len(self._executions),
             "permits": self.exchange.dump(),
+            "waiting": {
+                name: upstreams.waiting
+                for name, upstreams in self._upstream_sets.items()
+            },
+            "claims": self.claims.dump(),
+            "retries": self.retries.dump(),
             "upstreams": {
                 name: [self._dump_upstream(item) for item in upstreams]
                 for name, upstreams in self._upstream_sets.items()
@@ -212,6 +271,7 @@
             "granted": upstream.permits.granted,
             "in_use": upstream.permits.in_use,
             "latency_ms": round(upstream.latency_s * 1000, 3),
+            "ejected": upstream.health.ejected,
         }
 
     def _service(self, host):
@@ -231,7 +291,7 @@
     def _member_changed(self, member):
         upstreams = self._upstream_sets.get(member.service)
         if upstreams is not None:
-            upstreams.update(member)
+            upstreams.update(member, self.clock.monotonic())
 
     def _announce(self, method, remote_ip, body):
         if remote_ip != split_address(self._settings["call_address"])[0]:
@@ -255,6 +315,8 @@
             "slots": announcement["slots"],
             "connections": announcement["connections"],
         }
-        self.exchange.pool.limit = announcement["slots"]
+        draining = changes["state"] == DRAINING
+        slots = 0 if draining else announcement["slots"]
+        self.exchange.owner.announce(slots, announcement["connections"])
         if own._replace(**changes) != own:
             self.members.update_own(**changes)
