Measure configuration changes with three control processes

Cause: the experiment ran with one control process, since the log was not yet replicated; the stub of a node took a roster as one argument. Change: three control processes; the stub takes the roster as fields.

--- a/bench/config.py
+++ b/bench/config.py
@@ -13,7 +13,7 @@
 from bench.rows import Row
 from figpick._errors import PeerError
 
-CONTROLS = 1
+CONTROLS = 3
 SIZES = (10, 50, 100, 200)
 SERVICES = [f"service-{number}" for number in range(10)]
 BURST_CHANGES = 50
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -68,7 +68,7 @@
         self.documents[name] = Service(document, version)
         return True
 
-    def adopt_roster(self, roster):
+    def adopt_roster(self, **roster):
         self.rosters.append(roster)
 
 
