Measure the cost of an idle node and control process

Cause: the bounds of 1.3% of a core, 32 MB and 25 kB/s for each node had no experiment, and the state dump had neither traffic nor the time since a control process was last heard of. Change: bench control-cost lets the number of nodes grow from 10 to 100 and extrapolates by the slopes; the state is collected by part, one part on request. The age of the last news of control travels with the exchange of views.

--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,237 @@
+"""Cost of an idle node process and control process, and its growth.
+
+One real node and three real control processes run beside nodes that are objects
+inside worker processes, see :mod:`bench.fleet`. The cost at 1,600 nodes, 40
+services and 6,400 changes a day is extrapolated by the slopes.
+"""
+
+import asyncio
+import os
+import time
+from typing import NamedTuple
+
+from bench.cluster import Cluster, ServiceSpec, wait_for
+from bench.fleet import Fleet
+from bench.rows import Row
+from figpick._errors import PeerError
+
+SIZES = (10, 40, 100)
+WINDOW_S = 1.8
+SETTLE_S = 1.5
+ROLES = ("node", "control")
+SERVICES = 10
+MORE_SERVICES = 40
+CHANGES = 8
+
+TARGET_NODES = 1600
+TARGET_SERVICES = 40
+TARGET_CHANGES_PER_S = 6400 / 86400
+CPU_BOUND = 1.3
+MEMORY_BOUND_MB = 32.0
+TRAFFIC_BOUND_KB_S = 25.0
+
+# Request line, headers and status line of one message and its answer.
+HEAD_BYTES = 270
+# A message on a new connection takes about ten packets with 66 bytes of headers.
+PACKET_BYTES = 660
+
+
+class Cost(NamedTuple):
+    """Cost of one process.
+
+    :param cpu: percent of a core.
+    :param memory_mb: resident memory, MB of 10^6 bytes.
+    :param traffic_kb_s: kB/s sent and received, with headers of packets.
+    """
+
+    cpu: float
+    memory_mb: float
+    traffic_kb_s: float
+
+
+BOUNDS = Cost(CPU_BOUND, MEMORY_BOUND_MB, TRAFFIC_BOUND_KB_S)
+UNITS = Cost("% of a core", "MB", "kB/s")
+
+
+class Sample(NamedTuple):
+    """Counters of one process at one moment."""
+
+    at: float
+    cpu_s: float
+    memory_mb: float
+    messages: int
+    body_bytes: int
+
+
+def run(seeds):
+    """Yields the rows of all sizes and seeds, then the extrapolation."""
+    idle, changes, services = asyncio.run(_measure(seeds))
+    for size, costs in idle.items():
+        for role in ROLES:
+            for seed, cost in zip(seeds, costs, strict=True):
+                yield from _rows(f"{size} nodes idle {role}", seed, cost[role])
+    for role in ROLES:
+        yield from _extrapolate(role, idle, changes, services, seeds[0])
+
+
+async def _measure(seeds):
+    """Lets the number of nodes grow and measures at each size."""
+    spec = ServiceSpec({"service": "service-0", "routes": []}, [], 1, 20)
+    names = [f"service-{number}" for number in range(1, SERVICES)]
+    idle = {}
+    async with Cluster([spec], controls=3) as cluster:
+        versions = await _put_all(cluster, names)
+        # The nodes neither call the measured node nor ask for rosters, which
+        # services without upstreams don't have.
+        fleet = Fleet(SIZES[0] - 1, names, cluster.controls, serving=False)
+        async with fleet:
+            for size in SIZES:
+                await fleet.grow(size - 1 - len(fleet.names))
+                await fleet.wait_for_members()
+                await asyncio.sleep(SETTLE_S)
+                idle[size] = [await _window(cluster) for _ in seeds]
+            changes = await _changes(cluster, versions)
+            services = await _services(cluster)
+    return idle, changes, services
+
+
+async def _window(cluster, action=None):
+    """Measures the node and a control process for one window."""
+    targets = {
+        "node": (cluster.hosts[0].name, cluster.hosts[0].peer_address),
+        "control": (cluster.controls[0]["name"], cluster.controls[0]["address"]),
+    }
+    before = {role: await _sample(cluster, *each) for role, each in targets.items()}
+    if action is not None:
+        await action()
+    rest_s = WINDOW_S - (time.monotonic() - before["node"].at)
+    await asyncio.sleep(max(0.1, rest_s))
+    after = {role: await _sample(cluster, *each) for role, each in targets.items()}
+    return {role: _cost(before[role], after[role]) for role in targets}
+
+
+async def _sample(cluster, name, address):
+    # The dump of all parts would itself count as traffic.
+    message = {"part": "traffic"}
+    state = await cluster.peers.send(address, "state", message, 5.0)
+    traffic = state["traffic"]
+    pid = cluster.pid(name)
+    with open(f"/proc/{pid}/schedstat") as file:
+        cpu_s = int(file.read().split()[0]) / 1e9
+    with open(f"/proc/{pid}/statm") as file:
+        pages = int(file.read().split()[1])
+    return Sample(
+        at=time.monotonic(),
+        cpu_s=cpu_s,
+        memory_mb=pages * os.sysconf("SC_PAGE_SIZE") / 1e6,
+        messages=traffic["sent"] + traffic["received"],
+        body_bytes=traffic["sent_bytes"] + traffic["received_bytes"],
+    )
+
+
+def _cost(before, after):
+    seconds = after.at - before.at
+    messages = after.messages - before.messages
+    wire_bytes = after.body_bytes - before.body_bytes
+    wire_bytes += messages * (HEAD_BYTES + PACKET_BYTES)
+    return Cost(
+        cpu=100 * (after.cpu_s - before.cpu_s) / seconds,
+        memory_mb=after.memory_mb,
+        traffic_kb_s=wire_bytes / 1000 / seconds,
+    )
+
+
+async def _changes(cluster, versions):
+    """Measures a window with changes and gives the cost for each change/s."""
+
+    async def change_all():
+        services = list(versions)[:CHANGES]
+        for service in services:
+            document = {"service": service, "routes": []}
+            answer = await cluster.put(document, versions[service])
+            versions[service] = answer["version"]
+
+    return await _window(cluster, change_all)
+
+
+async def _services(cluster):
+    """Adds services and measures an idle window."""
+    names = [f"service-{number}" for number in range(SERVICES, MORE_SERVICES)]
+    await _put_all(cluster, names)
+    await asyncio.sleep(1.0)
+    return await _window(cluster)
+
+
+async def _put_all(cluster, names):
+    versions = {}
+    for name in names:
+
+        async def put(name=name):
+            try:
+                answer = await cluster.put({"service": name, "routes": []}, 0)
+            except PeerError:
+                return False
+            versions[name] = answer["version"]
+            return True
+
+        await wait_for(put, 15.0)
+    return versions
+
+
+def _extrapolate(role, idle, changes, services, seed):
+    points = [(size, cost[role]) for size, costs in idle.items() for cost in costs]
+    last = _mean([cost for size, cost in points if size == SIZES[-1]])
+    per_node, base = _line(points)
+    change_rate = CHANGES / WINDOW_S
+    per_change = _per(changes[role], last, change_rate)
+    # A node holds the documents of the services that it calls; the headlines of
+    # the others are what grows with the number of services.
+    per_service = _per(services[role], last, MORE_SERVICES - SERVICES)
+    yield from _rows(f"slope per node, {role}", seed, per_node, digits=6)
+    yield from _rows(f"slope per change/s, {role}", seed, per_change, digits=4)
+    yield from _rows(f"slope per service, {role}", seed, per_service, digits=5)
+    target = Cost(
+        *(
+            base[index]
+            + max(0.0, per_node[index]) * TARGET_NODES
+            + max(0.0, per_change[index]) * TARGET_CHANGES_PER_S
+            + max(0.0, per_service[index]) * (TARGET_SERVICES - SERVICES)
+            for index in range(len(base))
+        )
+    )
+    bounds = BOUNDS if role == "node" else None
+    yield from _rows(f"{TARGET_NODES} nodes by the slope, {role}", seed, target, bounds)
+
+
+def _per(cost, base, count):
+    return Cost(*((new - old) / count for new, old in zip(cost, base, strict=True)))
+
+
+def _mean(costs):
+    return Cost(*(sum(values) / len(costs) for values in zip(*costs, strict=True)))
+
+
+def _line(points):
+    """Fits a line by least squares.
+
+    :param points: pairs of size and :class:`Cost`.
+    :return: tuple of the slopes and the values at size 0.
+    """
+    mean_x = sum(size for size, _ in points) / len(points)
+    mean_y = _mean([cost for _, cost in points])
+    spread = sum((size - mean_x) ** 2 for size, _ in points)
+    slopes = [
+        sum((size - mean_x) * (cost[index] - mean_y[index]) for size, cost in points)
+        / spread
+        for index in range(len(mean_y))
+    ]
+    base = [mean - slope * mean_x for mean, slope in zip(mean_y, slopes, strict=True)]
+    return Cost(*slopes), Cost(*base)
+
+
+def _rows(case, seed, cost, bounds=None, digits=3):
+    for index, field in enumerate(Cost._fields):
+        figure = round(cost[index], digits)
+        bound = None if bounds is None else bounds[index]
+        name = f"{case} {field.rpartition('_')[0] or field}"
+        yield Row("control-cost", name, seed, None, figure, bound, UNITS[index])
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -30,13 +30,14 @@
     """Nodes spread over worker processes; use as an async context manager.
 
     :param count: number of nodes.
-    :param services: names of services; each node holds the documents of all and
-        serves one.
+    :param services: names of services; each node holds the documents of all.
     :param control: control processes as in the settings.
+    :param serving: whether each node is beside an upstream of a service.
     """
 
-    def __init__(self, count, services, control):
+    def __init__(self, count, services, control, serving=True):
         self._services = services
+        self._serving = serving
         self._control = control
         self._workers = []
         # Free ports would be taken by outgoing connections of other nodes before
@@ -49,12 +50,7 @@
         try:
             for _ in range(min(WORKERS, len(self.names))):
                 self._workers.append(await _start_worker())
-            await asyncio.gather(
-                *(
-                    self._start_share(number, worker)
-                    for number, worker in enumerate(self._workers)
-                )
-            )
+            await self._start(self.names)
         except BaseException:
             await self.__aexit__()
             raise
@@ -78,11 +74,17 @@
 
     async def join(self):
         """Starts one more node and gives its name."""
-        name = f"node-{self._next_number}"
-        self._next_number += 1
-        self.names.append(name)
-        await self.command(name, action="start", settings=[self._settings(name)])
-        return name
+        names = await self.grow(1)
+        return names[0]
+
+    async def grow(self, count):
+        """Starts more nodes and gives their names."""
+        first = self._next_number
+        self._next_number += count
+        names = [f"node-{number}" for number in range(first, first + count)]
+        self.names.extend(names)
+        await self._start(names)
+        return names
 
     async def report(self):
         """Collects what all nodes noted since the last report.
@@ -113,21 +115,28 @@
                 raise TimeoutError(f"views have {min(sizes)} of {expected} members")
             await asyncio.sleep(0.2)
 
-    async def _start_share(self, number, worker):
-        names = self.names[number :: len(self._workers)]
-        settings = [self._settings(name) for name in names]
-        await _command(worker, {"action": "start", "settings": settings})
+    async def _start(self, names):
+        shares = {}
+        for name in names:
+            number = int(name.rpartition("-")[2]) % len(self._workers)
+            shares.setdefault(number, []).append(self._settings(name))
+        commands = [
+            _command(self._workers[number], {"action": "start", "settings": settings})
+            for number, settings in shares.items()
+        ]
+        await asyncio.gather(*commands)
 
     def _settings(self, name):
         number = int(name.rpartition("-")[2])
+        service = self._services[number % len(self._services)]
         return {
+            **({"service": service} if self._serving else {}),
             "name": name,
             "region": "region-1",
             "data_center": f"dc-{number % 3 + 1}",
             "roles": ["node"],
             "call_address": f"{self._ip(number)}:{CALL_PORT}",
             "peer_address": f"{self._ip(number)}:{PEER_PORT}",
-            "service": self._services[number % len(self._services)],
             "calls": self._services,
             "control": self._control,
             "shared_key": KEY,
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -22,6 +22,7 @@
 from ._members import LEFT, Member, Members
 from ._node import Node
 from ._probing import Prober
+from ._state import StateDump
 from ._supervisor import RestartLimitError, Supervisor
 from ._transport import PeerClient, PeerServer
 
@@ -50,12 +51,16 @@
         self._control = None
         self._fetcher = None
         self._headlines = Headlines()
-        self._server.handle("state", self._dump)
+        control = settings.get("control", [])
+        self._control_addresses = [member["address"] for member in control]
+        self._state = StateDump(settings["name"])
+        self._server.handle("state", self._state.receive)
         if "node" in settings["roles"]:
             self._add_node(authenticator)
         if "control" in settings["roles"]:
             self._add_control()
         self._add_dissemination()
+        self._add_state(authenticator)
 
     @property
     def members(self):
@@ -132,8 +137,7 @@
 
     def _add_claims(self, group):
         claims = self._node.claims
-        control = [member["address"] for member in self._settings.get("control", [])]
-        copies = ClaimCopies(claims, self.clock, self._client, control)
+        copies = ClaimCopies(claims, self.clock, self._client, self._control_addresses)
         for kind in ("claim", "lookup", "finish", "release"):
             self._server.handle(kind, partial(claims.receive, kind))
         self._server.handle("roster", claims.receive_roster)
@@ -198,7 +202,7 @@
             self._members,
             self._headlines,
             self._client,
-            [member["address"] for member in settings.get("control", [])],
+            self._control_addresses,
             self._seeds(),
             own + settings.get("calls", []),
             source,
@@ -240,7 +244,10 @@
     def _message_ended(self, address, kind, answered):
         contacts = self._members.contacts
         if answered:
-            contacts.answered(address, self.clock.monotonic())
+            now = self.clock.monotonic()
+            contacts.answered(address, now)
+            if address in self._control_addresses:
+                self._dissemination.note_control(0.0, now)
             return
         contacts.failed(address)
         # A check by a helper must not cause further checks.
@@ -266,23 +273,29 @@
         )
 
     def _seeds(self):
-        control = [member["address"] for member in self._settings.get("control", [])]
-        return control + self._settings.get("seeds", [])
-
-    async def _dump(self, message):
-        state = {
-            "name": self._settings["name"],
-            "members": [member._asdict() for member in self._members],
-            "gossip": self._dissemination.dump(),
-            "supervisor": self.supervisor.dump(),
-        }
+        return self._control_addresses + self._settings.get("seeds", [])
+
+    def _add_state(self, authenticator):
+        add = self._state.add
+        add("members", lambda: [member._asdict() for member in self._members])
+        add("gossip", self._dissemination.dump)
+        add("traffic", self._dump_traffic)
+        add("authentication", authenticator.dump)
+        add("supervisor", self.supervisor.dump)
         if self._node is not None:
-            state["node"] = self._node.dump()
-        if self._fetcher is not None:
-            state["documents"] = self._fetcher.dump()
+            add("node", self._node.dump)
+            add("documents", self._fetcher.dump)
         if self._control is not None:
-            state["control"] = self._control.dump()
-        return state
+            add("control", self._control.dump)
+
+    def _dump_traffic(self):
+        client, server = self._client, self._server
+        return {
+            "sent": client.sent_count,
+            "received": server.received_count,
+            "sent_bytes": client.sent_bytes + server.sent_bytes,
+            "received_bytes": client.received_bytes + server.received_bytes,
+        }
 
 
 def run(settings):
--- a/src/figpick/_dissemination.py
+++ b/src/figpick/_dissemination.py
@@ -44,6 +44,8 @@
         self._clock = clock
         self._handlers = {}
         self._exchange_counts = Counter()
+        self._control_heard_at = None
+        self.is_control = members.own.role != "node"
         self._version_listeners = []
         self._outgoing = {}
         self._flush_timer = None
@@ -96,6 +98,27 @@
         """Tells all processes that a member does not answer."""
         self._queue(MEMBER, name, self._members.get(name), self._gossip.hops())
 
+    def note_control(self, age_s, now):
+        """Notes that a control process was heard of.
+
+        :param age_s: seconds since it was heard of by whoever tells.
+        :param now: monotonic seconds.
+        """
+        heard_at = now - age_s
+        if self._control_heard_at is None or heard_at > self._control_heard_at:
+            self._control_heard_at = heard_at
+
+    def control_age_s(self, now):
+        """Seconds since this process or its peers heard of a control process.
+
+        :param now: monotonic seconds.
+        :return: seconds, ``None`` when none was ever heard of.
+        """
+        if self.is_control:
+            return 0.0
+        heard_at = self._control_heard_at
+        return None if heard_at is None else now - heard_at
+
     async def exchange(self):
         """Exchanges views with one random peer."""
         address = self._gossip.choose_peer()
@@ -124,7 +147,7 @@
     async def receive(self, message):
         """Answers a peer that exchanges views."""
         self._take(message, "")
-        return self._gossip.answer(message)
+        return self._with_control_age(self._gossip.answer(message))
 
     async def receive_news(self, message):
         """Takes news that a peer forwards."""
@@ -161,7 +184,11 @@
 
     def dump(self):
         """Gives the state as a dict."""
-        return {**self._gossip.dump(), "exchanges": self._exchange_counts}
+        return {
+            **self._gossip.dump(),
+            "exchanges": self._exchange_counts,
+            "control_heard_s_ago": self.control_age_s(self._clock.monotonic()),
+        }
 
     def stop(self):
         """Ends the sends under way."""
@@ -171,7 +198,15 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def _with_control_age(self, message):
+        age_s = self.control_age_s(self._clock.monotonic())
+        if age_s is not None:
+            message["control_age_s"] = round(age_s, 1)
+        return message
+
     def _take(self, message, address):
+        if "control_age_s" in message:
+            self.note_control(message["control_age_s"], self._clock.monotonic())
         news = self._gossip.receive(message, self._clock.wall())
         self._tell_versions(news.services, address)
         for event in news.events:
--- a/src/figpick/_gossip.py
+++ b/src/figpick/_gossip.py
@@ -35,6 +35,7 @@
     :param versions: document version and roster epoch by service.
     :param event_ids: identities of the kept events.
     :param events: events that the receiver lacks.
+    :param control_age_s: seconds since the sender heard of a control process.
     """
 
     v: int
@@ -45,6 +46,7 @@
     versions: dict
     event_ids: list
     events: list
+    control_age_s: float
 
 
 class News(NamedTuple):
--- a/src/figpick/_transport.py
+++ b/src/figpick/_transport.py
@@ -184,6 +184,8 @@
         self._server = None
         self._tasks = set()
         self.received_count = 0
+        self.received_bytes = 0
+        self.sent_bytes = 0
 
     def handle(self, kind, handler):
         """Sets the handler of a message kind.
@@ -233,6 +235,7 @@
             self._clock.wall(),
         )
         self.received_count += 1
+        self.received_bytes += len(request.body)
         handler = self._handlers.get(request.path.removeprefix(PATH_PREFIX))
         if handler is None:
             raise PeerRefusedError(404, {"error": f"no handler for {request.path}"})
@@ -243,6 +246,7 @@
         return await handler(message)
 
     def _write(self, connection, status, body):
+        self.sent_bytes += len(body)
         headers = HTTPHeaders()
         headers["Content-Type"] = "application/json"
         headers["Content-Length"] = str(len(body))
