Return unused permits at once and let important calls wait less

Change: the minimum holds within one importance; up to eight nodes are asked for each missing permit; unused permits return within 5 ms while others wait; calls also take permits that nobody asks for at another owner; the target of waits is 40 ms, so that each owner has a few calls waiting.

--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -13,9 +13,13 @@
 CALM_PERIOD_S = 2.0
 LEAST_GAP_S = 0.02
 # Changes that arrive together are answered by one push.
-PUSH_DELAY_S = 0.002
+PUSH_DELAY_S = 0.0005
+# Unused permits return sooner than this node asks again: others wait for them.
+RETURN_GAP_S = 0.005
 BUSY_PERIOD_S = 0.09
 
+NOTHING_ASKED = (-1, 0)
+
 log = logger("permits")
 
 
@@ -39,8 +43,8 @@
         self.sent_at = 0.0
         self.timer = None
         self.incarnation = incarnation
-        # What the owner knows: the highest importance that waits, and the calls.
-        self.asked = -1
+        # What the owner knows: the most important unmet demand, and the calls.
+        self.asked = NOTHING_ASKED
         self.in_use = 0
         self.again = False
 
@@ -98,8 +102,8 @@
                 continue
             line = self._line(upstream)
             # The owner pushes permits for demand that it knows.
-            if highest(demand) > line.asked:
-                self._hasten(upstreams, upstream, line)
+            if _urgency(demand) > line.asked:
+                self._hasten(upstreams, upstream, line, LEAST_GAP_S)
 
     def give_back(self, upstreams, upstream):
         """Tells an owner at once of permits that are no longer used.
@@ -108,19 +112,19 @@
         """
         permits = upstream.permits
         line = self._line(upstream)
-        unused = min(permits.granted, line.in_use) > upstreams.demand(upstream).total
+        unused = permits.granted > upstreams.demand(upstream).total
         recalled = permits.granted < line.in_use
         if unused or (recalled and permits.in_use < line.in_use):
-            self._hasten(upstreams, upstream, line)
+            self._hasten(upstreams, upstream, line, RETURN_GAP_S)
 
-    def _hasten(self, upstreams, upstream, line):
+    def _hasten(self, upstreams, upstream, line, gap_s):
         if line.timer is not None:
             return
         if line.busy:
             line.again = True
             return
         now = self._clock.monotonic()
-        wait_s = line.sent_at + LEAST_GAP_S - now
+        wait_s = line.sent_at + gap_s - now
         if wait_s <= 0:
             self._start(upstreams, upstream, now)
         else:
@@ -160,7 +164,7 @@
         line = self._line(upstream)
         line.in_use = upstream.permits.in_use
         unmet = demand.total > upstream.permits.granted
-        line.asked = highest(demand) if unmet else -1
+        line.asked = _urgency(demand) if unmet else NOTHING_ASKED
         return upstream.permits.usage(self._number, demand, now)
 
     def _accept(self, upstream, message, sent_at):
@@ -210,13 +214,15 @@
             await self._exchange(upstreams, upstream)
             upstreams.wake(self._clock.monotonic())
             upstream.permits.owner_silent = False
+            if upstream.permits.contended:
+                self.give_back(upstreams, upstream)
         except PeerError as error:
             upstream.permits.owner_silent = True
             log.debug("No permits from {}: {}.", upstream.name, error)
         finally:
             line.busy = False
             if line.again:
-                self._hasten(upstreams, upstream, line)
+                self._hasten(upstreams, upstream, line, RETURN_GAP_S)
 
     async def _exchange(self, upstreams, upstream):
         own_name = self._members.own.name
@@ -232,7 +238,7 @@
         self._accept(upstream, answer, now)
 
     def _push_soon(self):
-        if self._push_timer is None and self.pool.short:
+        if self._push_timer is None and self.pool.movable:
             loop = asyncio.get_running_loop()
             self._push_timer = loop.call_later(PUSH_DELAY_S, self._push)
 
@@ -275,3 +281,8 @@
             for member in self._members
             if member.call_address and member.state not in (LEFT, FAILED)
         }
+
+
+def _urgency(demand):
+    importance = highest(demand)
+    return importance, demand.by_importance[importance]
--- a/src/figpick/_levels.py
+++ b/src/figpick/_levels.py
@@ -23,7 +23,7 @@
 LEAST_LOAD = 0.9
 # Share of the slots in use at which a level is not lowered.
 FULL = 0.93
-WAIT_TARGET_S = 0.02
+WAIT_TARGET_S = 0.04
 WAIT_WINDOW_S = 0.25
 RATE_TIME_S = 0.5
 SERVICE_WINDOW_S = 0.5
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -256,6 +256,10 @@
                 name: upstreams.waiting
                 for name, upstreams in self._upstream_sets.items()
             },
+            "refused": {
+                name: upstreams.refused
+                for name, upstreams in self._upstream_sets.items()
+            },
             "claims": self.claims.dump(),
             "retries": self.retries.dump(),
             "upstreams": {
--- a/src/figpick/_owner.py
+++ b/src/figpick/_owner.py
@@ -9,6 +9,8 @@
 WINDOW_S = 0.5
 # Calling nodes are told of a level at once when it rose by more than this.
 LEVEL_RISE = 0.02
+# Calling nodes return unused permits at once until this long after a shortage.
+CONTENDED_S = 1.0
 
 
 class UpstreamOwner:
@@ -31,6 +33,7 @@
         self._level = 0.0
         self._route_levels = {}
         self._told = {}
+        self._contended_until = 0.0
         self._window = deque()
         self._ticked_at = now
         self._counts = [0, 0.0, 0]
@@ -66,7 +69,7 @@
         for route_id, number in report.routes:
             self.routes.note_executions(route_id, number)
         grant = self.pool.exchange(caller, decode_usage(message["usage"]), now)
-        return self._message(caller, grant)
+        return self._message(caller, grant, now)
 
     def acknowledge(self, caller, usage, now):
         """Takes the answer of a calling node to a push.
@@ -83,12 +86,12 @@
         :return: list of calling node and message.
         """
         messages = [
-            (caller, self._message(caller, grant))
+            (caller, self._message(caller, grant, now))
             for caller, grant in self.pool.pushes(now)
         ]
         named = {caller for caller, _ in messages}
         told = [
-            (caller, self._message(caller, None))
+            (caller, self._message(caller, None, now))
             for caller in self.pool.grants()
             if caller not in named and self._rose_for(caller)
         ]
@@ -121,13 +124,15 @@
             "granted": self.pool.grants(),
         }
 
-    def _message(self, caller, grant):
+    def _message(self, caller, grant, now):
+        if self.pool.short:
+            self._contended_until = now + CONTENDED_S
         self._told[caller] = (self._level, self._route_levels)
         return {
             "grant": None if grant is None else list(grant),
             "level": self._level,
             "routes": self._route_levels,
-            "contended": self.pool.short,
+            "contended": now < self._contended_until,
         }
 
     def _rose_for(self, caller):
--- a/src/figpick/_permits.py
+++ b/src/figpick/_permits.py
@@ -8,7 +8,7 @@
 LEAST_MOVE = 2
 # Several calling nodes are asked for each missing permit, since the one whose
 # request ends first is not known; the others get theirs back.
-RECALLS = 3
+RECALLS = 8
 
 
 class Demand(NamedTuple):
@@ -70,31 +70,24 @@
 def divide(limit, demands):
     """Divides permits among calling nodes, most important demand first.
 
-    Each calling node with requests gets one permit while permits last. Within
-    one importance the rest is divided in proportion to demand.
+    Within one importance each calling node gets one permit while permits last,
+    and the rest is divided in proportion to demand. A minimum across importances
+    would leave important requests waiting where permits are fewer than nodes.
 
     :param limit: permits to divide.
     :param demands: dict from calling node to :class:`Demand`.
     :return: dict from calling node to permits.
     """
     shares = dict.fromkeys(demands, 0)
-    active = [caller for caller, demand in demands.items() if demand.total]
-    active.sort(key=lambda caller: (-highest(demands[caller]), caller))
-    minimum = active[: max(0, limit)]
-    shares.update(dict.fromkeys(minimum, 1))
-    left = limit - len(minimum)
-    credits = dict.fromkeys(minimum, 1)
+    left = limit
     for importance in range(IMPORTANCES - 1, -1, -1):
         if left <= 0:
             return shares
-        needs = {}
-        for caller in active:
-            need = demands[caller].by_importance[importance]
-            used = min(need, credits.get(caller, 0))
-            if used:
-                credits[caller] -= used
-            if need > used:
-                needs[caller] = need - used
+        needs = {
+            caller: demand.by_importance[importance]
+            for caller, demand in demands.items()
+            if demand.by_importance[importance]
+        }
         left -= _share(left, needs, shares)
     spare = {caller: demand.spare for caller, demand in demands.items() if demand.spare}
     _share(left, spare, shares)
@@ -116,14 +109,20 @@
         for caller, need in needs.items():
             shares[caller] += need
         return total
+    minimum = [caller for caller in needs if not shares[caller]][:left]
+    for caller in minimum:
+        shares[caller] += 1
+    rest = left - len(minimum)
+    total -= len(minimum)
     remainders = []
     given = 0
     for caller, need in needs.items():
-        whole, remainder = divmod(left * need, total)
+        need -= caller in minimum
+        whole, remainder = divmod(rest * need, total)
         shares[caller] += whole
         given += whole
         remainders.append((-remainder, caller))
-    for _, caller in sorted(remainders)[: left - given]:
+    for _, caller in sorted(remainders)[: rest - given]:
         shares[caller] += 1
     return left
 
@@ -145,7 +144,15 @@
     acknowledged last and all that were sent after it.
     """
 
-    __slots__ = ("number", "granted", "in_use", "demand", "expires_at", "pending")
+    __slots__ = (
+        "number",
+        "granted",
+        "in_use",
+        "demand",
+        "expires_at",
+        "pending",
+        "met_at",
+    )
 
     def __init__(self):
         self.number = 0
@@ -154,6 +161,7 @@
         self.demand = Demand((0,) * IMPORTANCES)
         self.expires_at = 0.0
         self.pending = []
+        self.met_at = 0.0
 
     @property
     def committed(self):
@@ -193,6 +201,15 @@
         """Whether requests wait for more permits than are granted."""
         return any(item.granted < item.demand.total for item in self._holdings.values())
 
+    @property
+    def movable(self):
+        """Whether a push could give a calling node more of what it wants."""
+        free = self.committed < self.limit
+        return any(
+            item.granted < item.demand.total + (item.demand.spare if free else 0)
+            for item in self._holdings.values()
+        )
+
     def grants(self):
         """Gives the permits granted, by calling node."""
         return {caller: item.granted for caller, item in self._holdings.items()}
@@ -239,19 +256,24 @@
         :return: list of calling node and :class:`Grant`, to send as pushes.
         """
         self.expire(now)
-        if self.confirming or not (self.short or self.committed > self.limit):
+        if self.confirming or not (self.movable or self.committed > self.limit):
             return []
         targets = self._targets()
         waiting = self._waiting(targets)
-        return self._recall(targets, waiting) + self._raise(targets, waiting)
+        return self._recall(targets, waiting) + self._raise(targets, waiting, now)
 
     def _waiting(self, targets):
-        """Lists the calling nodes below their target, most important first."""
-        waiting = [
-            (-highest(item.demand), caller)
-            for caller, item in self._holdings.items()
-            if min(targets[caller], item.demand.total) > item.granted
-        ]
+        """Lists the calling nodes below their target.
+
+        The most important come first, then those that got a permit longest ago.
+        """
+        waiting = []
+        for caller, holding in self._holdings.items():
+            if targets[caller] <= holding.granted:
+                continue
+            unmet = holding.demand.total > holding.granted
+            importance = highest(holding.demand) if unmet else -1
+            waiting.append((-importance, holding.met_at, caller))
         return sorted(waiting)
 
     def _recall(self, targets, waiting):
@@ -260,35 +282,41 @@
         for caller, holding in self._holdings.items():
             if self._recalls(holding, targets[caller], wanted):
                 pushes.append((caller, self._grant(holding, targets[caller], 0.0)))
+        if wanted < 0:
+            return pushes
         missing = sum(
             min(targets[caller], self._holdings[caller].demand.total)
             - self._holdings[caller].granted
-            for importance, caller in waiting
+            for importance, _, caller in waiting
             if -importance == wanted
         )
         coming = sum(item.committed - item.granted for item in self._holdings.values())
         named = {caller for caller, _ in pushes}
-        for caller, holding in self._holdings.items():
-            if coming >= RECALLS * missing:
+        lesser = [
+            (lowest_served(holding), caller)
+            for caller, holding in self._holdings.items()
+            if caller not in named and holding.granted
+        ]
+        for lowest, caller in sorted(lesser):
+            if lowest >= wanted or coming >= RECALLS * missing:
                 break
-            lowest = lowest_served(holding) if holding.granted else wanted
-            if caller not in named and lowest < wanted:
-                permits = holding.granted - 1
-                pushes.append((caller, self._grant(holding, permits, 0.0)))
-                coming += 1
+            holding = self._holdings[caller]
+            pushes.append((caller, self._grant(holding, holding.granted - 1, 0.0)))
+            coming += 1
         return pushes
 
-    def _raise(self, targets, waiting):
+    def _raise(self, targets, waiting, now):
         free = self.limit - self.committed
         pushes = []
-        for _, caller in waiting:
+        for *_, caller in waiting:
             holding = self._holdings[caller]
-            wanted = min(targets[caller], max(holding.demand.total, holding.granted))
+            wanted = targets[caller]
             # Permits up to the committed number cost nothing more.
             permits = min(wanted, holding.committed + max(0, free))
             if permits > holding.granted:
                 free -= max(0, permits - holding.committed)
                 pushes.append((caller, self._grant(holding, permits, 0.0)))
+                holding.met_at = now
             if permits < wanted:
                 # What is recalled must not go back to less important requests.
                 break
@@ -299,10 +327,14 @@
         surplus = holding.granted - target
         if surplus <= 0:
             return False
-        if self.committed > self.limit or holding.granted > holding.demand.total:
+        if self.committed > self.limit:
+            return True
+        if wanted >= 0 and holding.granted > holding.demand.total:
             return True
         # Moving a permit leaves it unused for a moment, so an even division
         # within one importance is not worth the move of a single one.
+        if wanted < 0:
+            return False
         return wanted > lowest_served(holding) or surplus >= LEAST_MOVE
 
     def confirm_members(self, names):
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -16,6 +16,7 @@
 # Services that were not called for this long are forgotten by their owners.
 IDLE_S = 60.0
 LEAST_SPARE = 2
+MOST_CONTENDED_SPARE = 2
 # Share of a recent peak of calls in flight that is still asked for 100 ms later.
 PEAK_KEPT = 0.9
 SUBSET_GROWTH = 4
@@ -157,6 +158,7 @@
         self._short_ticks = 0
         self._rotation = 0
         self._last_call_at = now
+        self.refused = {"level": 0, "wait": 0, "full": 0, "time": 0}
         self.offered = OfferedLoad()
         self.usual_times = UsualTimes()
 
@@ -222,8 +224,9 @@
         priority = plan.context.priority
         self.offered.add(priority)
         if priority < self.level(plan.route.route_id, now):
-            raise self._overloaded()
+            raise self._overloaded("level")
         if not self.usual_times.allows(plan.route.route_id, plan.deadline - now, now):
+            self.refused["time"] += 1
             message = f"{self._service.name} usually takes longer than is left"
             raise DeadlineError(message, retry_after_s=1)
 
@@ -242,9 +245,12 @@
         """
         waiting = self._waiting_for(upstream)
         if upstream.permits.contended:
-            # Others wait: only permits for calls that exist are asked for.
+            # Others wait: only permits for calls that exist are asked for. Calls
+            # that ask for another upstream also take what nobody asks for here.
             in_use = upstream.permits.by_importance
-            return Demand(tuple(map(sum, zip(in_use, waiting, strict=True))))
+            elsewhere = len(self._queue) - sum(waiting)
+            wanted = tuple(map(sum, zip(in_use, waiting, strict=True)))
+            return Demand(wanted, min(elsewhere, MOST_CONTENDED_SPARE))
         peaks = upstream.permits.peaks(PEAK_KEPT)
         wanted = tuple(map(sum, zip(peaks, waiting, strict=True)))
         return Demand(wanted, max(LEAST_SPARE, sum(wanted) // 2))
@@ -362,7 +368,7 @@
         waiter = _Waiter(future, plan, frozenset(excluded), now)
         lost = self._queue.push(plan.context.priority, waiter, now)
         if lost is not None and not lost.future.done():
-            lost.future.set_exception(self._overloaded())
+            lost.future.set_exception(self._overloaded("full"))
         if self._when_short is not None:
             self._when_short(self)
         remaining_s = plan.deadline - now - self.usual_times.get(plan.route.route_id)
@@ -375,7 +381,7 @@
             self._return(waiter, now + limit_s)
             if self._used:
                 self._random.choice(self._used).statistics.give_up(limit_s)
-            raise self._overloaded() from None
+            raise self._overloaded("wait") from None
         except asyncio.CancelledError:
             self._queue.remove(waiter)
             self._return(waiter, now)
@@ -403,6 +409,7 @@
         )
         self._used = [item for item in self._upstreams.values() if item.name in names]
 
-    def _overloaded(self):
+    def _overloaded(self, cause):
+        self.refused[cause] += 1
         message = f"{self._service.name} is overloaded"
         return OverloadedError(message, retry_after_s=1)
