--- a/bench/costs.py
+++ b/bench/costs.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import random
 import time
 import tracemalloc
@@ -12,16 +13,19 @@
 
 import msgspec
 
-from bench.cluster import KEY, free_address
+from bench.cluster import KEY, Cluster, ServiceSpec, free_address
 from bench.rows import Row
 from figpick._auth import Authenticator
+from figpick._claims import GRANTED, Claim, Holder
 from figpick._clock import Clock
 from figpick._events import EventStore
 from figpick._gossip import Gossip
 from figpick._headlines import Headline, Headlines
 from figpick._members import Member, Members
 from figpick._permits import Demand, PermitPool, Usage
+from figpick._plans import Moment
 from figpick._registry import Registry
+from figpick._rosters import POSITIONS, position_of
 from figpick._transport import PeerClient, PeerServer
 
 TARGET_NODES = 1600
@@ -29,6 +33,9 @@
 CALLERS = (60, 400)
 CHANGES = 2000
 MESSAGES = 1500
+CLAIMS = 10_000
+CALLS = 2000
+ROUTE = {"method": "GET", "path": "/*", "importance": 5, "idempotent": True}
 ROUNDS = 300
 
 
@@ -38,7 +45,9 @@
     yield from _gossip_rows()
     yield from _permit_rows()
     yield from _registry_rows()
+    yield from _claim_rows()
     yield from asyncio.run(_message_rows())
+    yield from asyncio.run(_call_rows())
 
 
 def _row(case, value, unit):
@@ -136,6 +145,50 @@
     yield _row(f"snapshot after {CHANGES} changes", len(registry.encode()) / 1e6, "MB")
 
 
+def _claim_rows():
+    positions = [f"host-{number % 3}" for number in range(POSITIONS)]
+    roster = {"service": "parts", "epoch": 1, "positions": positions, "since": 10.0}
+    now = Moment(100.0, 100.0)
+    holder = Holder("host-0", Moment(0.0, 0.0))
+    holder.adopt(roster, now)
+    holder.confirm(1, 100.0)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    granted = 0
+    for number in range(CLAIMS):
+        key_hash = f"{number * 0x9E3779B1 % (1 << 32):08x}{number:08x}"
+        position = position_of(key_hash, POSITIONS)
+        claim = Claim("parts", 1, position, key_hash, None, "caller", 5.0)
+        granted += holder.claim(claim, now).result == GRANTED
+        holder.finish(claim, None, now)
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert granted == CLAIMS
+    yield _row("claim record, memory", size / CLAIMS, "B")
+
+
+async def _call_rows():
+    documents = {"service": "parts", "routes": [ROUTE]}
+    spec = ServiceSpec(documents, [{"prefix": "/", "service_ms": 1}], 3, 100)
+    async with Cluster([spec]) as cluster:
+        address, pid = cluster.entry("parts")[0], cluster.pid("parts-1")
+        for count in (CALLS // 4, CALLS):
+            before = _cpu_s(pid)
+            for _ in range(count):
+                answer = await cluster.client.request(
+                    address, "GET", "/a", {"Host": "parts"}
+                )
+                assert answer.status == 200
+        spent_ms = (_cpu_s(pid) - before) / CALLS * 1e3
+    return [_row("call through a node, processor time", spent_ms, "ms")]
+
+
+def _cpu_s(pid):
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def _command(index, versions, source):
     service = f"service-{source.randrange(TARGET_SERVICES)}"
     routes = [
