--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,6 +1,7 @@
 """Starts control processes, nodes and stand-in upstreams on loopback."""
 
 import asyncio
+import random
 import socket
 import subprocess
 import sys
@@ -19,7 +20,7 @@
 
 KEY = "a key for tests on loopback"
 READY_TIMEOUT_S = 30.0
-STOP_TIMEOUT_S = 10.0
+LISTEN_PORTS = (12_000, 32_000)
 
 
 class ServiceSpec(NamedTuple):
@@ -70,9 +71,16 @@
 
 def free_address(ip="127.0.0.1"):
     """Gives an ``ip:port`` that no process listens on."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return f"{ip}:{probe.getsockname()[1]}"
+    # The system gives ports of its ephemeral range, which starts above, to outgoing
+    # connections before the caller listens.
+    while True:
+        port = random.randrange(*LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        return f"{ip}:{port}"
 
 
 class Cluster:
@@ -161,17 +169,12 @@
         return self._processes[name].poll()
 
     def stop_all(self):
-        """Ends every process."""
+        """Ends every process at once; draining takes seconds and is not needed."""
         for process in self._processes.values():
             if process.poll() is None:
-                process.terminate()
-        limit = time.monotonic() + STOP_TIMEOUT_S
-        for process in self._processes.values():
-            try:
-                process.wait(max(0.1, limit - time.monotonic()))
-            except subprocess.TimeoutExpired:
                 process.kill()
-                process.wait()
+        for process in self._processes.values():
+            process.wait()
 
     async def put(self, document, base, control=0, change=None):
         """Changes a service document through a control process."""
--- a/src/figpick/_dissemination.py
+++ b/src/figpick/_dissemination.py
@@ -1,7 +1,8 @@
 """Spreads member records, document versions and events to all processes."""
 
 import asyncio
-import uuid
+import random
+from collections import Counter
 
 from . import _members
 from ._errors import PeerError
@@ -10,6 +11,10 @@
 from ._logs import logger
 
 FORWARD_DELAY_S = 0.02
+# Forwarding once to three peers misses 6% of the processes, and some of these
+# would learn of the news only after more than 3 s; a second round leaves 0.3%.
+REPEAT_DELAY_S = 0.25
+ROUNDS = 2
 DEFAULT_KEEP_S = 60.0
 
 MEMBER = "member"
@@ -38,9 +43,13 @@
         self._client = client
         self._clock = clock
         self._handlers = {}
+        self._exchange_counts = Counter()
+        self._control_heard_at = None
+        self.is_control = members.own.role != "node"
         self._version_listeners = []
         self._outgoing = {}
         self._flush_timer = None
+        self._stopped = False
         self._tasks = set()
         self._takers = {
             MEMBER: self._take_member,
@@ -59,7 +68,7 @@
         :return: identity of the event.
         """
         now = self._clock.wall()
-        event = Event(str(uuid.uuid4()), kind, now + keep_s, payload)
+        event = Event(_new_id(), kind, now + keep_s, payload)
         self._events.add(event, now)
         self._queue(EVENT, event.event_id, event, self._gossip.hops())
         return event.event_id
@@ -81,10 +90,35 @@
             self._queue_version(service, self._gossip.hops())
             self._tell_versions([service], "")
 
+    def announce_own(self):
+        """Tells all processes of this one."""
+        self._member_changed(self._members.own)
+
     def announce_suspect(self, name):
         """Tells all processes that a member does not answer."""
         self._queue(MEMBER, name, self._members.get(name), self._gossip.hops())
 
+    def note_control(self, age_s, now):
+        """Notes that a control process was heard of.
+
+        :param age_s: seconds since it was heard of by whoever tells.
+        :param now: monotonic seconds.
+        """
+        heard_at = now - age_s
+        if self._control_heard_at is None or heard_at > self._control_heard_at:
+            self._control_heard_at = heard_at
+
+    def control_age_s(self, now):
+        """Seconds since this process or its peers heard of a control process.
+
+        :param now: monotonic seconds.
+        :return: seconds, ``None`` when none was ever heard of.
+        """
+        if self.is_control:
+            return 0.0
+        heard_at = self._control_heard_at
+        return None if heard_at is None else now - heard_at
+
     async def exchange(self):
         """Exchanges views with one random peer."""
         address = self._gossip.choose_peer()
@@ -105,13 +139,15 @@
                 self._take(answer, address)
         except PeerError as error:
             log.debug("Gossip with {} failed: {}.", address, error)
+            self._exchange_counts["failed"] += 1
             return False
+        self._exchange_counts["differing" if message else "equal"] += 1
         return True
 
     async def receive(self, message):
         """Answers a peer that exchanges views."""
         self._take(message, "")
-        return self._gossip.answer(message)
+        return self._with_control_age(self._gossip.answer(message))
 
     async def receive_news(self, message):
         """Takes news that a peer forwards."""
@@ -132,10 +168,11 @@
         if self._flush_timer is not None:
             self._flush_timer.cancel()
             self._flush_timer = None
-        news = list(self._outgoing.values())
-        self._outgoing.clear()
-        if not news:
+        outgoing, self._outgoing = self._outgoing, {}
+        if not outgoing:
             return
+        self._schedule_repeat(outgoing)
+        news = [item for item, _ in outgoing.values()]
         for _, kind, payload in news:
             if kind == VERSION:
                 payload[-1] = self.holds(payload[0])
@@ -145,14 +182,31 @@
         ]
         await asyncio.gather(*sends)
 
+    def dump(self):
+        """Gives the state as a dict."""
+        return {
+            **self._gossip.dump(),
+            "exchanges": self._exchange_counts,
+            "control_heard_s_ago": self.control_age_s(self._clock.monotonic()),
+        }
+
     def stop(self):
         """Ends the sends under way."""
+        self._stopped = True
         if self._flush_timer is not None:
             self._flush_timer.cancel()
         for task in list(self._tasks):
             task.cancel()
 
+    def _with_control_age(self, message):
+        age_s = self.control_age_s(self._clock.monotonic())
+        if age_s is not None:
+            message["control_age_s"] = round(age_s, 1)
+        return message
+
     def _take(self, message, address):
+        if "control_age_s" in message:
+            self.note_control(message["control_age_s"], self._clock.monotonic())
         news = self._gossip.receive(message, self._clock.wall())
         self._tell_versions(news.services, address)
         for event in news.events:
@@ -198,11 +252,31 @@
     def _queue(self, kind, key, payload, hops):
         if hops <= 0:
             return
-        self._outgoing[kind, key] = [hops, kind, payload]
+        self._outgoing[kind, key] = [hops, kind, payload], ROUNDS
+        self._schedule_flush()
+
+    def _schedule_flush(self):
         if self._flush_timer is None:
             loop = asyncio.get_running_loop()
             self._flush_timer = loop.call_later(FORWARD_DELAY_S, self._start_flush)
 
+    def _schedule_repeat(self, outgoing):
+        again = {
+            key: (item, rounds - 1)
+            for key, (item, rounds) in outgoing.items()
+            if rounds > 1
+        }
+        if again and not self._stopped:
+            loop = asyncio.get_running_loop()
+            loop.call_later(REPEAT_DELAY_S, self._repeat, again)
+
+    def _repeat(self, again):
+        if self._stopped:
+            return
+        for key, item in again.items():
+            self._outgoing.setdefault(key, item)
+        self._schedule_flush()
+
     def _start_flush(self):
         self._flush_timer = None
         task = asyncio.ensure_future(self.flush())
@@ -218,3 +292,7 @@
 
 def _holds_nothing(service):
     return False
+
+
+def _new_id():
+    return f"{random.getrandbits(96):024x}"
--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -5,17 +5,21 @@
 from ._errors import PeerError
 from ._levels import PERIOD_S as LEVEL_PERIOD_S
 from ._logs import logger
-from ._members import FAILED, LEFT
 from ._owner import UpstreamOwner
-from ._permits import Grant, highest
+from ._permits import IMPORTANCES, Demand, Grant, highest
 
 PERIOD_S = LEVEL_PERIOD_S
 CALM_PERIOD_S = 2.0
 LEAST_GAP_S = 0.02
 # Changes that arrive together are answered by one push.
-PUSH_DELAY_S = 0.002
+PUSH_DELAY_S = 0.0005
+# Unused permits return sooner than this node asks again: others wait for them.
+RETURN_GAP_S = 0.005
 BUSY_PERIOD_S = 0.09
 
+NO_DEMAND = Demand((0,) * IMPORTANCES)
+NOTHING_ASKED = (-1, 0)
+
 log = logger("permits")
 
 
@@ -39,8 +43,8 @@
         self.sent_at = 0.0
         self.timer = None
         self.incarnation = incarnation
-        # What the owner knows: the highest importance that waits, and the calls.
-        self.asked = -1
+        # What the owner knows: the most important unmet demand, and the calls.
+        self.asked = NOTHING_ASKED
         self.in_use = 0
         self.again = False
 
@@ -61,6 +65,7 @@
         self._lines = {}
         self._tasks = set()
         self._push_timer = None
+        self._leaving = False
         incarnation = members.own.incarnation
         self._number = incarnation
         self.owner = UpstreamOwner(incarnation, clock.monotonic())
@@ -82,7 +87,7 @@
         for upstreams in upstream_sets.values():
             upstreams.review(now)
             if not upstreams.idle(now):
-                for upstream in upstreams.used:
+                for upstream in (*upstreams.used, *upstreams.leaving):
                     if self._due(upstreams, upstream, now):
                         self._start(upstreams, upstream, now)
         self._push()
@@ -98,8 +103,8 @@
                 continue
             line = self._line(upstream)
             # The owner pushes permits for demand that it knows.
-            if highest(demand) > line.asked:
-                self._hasten(upstreams, upstream, line)
+            if _urgency(demand) > line.asked:
+                self._hasten(upstreams, upstream, line, LEAST_GAP_S)
 
     def give_back(self, upstreams, upstream):
         """Tells an owner at once of permits that are no longer used.
@@ -108,25 +113,36 @@
         """
         permits = upstream.permits
         line = self._line(upstream)
-        unused = min(permits.granted, line.in_use) > upstreams.demand(upstream).total
+        unused = permits.granted > upstreams.demand(upstream).total
         recalled = permits.granted < line.in_use
         if unused or (recalled and permits.in_use < line.in_use):
-            self._hasten(upstreams, upstream, line)
+            self._hasten(upstreams, upstream, line, RETURN_GAP_S)
 
-    def _hasten(self, upstreams, upstream, line):
+    def _hasten(self, upstreams, upstream, line, gap_s):
         if line.timer is not None:
             return
         if line.busy:
             line.again = True
             return
         now = self._clock.monotonic()
-        wait_s = line.sent_at + LEAST_GAP_S - now
+        wait_s = line.sent_at + gap_s - now
         if wait_s <= 0:
             self._start(upstreams, upstream, now)
         else:
             loop = asyncio.get_running_loop()
             line.timer = loop.call_later(wait_s, self._fire, upstreams, upstream)
 
+    async def return_all(self):
+        """Returns the permits at every upstream, before this node leaves."""
+        returns = [
+            self._renew(upstreams, upstream, self._line(upstream))
+            for upstreams in self._sets.values()
+            for upstream in upstreams
+            if upstream.permits.granted
+        ]
+        self._leaving = True
+        await asyncio.gather(*returns)
+
     async def receive(self, message):
         """Answers a calling node that renews its permits."""
         answer = self.owner.receive(message, self._clock.monotonic())
@@ -156,11 +172,11 @@
 
     def _usage(self, upstreams, upstream, now):
         self._number += 1
-        demand = upstreams.demand(upstream)
+        demand = NO_DEMAND if self._leaving else upstreams.demand(upstream)
         line = self._line(upstream)
         line.in_use = upstream.permits.in_use
         unmet = demand.total > upstream.permits.granted
-        line.asked = highest(demand) if unmet else -1
+        line.asked = _urgency(demand) if unmet else NOTHING_ASKED
         return upstream.permits.usage(self._number, demand, now)
 
     def _accept(self, upstream, message, sent_at):
@@ -210,13 +226,15 @@
             await self._exchange(upstreams, upstream)
             upstreams.wake(self._clock.monotonic())
             upstream.permits.owner_silent = False
+            if upstream.permits.contended:
+                self.give_back(upstreams, upstream)
         except PeerError as error:
             upstream.permits.owner_silent = True
             log.debug("No permits from {}: {}.", upstream.name, error)
         finally:
             line.busy = False
             if line.again:
-                self._hasten(upstreams, upstream, line)
+                self._hasten(upstreams, upstream, line, RETURN_GAP_S)
 
     async def _exchange(self, upstreams, upstream):
         own_name = self._members.own.name
@@ -232,7 +250,7 @@
         self._accept(upstream, answer, now)
 
     def _push_soon(self):
-        if self._push_timer is None and self.pool.short:
+        if self._push_timer is None and self.pool.movable:
             loop = asyncio.get_running_loop()
             self._push_timer = loop.call_later(PUSH_DELAY_S, self._push)
 
@@ -270,8 +288,9 @@
         return upstreams.level(route_id, self._clock.monotonic())
 
     def _calling_nodes(self):
-        return {
-            member.name
-            for member in self._members
-            if member.call_address and member.state not in (LEFT, FAILED)
-        }
+        return self._members.calling_nodes()
+
+
+def _urgency(demand):
+    importance = highest(demand)
+    return importance, demand.by_importance[importance]
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -1,6 +1,7 @@
 """The upstreams of one service as a calling node sees them."""
 
 import asyncio
+import itertools
 import random
 from typing import NamedTuple
 
@@ -8,7 +9,7 @@
 from ._connections import ConnectionPool
 from ._errors import DeadlineError, NoUpstreamError, OverloadedError
 from ._levels import REPORT_LIFETIME_S
-from ._members import COLD, TAKES_CALLS
+from ._members import COLD, DRAINING, TAKES_CALLS
 from ._observations import CallStatistics, OfferedLoad, UsualTimes
 from ._permits import IMPORTANCES, Demand, PermitCache
 from ._queues import WaitQueue
@@ -16,6 +17,7 @@
 # Services that were not called for this long are forgotten by their owners.
 IDLE_S = 60.0
 LEAST_SPARE = 2
+MOST_CONTENDED_SPARE = 2
 # Share of a recent peak of calls in flight that is still asked for 100 ms later.
 PEAK_KEPT = 0.9
 SUBSET_GROWTH = 4
@@ -150,6 +152,7 @@
         self._when_short = when_short
         self._when_idle = when_idle
         self._upstreams = {}
+        self._leaving = {}
         self._used = []
         self._subset_size = _routing.SUBSET_SIZE
         self._queue = WaitQueue(service.limits.queue_length)
@@ -157,6 +160,7 @@
         self._short_ticks = 0
         self._rotation = 0
         self._last_call_at = now
+        self.refused = {"level": 0, "wait": 0, "full": 0, "time": 0}
         self.offered = OfferedLoad()
         self.usual_times = UsualTimes()
 
@@ -164,7 +168,7 @@
         return f"<UpstreamSet {self._service.name} {len(self._upstreams)}>"
 
     def __iter__(self):
-        return iter(self._upstreams.values())
+        return itertools.chain(self._upstreams.values(), self._leaving.values())
 
     @property
     def service(self):
@@ -181,6 +185,11 @@
         """Upstreams that this node sends calls to."""
         return self._used
 
+    @property
+    def leaving(self):
+        """Upstreams that drain; their owners wait for the end of the calls there."""
+        return self._leaving.values()
+
     @property
     def waiting(self):
         """Number of calls that wait for a permit."""
@@ -201,15 +210,25 @@
         """
         known = self._upstreams.get(member.name)
         if member.state not in TAKES_CALLS or not member.upstream_address:
-            if known is not None:
-                known.pool.close_idle()
-                del self._upstreams[member.name]
-        elif known is None or known.member.upstream_address != member.upstream_address:
-            self._upstreams[member.name] = Upstream(member, self.offered, now)
-        else:
-            known.member = member
+            self._remove(member, known)
+            return
+        if known is None:
+            known = self._leaving.pop(member.name, None)
+        if known is None or known.member.upstream_address != member.upstream_address:
+            known = Upstream(member, self.offered, now)
+        known.member = member
+        self._upstreams[member.name] = known
         self._select()
 
+    def _remove(self, member, upstream):
+        if upstream is not None:
+            upstream.pool.close_idle()
+            del self._upstreams[member.name]
+            self._select()
+            self._leaving[member.name] = upstream
+        if member.state != DRAINING:
+            self._leaving.pop(member.name, None)
+
     def admit(self, plan, now):
         """Decides whether a call may wait for a permit.
 
@@ -222,8 +241,9 @@
         priority = plan.context.priority
         self.offered.add(priority)
         if priority < self.level(plan.route.route_id, now):
-            raise self._overloaded()
+            raise self._overloaded("level")
         if not self.usual_times.allows(plan.route.route_id, plan.deadline - now, now):
+            self.refused["time"] += 1
             message = f"{self._service.name} usually takes longer than is left"
             raise DeadlineError(message, retry_after_s=1)
 
@@ -242,9 +262,12 @@
         """
         waiting = self._waiting_for(upstream)
         if upstream.permits.contended:
-            # Others wait: only permits for calls that exist are asked for.
+            # Others wait: only permits for calls that exist are asked for. Calls
+            # that ask for another upstream also take what nobody asks for here.
             in_use = upstream.permits.by_importance
-            return Demand(tuple(map(sum, zip(in_use, waiting, strict=True))))
+            elsewhere = len(self._queue) - sum(waiting)
+            wanted = tuple(map(sum, zip(in_use, waiting, strict=True)))
+            return Demand(wanted, min(elsewhere, MOST_CONTENDED_SPARE))
         peaks = upstream.permits.peaks(PEAK_KEPT)
         wanted = tuple(map(sum, zip(peaks, waiting, strict=True)))
         return Demand(wanted, max(LEAST_SPARE, sum(wanted) // 2))
@@ -362,7 +385,7 @@
         waiter = _Waiter(future, plan, frozenset(excluded), now)
         lost = self._queue.push(plan.context.priority, waiter, now)
         if lost is not None and not lost.future.done():
-            lost.future.set_exception(self._overloaded())
+            lost.future.set_exception(self._overloaded("full"))
         if self._when_short is not None:
             self._when_short(self)
         remaining_s = plan.deadline - now - self.usual_times.get(plan.route.route_id)
@@ -375,7 +398,7 @@
             self._return(waiter, now + limit_s)
             if self._used:
                 self._random.choice(self._used).statistics.give_up(limit_s)
-            raise self._overloaded() from None
+            raise self._overloaded("wait") from None
         except asyncio.CancelledError:
             self._queue.remove(waiter)
             self._return(waiter, now)
@@ -403,6 +426,7 @@
         )
         self._used = [item for item in self._upstreams.values() if item.name in names]
 
-    def _overloaded(self):
+    def _overloaded(self, cause):
+        self.refused[cause] += 1
         message = f"{self._service.name} is overloaded"
         return OverloadedError(message, retry_after_s=1)
