Quarantine requests that crash upstreams

Cause: a request that crashes its upstream was sent to the next one each time.

Change: requests in flight in a crash are suspects and run one at a time on an upstream, on a new connection.

A suspect that runs alone while a different crashing request arrives for the first time would still be blamed.

--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -22,6 +22,7 @@
 from ._members import LEFT, Member, Members
 from ._node import Node
 from ._probing import Prober
+from ._quarantining import KIND as QUARANTINE_KIND
 from ._state import StateDump
 from ._supervisor import RestartLimitError, Supervisor
 from ._transport import PeerClient, PeerServer
@@ -144,6 +145,9 @@
         self._server.handle("permits", self._node.exchange.receive_push)
         self._server.handle("cancel", self._node.cancellations.receive)
         self._server.handle("retry_grant", self._node.retries.receive)
+        self._server.handle("suspect_slot", self._node.suspicion.receive_slot)
+        self._server.handle(QUARANTINE_KIND, self._node.suspicion.receive_events)
+        self._server.handle("unquarantine", self._node.suspicion.unquarantine)
         group = self.supervisor.add_group("node")
         self._add_claims(group)
         group.add_periodic("permits", self._node.renew_permits, EXCHANGE_PERIOD_S)
@@ -189,6 +193,9 @@
             source,
             self._dissemination.announce_suspect,
         )
+        if self._node is not None:
+            self._node.suspicion.publish = self._dissemination.publish
+            self._dissemination.subscribe(QUARANTINE_KIND, self._node.suspicion.receive)
         self._client.listen(self._message_ended)
         self._server.handle("gossip", self._dissemination.receive)
         self._server.handle("news", self._dissemination.receive_news)
--- a/src/figpick/_connections.py
+++ b/src/figpick/_connections.py
@@ -122,6 +122,16 @@
         keep_nodelay(stream)
         return Connection(stream, now)
 
+    def drop_closed(self):
+        """Drops the idle connections that the other side has closed.
+
+        :return: how many there were.
+        """
+        open_ = [item for item in self._idle if not item.stream.closed()]
+        dropped = len(self._idle) - len(open_)
+        self._idle[:] = open_
+        return dropped
+
     def put_back(self, connection, now):
         """Returns a connection whose whole answer was read.
 
--- a/src/figpick/_dispatch.py
+++ b/src/figpick/_dispatch.py
@@ -115,12 +115,16 @@
             upstream = await self._acquire(upstreams, plan)
             started_at = node.clock.monotonic()
             ended = Result(False, 0, 0.0, cancelled=True)
+            slot = None
             try:
+                slot = await node.enter(plan, self._body, upstream)
+                # A break of an old connection may belong to the crash before.
+                new_connection = new_connection or slot is not None
                 connection = await self._connect(upstream, new_connection)
                 if connection is None:
                     ended = Result(False, 0, 0.0, refused=True)
                 else:
-                    result = await self._send(plan, upstream, connection)
+                    result = await self._send(plan, upstream, connection, slot)
                     cancelled = not result.complete and not result.broken
                     ended = Result(
                         result.complete, result.status, 0.0, False, cancelled
@@ -128,6 +132,7 @@
                     return result.complete
                 self._refusing.add(upstream.name)
             finally:
+                node.leave(slot, upstream, ended.complete)
                 now = node.clock.monotonic()
                 ended = ended._replace(latency_s=now - started_at)
                 upstreams.release(upstream, ended, now, plan)
@@ -147,10 +152,9 @@
     async def _connect(self, upstream, new_connection):
         now = self._node.clock.monotonic()
         connection = None
-        if self._plan.route.idempotent:
-            if not new_connection:
-                connection = upstream.pool.take_idle(now)
-        else:
+        if not new_connection and self._plan.route.idempotent:
+            connection = upstream.pool.take_idle(now)
+        elif not new_connection:
             connection = upstream.pool.take_idle(now, MAX_IDLE_ONCE_S)
         if connection is not None:
             return connection
@@ -159,7 +163,7 @@
         except StreamClosedError:
             return None
 
-    async def _send(self, plan, upstream, connection):
+    async def _send(self, plan, upstream, connection, slot):
         node = self._node
         self.sent = True
         self._attempts += 1
@@ -179,7 +183,7 @@
                 node.cancellations.send(upstream.member, plan.context.execution_id)
         if result.broken:
             self._broken.add(upstream.name)
-            node.report_break(plan, self._body, upstream, node.clock.monotonic())
+            await node.report_break(plan, self._body, upstream, slot)
         return result
 
     def _next_plan(self):
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -20,6 +20,7 @@
 from ._logs import logger
 from ._members import DRAINING, LEFT, READY, TAKES_CALLS
 from ._plans import Moment
+from ._quarantining import Suspicion
 from ._retrying import Retries
 from ._settings import split_address
 from ._silence import SilenceWatch
@@ -57,6 +58,7 @@
         self.exchange = PermitExchange(members, client, clock)
         self.claims = Claims(clock, members, client)
         self.retries = Retries(settings["peer_address"], clock, client)
+        self.suspicion = Suspicion(clock, members, client)
         self._announced_until = 0.0
         self._draining = False
         self._in_flight = 0
@@ -182,6 +184,7 @@
         :param now: monotonic seconds.
         :raises CallError: when it is refused.
         """
+        self.suspicion.check(plan, body, now)
         if plan.parent is not None:
             parent = plan.parent
             called = (plan.service.name, plan.route.route_id)
@@ -218,13 +221,25 @@
         fields = {"service": service, "epoch": epoch, "positions": positions}
         return self.claims.adopt({**fields, **times})
 
-    def report_break(self, plan, body, upstream, now):
+    async def enter(self, plan, body, upstream):
+        """Waits until a request that may crash upstreams may run alone.
+
+        :return: slot for :meth:`leave`, ``None`` for other requests.
+        """
+        return await self.suspicion.enter(plan, body, upstream)
+
+    def leave(self, slot, upstream, complete):
+        """Ends the run of a request that may crash upstreams."""
+        self.suspicion.leave(slot, upstream, complete)
+
+    async def report_break(self, plan, body, upstream, slot):
         """Notes that a connection broke while a call was in flight on it.
 
         :param body: :class:`~figpick._bodies.RequestBody`.
         :param upstream: :class:`~figpick._upstreams.Upstream`.
-        :param now: monotonic seconds.
+        :param slot: result of :meth:`enter`.
         """
+        await self.suspicion.report_break(plan, body, upstream, slot)
 
     def repeats(self, plan, body):
         """Whether an earlier attempt of a call may have run."""
@@ -316,6 +331,7 @@
             },
             "claims": self.claims.dump(),
             "retries": self.retries.dump(),
+            "quarantine": self.suspicion.dump(),
             "upstreams": {
                 name: [self._dump_upstream(item) for item in upstreams]
                 for name, upstreams in self._upstream_sets.items()
