Export metrics with OpenTelemetry when the settings ask for them

Cause: the settings had an endpoint for metrics that nothing used. Change: observable instruments read the plain counters of node, peers, authentication, members and log when an export is due; the libraries are imported only with the setting.

--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -8,10 +8,12 @@
 import sys
 from functools import partial
 
+from . import _shutdown
 from ._auth import Authenticator
 from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
 from ._dissemination import Dissemination
+from ._errors import FigpickError
 from ._events import EventStore
 from ._exchange import PERIOD_S as EXCHANGE_PERIOD_S
 from ._fetching import ControlDocuments, DocumentFetcher
@@ -22,10 +24,12 @@
 from ._node import Node
 from ._probing import Prober
 from ._state import StateDump
-from ._supervisor import RestartLimitError, Supervisor
+from ._supervisor import Supervisor
 from ._transport import PeerClient, PeerServer
 
 EXIT_FAILED = 1
+# The default first threshold of 700 starts several collections for each request.
+GC_THRESHOLDS = (20_000, 20, 50)
 
 log = logger("process")
 
@@ -54,12 +58,14 @@
         self._control_addresses = [member["address"] for member in control]
         self._state = StateDump(settings["name"])
         self._server.handle("state", self._state.receive)
+        self._told_to_stop = asyncio.Event()
         if "node" in settings["roles"]:
             self._add_node(authenticator)
         if "control" in settings["roles"]:
             self._add_control()
         self._add_dissemination()
         self._add_state(authenticator)
+        self._metrics = self._make_metrics(authenticator)
 
     @property
     def members(self):
@@ -73,24 +79,31 @@
 
     async def run(self):
         """Runs until the process is told to stop."""
-        stopped = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stopped.set)
+            loop.add_signal_handler(number, self.request_stop)
         await self.start()
         # What exists now stays, so later collections need not visit it.
         gc.collect()
         gc.freeze()
         tree = asyncio.ensure_future(self.supervisor.run())
-        stop = asyncio.ensure_future(stopped.wait())
-        await asyncio.wait([tree, stop], return_when=asyncio.FIRST_COMPLETED)
+        stop = asyncio.ensure_future(self._told_to_stop.wait())
         try:
+            await asyncio.wait([tree, stop], return_when=asyncio.FIRST_COMPLETED)
             if tree.done():
                 tree.result()
+            if self._node is not None:
+                spread = self._dissemination.flush
+                await _shutdown.drain(self._node, spread, self.clock)
         finally:
             tree.cancel()
+            stop.cancel()
             await self.stop()
 
+    def request_stop(self):
+        """Makes :meth:`run` drain the node, leave and return."""
+        self._told_to_stop.set()
+
     async def start(self):
         """Starts the roles; the supervisor is not started yet."""
         if self._control is not None:
@@ -109,6 +122,8 @@
         await self._dissemination.flush()
         self.close()
         await self.close_listeners()
+        if self._metrics is not None:
+            await self._metrics.stop()
         log.info("Process {} has stopped.", self._settings["name"])
 
     async def close_listeners(self):
@@ -131,6 +146,7 @@
         )
         self._server.handle("exchange", self._node.exchange.receive)
         self._server.handle("permits", self._node.exchange.receive_push)
+        self._server.handle("cancel", self._node.cancellations.receive)
         self._server.handle("retry_grant", self._node.retries.receive)
         group = self.supervisor.add_group("node")
         self._add_claims(group)
@@ -294,6 +310,24 @@
         if self._control is not None:
             add("control", self._control.dump)
 
+    def _make_metrics(self, authenticator):
+        if "metrics" not in self._settings:
+            return None
+        from . import _metrics
+
+        reader = _metrics.make_reader(self._settings["metrics"])
+        metrics = _metrics.Metrics(self._settings, reader)
+        metrics.add_counters("peers", _metrics.TRAFFIC_COUNTERS, self._dump_traffic)
+        metrics.add_counters(
+            "authentication", _metrics.AUTHENTICATION_COUNTERS, authenticator.dump
+        )
+        metrics.add_members(self._members)
+        if self._node is not None:
+            metrics.add_node(self._node)
+        if self._control is not None:
+            metrics.add_control(self._control)
+        return metrics
+
     def _dump_traffic(self):
         client, server = self._client, self._server
         return {
@@ -314,12 +348,21 @@
     with asyncio.Runner(loop_factory=_loop_factory()) as runner:
         try:
             runner.run(_run_process(settings))
-        except RestartLimitError as error:
+        except FigpickError as error:
             log.critical("The process ends: {}.", error)
             sys.exit(EXIT_FAILED)
 
 
+def prepare_process():
+    """Keeps garbage collection short, which would otherwise delay calls."""
+    gc.collect()
+    # Modules live as long as the process and need no further examination.
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 async def _run_process(settings):
+    prepare_process()
     await Process(settings).run()
 
 
--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -6,7 +6,7 @@
 from ._levels import PERIOD_S as LEVEL_PERIOD_S
 from ._logs import logger
 from ._owner import UpstreamOwner
-from ._permits import Grant, highest
+from ._permits import IMPORTANCES, Demand, Grant, highest
 
 PERIOD_S = LEVEL_PERIOD_S
 CALM_PERIOD_S = 2.0
@@ -15,6 +15,8 @@
 PUSH_DELAY_S = 0.002
 BUSY_PERIOD_S = 0.09
 
+NO_DEMAND = Demand((0,) * IMPORTANCES)
+
 log = logger("permits")
 
 
@@ -60,6 +62,7 @@
         self._lines = {}
         self._tasks = set()
         self._push_timer = None
+        self._leaving = False
         incarnation = members.own.incarnation
         self._number = incarnation
         self.owner = UpstreamOwner(incarnation, clock.monotonic())
@@ -81,7 +84,7 @@
         for upstreams in upstream_sets.values():
             upstreams.review(now)
             if not upstreams.idle(now):
-                for upstream in upstreams.used:
+                for upstream in (*upstreams.used, *upstreams.leaving):
                     if self._due(upstreams, upstream, now):
                         self._start(upstreams, upstream, now)
         self._push()
@@ -126,6 +129,17 @@
             loop = asyncio.get_running_loop()
             line.timer = loop.call_later(wait_s, self._fire, upstreams, upstream)
 
+    async def return_all(self):
+        """Returns the permits at every upstream, before this node leaves."""
+        returns = [
+            self._renew(upstreams, upstream, self._line(upstream))
+            for upstreams in self._sets.values()
+            for upstream in upstreams
+            if upstream.permits.granted
+        ]
+        self._leaving = True
+        await asyncio.gather(*returns)
+
     async def receive(self, message):
         """Answers a calling node that renews its permits."""
         answer = self.owner.receive(message, self._clock.monotonic())
@@ -155,7 +169,7 @@
 
     def _usage(self, upstreams, upstream, now):
         self._number += 1
-        demand = upstreams.demand(upstream)
+        demand = NO_DEMAND if self._leaving else upstreams.demand(upstream)
         line = self._line(upstream)
         line.in_use = upstream.permits.in_use
         unmet = demand.total > upstream.permits.granted
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -2,10 +2,9 @@
 
 from functools import partial
 
-from tornado.httpserver import HTTPServer
-
 from . import _announcements, _context, _plans
-from ._calls import CallServer
+from ._calls import CallListener, CallServer
+from ._cancellations import Cancellations
 from ._claiming import Claims
 from ._connections import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFER_BYTES
 from ._counters import Counters
@@ -19,13 +18,15 @@
 from ._exchange import PermitExchange
 from ._executions import ExecutionTable
 from ._logs import logger
-from ._members import DRAINING, READY
+from ._members import DRAINING, LEFT, READY, TAKES_CALLS
 from ._plans import Moment
 from ._retrying import Retries
 from ._settings import split_address
+from ._silence import SilenceWatch
 from ._upstreams import UpstreamSet
 
-MAX_HEADER_BYTES = 32 * 1024
+# Heads over the limit of a call still need to be read to be refused with 431.
+MAX_HEADER_BYTES = 128 * 1024
 
 log = logger("node")
 
@@ -49,11 +50,16 @@
         self._services = {}
         self._upstream_sets = {}
         self._executions = ExecutionTable()
+        self.cancellations = Cancellations(
+            self._executions, client, clock, settings["name"]
+        )
+        self.silence = SilenceWatch(clock)
         self.exchange = PermitExchange(members, client, clock)
         self.claims = Claims(clock, members, client)
         self.retries = Retries(settings["peer_address"], clock, client)
         self._announced_until = 0.0
         self._draining = False
+        self._in_flight = 0
         self._server = None
         self.fetcher = None
         members.listen(self._member_changed)
@@ -68,10 +74,29 @@
         """Documents in force, by service."""
         return self._services
 
+    @property
+    def draining(self):
+        """Whether the node is shutting down."""
+        return self._draining
+
+    @property
+    def has_peers(self):
+        """Whether another node may send calls to the local upstream."""
+        own = self.members.own
+        return any(
+            member.name != own.name and member.call_address and member.state != LEFT
+            for member in self.members
+        )
+
+    @property
+    def is_idle(self):
+        """Whether no call is in flight at this node or at its upstream."""
+        return self._in_flight == 0 and self.exchange.pool.committed == 0
+
     def start(self):
         """Starts to take calls."""
         ip, port = split_address(self._settings["call_address"])
-        self._server = HTTPServer(
+        self._server = CallListener(
             CallServer(self),
             chunk_size=CHUNK_BYTES,
             max_buffer_size=MAX_BUFFER_BYTES,
@@ -80,8 +105,23 @@
         )
         self._server.listen(port, ip)
 
+    def begin_draining(self):
+        """Marks the upstream as draining and refuses new root requests."""
+        self._draining = True
+        self._stop_new_work()
+
+    async def return_permits(self):
+        """Returns the permits at other upstreams, when no call is in flight."""
+        await self.exchange.return_all()
+
+    def _stop_new_work(self):
+        own = self.members.own
+        self.members.update_own(state=DRAINING)
+        self.exchange.owner.announce(0, own.connections)
+
     async def stop(self):
         """Stops to take calls and closes the connections of callers."""
+        self.cancellations.close()
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
@@ -123,12 +163,13 @@
         :raises CallError: when the call cannot be planned.
         """
         self.counters.calls += 1
-        if self._draining:
+        header = headers.get(_context.HEADER)
+        parent = _context.decode(header, self.key) if header else None
+        if self._draining and parent is None:
+            # Calls made under a request in flight are needed to complete it.
             raise DrainingError("the node is shutting down", retry_after_s=1)
         start_line, host = _plans.split_target(start_line, headers)
         service = self._service(host)
-        header = headers.get(_context.HEADER)
-        parent = _context.decode(header, self.key) if header else None
         now = Moment(self.clock.monotonic(), self.clock.wall())
         home = self._settings["peer_address"]
         plan = _plans.make_plan(service, start_line, headers, parent, home, now)
@@ -210,8 +251,13 @@
         """Gives the :class:`UpstreamSet` of a service."""
         return self._upstream_sets[service]
 
+    def is_cancelled(self, execution_id):
+        """Whether an execution at the local upstream was cancelled."""
+        return self._executions.is_cancelled(execution_id)
+
     def begin(self, call, plan):
         """Notes a call that has started."""
+        self._in_flight += 1
         if plan.parent is not None:
             execution_id = plan.parent.execution_id
             self._executions.add(execution_id, call)
@@ -219,6 +265,7 @@
 
     def end(self, call, plan):
         """Notes a call that has ended."""
+        self._in_flight -= 1
         if plan.parent is not None:
             execution_id = plan.parent.execution_id
             self._executions.remove(execution_id, call)
@@ -241,15 +288,18 @@
     async def check_announcement(self):
         """Marks the upstream as draining when its announcement has lapsed."""
         lapsed = self._announced_until < self.clock.monotonic()
-        if lapsed and self.members.own.state == READY:
+        own = self.members.own
+        if lapsed and own.upstream_address and own.state in TAKES_CALLS:
             log.warning("The upstream stopped announcing itself.")
-            self.members.update_own(state=DRAINING)
+            self._stop_new_work()
 
     def dump(self):
         """Gives the state of the node as a dict."""
         return {
             "counters": self.counters.dump(),
             "documents": self.versions,
+            "draining": self._draining,
+            "in_flight": self._in_flight,
             "executions": len(self._executions),
             "permits": self.exchange.dump(),
             "waiting": {
@@ -309,7 +359,7 @@
         self._announced_until = self.clock.monotonic() + _announcements.LEASE_S
         own = self.members.own
         changes = {
-            "state": announcement.get("state", READY),
+            "state": DRAINING if self._draining else announcement.get("state", READY),
             "service": announcement["service"],
             "upstream_address": announcement["address"],
             "slots": announcement["slots"],
