--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -13,6 +13,7 @@
 from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
 from ._dissemination import Dissemination
+from ._errors import FigpickError
 from ._events import EventStore
 from ._exchange import PERIOD_S as EXCHANGE_PERIOD_S
 from ._fetching import ControlDocuments, DocumentFetcher
@@ -23,7 +24,7 @@
 from ._node import Node
 from ._probing import Prober
 from ._state import StateDump
-from ._supervisor import RestartLimitError, Supervisor
+from ._supervisor import Supervisor
 from ._transport import PeerClient, PeerServer
 
 EXIT_FAILED = 1
@@ -53,17 +54,18 @@
         self._control = None
         self._fetcher = None
         self._headlines = Headlines()
-        self._told_to_stop = asyncio.Event()
         control = settings.get("control", [])
         self._control_addresses = [member["address"] for member in control]
         self._state = StateDump(settings["name"])
         self._server.handle("state", self._state.receive)
+        self._told_to_stop = asyncio.Event()
         if "node" in settings["roles"]:
             self._add_node(authenticator)
         if "control" in settings["roles"]:
             self._add_control()
         self._add_dissemination()
         self._add_state(authenticator)
+        self._metrics = self._make_metrics(authenticator)
 
     @property
     def members(self):
@@ -120,6 +122,8 @@
         await self._dissemination.flush()
         self.close()
         await self.close_listeners()
+        if self._metrics is not None:
+            await self._metrics.stop()
         log.info("Process {} has stopped.", self._settings["name"])
 
     async def close_listeners(self):
@@ -306,6 +310,24 @@
         if self._control is not None:
             add("control", self._control.dump)
 
+    def _make_metrics(self, authenticator):
+        if "metrics" not in self._settings:
+            return None
+        from . import _metrics
+
+        reader = _metrics.make_reader(self._settings["metrics"])
+        metrics = _metrics.Metrics(self._settings, reader)
+        metrics.add_counters("peers", _metrics.TRAFFIC_COUNTERS, self._dump_traffic)
+        metrics.add_counters(
+            "authentication", _metrics.AUTHENTICATION_COUNTERS, authenticator.dump
+        )
+        metrics.add_members(self._members)
+        if self._node is not None:
+            metrics.add_node(self._node)
+        if self._control is not None:
+            metrics.add_control(self._control)
+        return metrics
+
     def _dump_traffic(self):
         client, server = self._client, self._server
         return {
@@ -326,7 +348,7 @@
     with asyncio.Runner(loop_factory=_loop_factory()) as runner:
         try:
             runner.run(_run_process(settings))
-        except RestartLimitError as error:
+        except FigpickError as error:
             log.critical("The process ends: {}.", error)
             sys.exit(EXIT_FAILED)
 
