Record calls of a node for replay

Cause: traces came only from a generator. Change: settings 'record' names a file and a share of root requests; a node writes one span a call, and the collector joins them into a trace. Conclusion: real traffic can be replayed; off unless set.

--- a/src/figpick/_bodies.py
+++ b/src/figpick/_bodies.py
@@ -27,6 +27,11 @@
         self._sent = None
         self._waiter = None
 
+    @property
+    def size(self):
+        """Bytes that the caller has sent."""
+        return self._size
+
     @property
     def complete(self):
         """Whether the caller has sent the whole body."""
--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -30,7 +30,7 @@
 )
 from ._headers import content_length, forwarded_headers
 from ._logs import logger
-from ._plans import KEY_HEADER
+from ._plans import KEY_HEADER, Moment
 from ._relays import AnswerRelay
 
 # The rest of a refused body is read for this long. Closing with unread bytes resets
@@ -84,6 +84,7 @@
         self._caller = caller
         self._plan = None
         self._headers = None
+        self._recorded_from = None
         self._body = None
         self._relay = None
         self._dispatch = None
@@ -190,6 +191,8 @@
         )
         delay_s = plan.deadline - node.clock.monotonic()
         self._timer = loop.call_later(delay_s, self._expire)
+        if node.records(plan):
+            self._recorded_from = Moment(node.clock.monotonic(), node.clock.wall())
         self._task = loop.create_task(self._run())
 
     def _expire(self):
@@ -232,6 +235,10 @@
         status = relay.status if relay.complete else 0
         name = self._dispatch.upstream_name if self._dispatch is not None else ""
         node.close_retries(plan, self._body, self._sent, status, name)
+        if self._recorded_from is not None:
+            sizes = (self._body.size, relay.size)
+            caller = self._caller.context.remote_ip
+            node.record(plan, caller, self._recorded_from, sizes, status)
 
     async def _carry_out(self):
         node, plan = self._node, self._plan
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -23,6 +23,7 @@
 from ._members import LEFT, Member, Members
 from ._node import Node
 from ._probing import Prober
+from ._recorder import PERIOD_S as RECORD_PERIOD_S, Recorder
 from ._state import StateDump
 from ._supervisor import Supervisor
 from ._transport import PeerClient, PeerServer
@@ -150,6 +151,10 @@
         self._server.handle("retry_grant", self._node.retries.receive)
         group = self.supervisor.add_group("node")
         self._add_claims(group)
+        if "record" in self._settings:
+            record = self._settings["record"]
+            recorder = self._node.recorder = Recorder(record["file"], record["share"])
+            group.add_periodic("recorder", recorder.flush, RECORD_PERIOD_S)
         group.add_periodic("permits", self._node.renew_permits, EXCHANGE_PERIOD_S)
         group.add_periodic("announcement", self._node.check_announcement, 1)
 
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -20,6 +20,7 @@
 from ._logs import logger
 from ._members import DRAINING, LEFT, READY, TAKES_CALLS
 from ._plans import Moment
+from ._recorder import make_span
 from ._retrying import Retries
 from ._settings import split_address
 from ._silence import SilenceWatch
@@ -62,6 +63,7 @@
         self._in_flight = 0
         self._server = None
         self.fetcher = None
+        self.recorder = None
         members.listen(self._member_changed)
 
     @property
@@ -271,6 +273,21 @@
             self._executions.remove(execution_id, call)
             self.exchange.owner.downstream.end(execution_id, self.clock.monotonic())
 
+    def records(self, plan):
+        """Whether the calls of a root request are recorded."""
+        return self.recorder is not None and self.recorder.wants(plan)
+
+    def record(self, plan, caller, started, sizes, status):
+        """Records a call that has ended.
+
+        :param caller: IP address of the caller.
+        :param started: :class:`~figpick._plans.Moment` of the start.
+        :param sizes: bytes of the request body and of the answer body.
+        :param status: HTTP status of a whole answer, 0 without one.
+        """
+        ended = self.clock.monotonic()
+        self.recorder.record(make_span(plan, caller, started, ended, sizes, status))
+
     def local_handler(self, start_line, caller):
         """Finds the handler of a request to the node itself.
 
--- a/src/figpick/_recorder.py
+++ b/src/figpick/_recorder.py
@@ -6,6 +6,7 @@
 
 from ._context import HASH_STEPS
 
+PERIOD_S = 1.0
 MAX_BUFFERED_SPANS = 10_000
 
 
@@ -19,7 +20,7 @@
     :param caller: IP address of the caller.
     :param at_s: seconds since the epoch.
     :param latency_ms: milliseconds until the end of the answer.
-    :param outcome: ``complete``, or the reason of figpick's own answer.
+    :param status: HTTP status of a whole answer, 0 without one.
     """
 
     root: str
@@ -36,7 +37,6 @@
     request_bytes: int
     answer_bytes: int
     status: int
-    outcome: str
 
 
 class Recorder:
@@ -88,7 +88,7 @@
             file.write(b"\n".join(lines) + b"\n")
 
 
-def make_span(plan, caller, started, ended, sizes, status, outcome):
+def make_span(plan, caller, started, ended, sizes, status):
     """Makes the span of a call that has ended.
 
     :param plan: :class:`~figpick._plans.CallPlan`.
@@ -115,5 +115,4 @@
         "request_bytes": request_bytes,
         "answer_bytes": answer_bytes,
         "status": status,
-        "outcome": outcome,
     }
--- a/src/figpick/_relays.py
+++ b/src/figpick/_relays.py
@@ -52,6 +52,11 @@
         self.complete = False
         self.status = 0
 
+    @property
+    def size(self):
+        """Bytes of the body that were passed on or are held."""
+        return self._passed + sum(len(chunk) for chunk in self._held or ())
+
     @property
     def restartable(self):
         """Whether another attempt can produce the rest of the answer."""
--- a/src/figpick/_settings.py
+++ b/src/figpick/_settings.py
@@ -34,6 +34,17 @@
     interval_s: NotRequired[Annotated[int, Meta(ge=1, le=3600)]]
 
 
+class RecordSettings(TypedDict):
+    """Recording of calls for replay.
+
+    :param file: file that spans are appended to.
+    :param share: share of root requests that are recorded.
+    """
+
+    file: Annotated[str, Meta(min_length=1)]
+    share: Annotated[float, Meta(gt=0, le=1)]
+
+
 class Settings(TypedDict):
     """Settings of one process, read from a JSON file.
 
@@ -53,6 +64,7 @@
     :param calls: services whose documents a node fetches at its start.
     :param log_level: least level that is logged.
     :param metrics: where metrics are sent; none are sent when absent.
+    :param record: which calls a node records; none when absent.
     """
 
     name: Name
@@ -70,6 +82,7 @@
     calls: NotRequired[list[Name]]
     log_level: NotRequired[Literal["debug", "info", "warning", "error"]]
     metrics: NotRequired[MetricsSettings]
+    record: NotRequired[RecordSettings]
 
 
 def load(path):
