Give freed slots to the most important request that waits

Cause: the owner ranked whole demands, so it took permits from nodes whose own important calls waited, and gave them back at once: up to 1,000 pushes a second for 50 calls. Answers of 503 that an application gives because a call below failed lowered the learned limit (entries from 70 to 22 slots). A push could raise permits that a calling node had renounced.

Change: calling nodes report what waits apart from what is in flight; a freed slot goes to the most important waiting request; recalls stop once eight requests more than are missing may free one. 503 answers explained by failed calls below do not count as shedding. The wait target is a share of the document's longest wait.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,6 +1,7 @@
 """Starts control processes, nodes and stand-in upstreams on loopback."""
 
 import asyncio
+import random
 import socket
 import subprocess
 import sys
@@ -19,8 +20,13 @@
 
 KEY = "a key for tests on loopback"
 READY_TIMEOUT_S = 30.0
+# Below the ports that the system gives to outgoing connections, one of which
+# could otherwise take an address before its process listens on it.
+PORTS = (10_000, 32_000)
 STOP_TIMEOUT_S = 10.0
 
+_given_ports = set()
+
 
 class ServiceSpec(NamedTuple):
     """A service of a cluster.
@@ -54,10 +60,18 @@
 
 
 def free_address(ip="127.0.0.1"):
-    """Gives an ``ip:port`` that no process listens on."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return f"{ip}:{probe.getsockname()[1]}"
+    """Gives an ``ip:port`` that no process listens on and was not given before."""
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return f"{ip}:{port}"
 
 
 class Cluster:
--- a/bench/load.py
+++ b/bench/load.py
@@ -11,8 +11,10 @@
 from bench import deployments
 from bench.client import HttpClient
 
-CLIENT_TIMEOUT_S = 4.0
+# About three times the usual time of the longest request.
+PATIENCE_S = 1.5
 RESEND_PAUSE_S = 0.05
+QUEUE_MS = 100
 
 
 class Phase(NamedTuple):
@@ -59,11 +61,21 @@
         return self.status == 200
 
 
+def usual_s(kind):
+    """Gives the seconds that a request of a kind takes without load."""
+    return (kind.service_ms + sum(map(_tree_total_ms, kind.calls))) / 1000
+
+
+def _tree_total_ms(call):
+    return call[3] + sum(map(_tree_total_ms, call[4]))
+
+
 def stretched(deployment, factor):
-    """Lengthens all service times, which divides the capacity.
+    """Lengthens service times and waits alike, which divides the capacity.
 
     :param factor: multiple of the service times.
     """
+    services = [_stretched_service(spec, factor) for spec in deployment.services]
 
     def stretch_call(call):
         service, method, path, service_ms, calls = call
@@ -77,7 +89,12 @@
         )
         for kind in deployment.kinds
     ]
-    return deployment._replace(kinds=kinds)
+    return deployment._replace(kinds=kinds, services=services)
+
+
+def _stretched_service(spec, factor):
+    limits = {**spec.document["limits"], "queue_ms": int(QUEUE_MS * factor)}
+    return spec._replace(document={**spec.document, "limits": limits})
 
 
 def schedule(deployment, seed, phases):
@@ -168,7 +185,7 @@
             await asyncio.sleep(delay_s)
             address = addresses[(arrival.number + attempt) % len(addresses)]
             answer = await self._client.request(
-                address, kind.method, kind.path, headers, timeout_s=CLIENT_TIMEOUT_S
+                address, kind.method, kind.path, headers, timeout_s=PATIENCE_S
             )
             await asyncio.sleep(delay_s)
             if answer.status == 200:
--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -119,6 +119,11 @@
     def on_connection_close(self):
         self.cancel()
 
+    @property
+    def status(self):
+        """HTTP status of the whole answer from an upstream, 0 without one."""
+        return self._status
+
     def cancel(self):
         """Stops the call, because nobody waits for its answer."""
         if self._task is not None and not self._ended:
--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -65,6 +65,8 @@
         self._lines = {}
         self._tasks = set()
         self._push_timer = None
+        self.exchanges = 0
+        self.pushes = 0
         incarnation = members.own.incarnation
         self._number = incarnation
         self.owner = UpstreamOwner(incarnation, clock.monotonic())
@@ -150,7 +152,7 @@
 
     def dump(self):
         """Gives the state as a dict."""
-        return self.owner.dump()
+        return {**self.owner.dump(), "exchanges": self.exchanges, "pushes": self.pushes}
 
     def _take_push(self, upstreams, upstream, message):
         now = self._clock.monotonic()
@@ -211,6 +213,7 @@
 
     async def _renew(self, upstreams, upstream, line):
         try:
+            self.exchanges += 1
             await self._exchange(upstreams, upstream)
             upstreams.wake(self._clock.monotonic())
             upstream.permits.owner_silent = False
@@ -252,6 +255,7 @@
     async def _push_to(self, caller, message):
         own_name = self._members.own.name
         message["owner"] = own_name
+        self.pushes += 1
         try:
             if caller == own_name:
                 answer = await self.receive_push(message)
--- a/src/figpick/_levels.py
+++ b/src/figpick/_levels.py
@@ -13,6 +13,7 @@
 BINS = 10 * BINS_PER_IMPORTANCE
 HIGHEST = 10.0
 PERIOD_S = 0.1
+DEFAULT_QUEUE_S = 0.1
 # Load up to this share of capacity is admitted; the queues absorb the excess.
 HEADROOM = 1.05
 FIRST_STEP = 0.05
@@ -23,7 +24,9 @@
 LEAST_LOAD = 0.9
 # Share of the slots in use at which a level is not lowered.
 FULL = 0.93
-WAIT_TARGET_S = 0.04
+# Share of the longest wait at which the level rises. A short standing queue keeps
+# the slots full: 0.2 left 4 to 9 of 100 slots unused, 0.4 left 2 to 5.
+WAIT_TARGET_SHARE = 0.4
 WAIT_WINDOW_S = 0.25
 RATE_TIME_S = 0.5
 SERVICE_WINDOW_S = 0.5
@@ -102,10 +105,14 @@
 
 
 class LevelController:
-    """Computes the admission level of one upstream."""
+    """Computes the admission level of one upstream.
+
+    ``queue_s`` is the longest wait of a call for a permit, in seconds.
+    """
 
     def __init__(self):
         self.level = 0.0
+        self.queue_s = DEFAULT_QUEUE_S
         self._callers = {}
         self._window = deque()
         self._service_s = 0.0
@@ -161,7 +168,7 @@
             self.level = highest
         if admitted > capacity * EXCESS:
             return self._raise(level_for(rates, capacity * HEADROOM))
-        if self._mean_wait(now) > WAIT_TARGET_S:
+        if self._mean_wait(now) > WAIT_TARGET_SHARE * self.queue_s:
             # Not all of the load gets permits in time: give up a share of it.
             return self._raise(min(highest, level_for(rates, admitted / HEADROOM)))
         if self._utilisation(limit) >= FULL:
--- a/src/figpick/_limits.py
+++ b/src/figpick/_limits.py
@@ -1,5 +1,6 @@
 """The learned concurrency limit of an upstream."""
 
+from collections import deque
 from typing import NamedTuple
 
 MIN_LIMIT = 1
@@ -15,6 +16,8 @@
 LONG_RUN_SHARE = 0.002
 THROUGHPUT_SHARE = 0.05
 MIN_COMPLETED = 5
+# Calling nodes report a refusal at most one calm period after it.
+EXCUSE_S = 3.0
 
 
 class Observation(NamedTuple):
@@ -114,12 +117,13 @@
         self._long_run_rate += THROUGHPUT_SHARE * difference
 
 
-class DownstreamTime:
-    """Sums the time that executions of the local upstream spend in calls."""
+class DownstreamCalls:
+    """Sums what executions of the local upstream spend in calls, and failures."""
 
     def __init__(self):
         self._executions = {}
         self._total_s = 0.0
+        self._excused = deque()
 
     def begin(self, execution_id, now):
         """Notes the start of a call.
@@ -127,13 +131,18 @@
         :param now: monotonic seconds.
         """
         entry = self._executions.setdefault(execution_id, [0, now])
+        if not entry[0]:
+            entry[1] = now
         entry[0] += 1
 
-    def end(self, execution_id, now):
+    def end(self, execution_id, failed, now):
         """Notes the end of a call; parallel calls count once.
 
+        :param failed: whether the execution got no usable answer.
         :param now: monotonic seconds.
         """
+        if failed:
+            self._excused.append(now)
         entry = self._executions.get(execution_id)
         if entry is None:
             return
@@ -142,6 +151,22 @@
             self._total_s += now - entry[1]
             del self._executions[execution_id]
 
+    def unexcused(self, shed, now):
+        """Counts the refusals of the upstream that no failed call explains.
+
+        An application commonly answers 503 when a call that it makes fails, which
+        says nothing of its own load.
+
+        :param shed: refusals reported now.
+        :param now: monotonic seconds.
+        """
+        while self._excused and now - self._excused[0] > EXCUSE_S:
+            self._excused.popleft()
+        while shed and self._excused:
+            self._excused.popleft()
+            shed -= 1
+        return shed
+
     def take(self):
         """Gives the seconds spent since the last call of this method."""
         total_s, self._total_s = self._total_s, 0.0
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -222,7 +222,9 @@
         if plan.parent is not None:
             execution_id = plan.parent.execution_id
             self._executions.remove(execution_id, call)
-            self.exchange.owner.downstream.end(execution_id, self.clock.monotonic())
+            failed = call.status == 0 or call.status >= 500
+            now = self.clock.monotonic()
+            self.exchange.owner.downstream.end(execution_id, failed, now)
 
     def local_handler(self, start_line, caller):
         """Finds the handler of a request to the node itself.
--- a/src/figpick/_owner.py
+++ b/src/figpick/_owner.py
@@ -3,12 +3,13 @@
 from collections import deque
 
 from ._levels import LevelController, Report, RouteLevels
-from ._limits import DownstreamTime, LearnedLimit, Observation
+from ._limits import DownstreamCalls, LearnedLimit, Observation
 from ._permits import Demand, PermitPool, Usage
 
 WINDOW_S = 0.5
-# Calling nodes are told of a level at once when it rose by more than this.
-LEVEL_RISE = 0.02
+# Calling nodes that know of a level ask for it each 100 ms. Others are told at
+# once, and all are when it rose by more than this.
+LEVEL_RISE = 0.5
 # Calling nodes return unused permits at once until this long after a shortage.
 CONTENDED_S = 1.0
 
@@ -23,7 +24,7 @@
     def __init__(self, incarnation, now):
         self.pool = PermitPool(0, incarnation, now)
         self.routes = RouteLevels()
-        self.downstream = DownstreamTime()
+        self.downstream = DownstreamCalls()
         self._levels = LevelController()
         self._limit = LearnedLimit()
         self._slots = 0
@@ -51,6 +52,7 @@
         """
         self._slots_limit = limits.slots
         self._connections_limit = limits.connections
+        self._levels.queue_s = limits.queue_s
         self._apply_ceiling()
 
     def receive(self, message, now):
@@ -137,6 +139,8 @@
 
     def _rose_for(self, caller):
         level, routes = self._told.get(caller, (0.0, {}))
+        if not level and not routes and (self._level or self._route_levels):
+            return True
         if self._level > level + LEVEL_RISE:
             return True
         return any(
@@ -146,6 +150,7 @@
 
     def _observe(self, now):
         spent_s = self.downstream.take()
+        self._counts[2] = self.downstream.unexcused(self._counts[2], now)
         self._window.append((now, *self._counts, spent_s))
         self._counts = [0, 0.0, 0]
         while now - self._window[0][0] > WINDOW_S:
@@ -168,4 +173,4 @@
 def decode_usage(fields):
     """Decodes a :class:`~figpick._permits.Usage` from its JSON form."""
     *numbers, demand = fields
-    return Usage(*numbers, Demand(tuple(demand[0]), demand[1]))
+    return Usage(*numbers, Demand(tuple(demand[0]), demand[1], tuple(demand[2])))
--- a/src/figpick/_permits.py
+++ b/src/figpick/_permits.py
@@ -6,9 +6,10 @@
 LEASE_S = 5.0
 IMPORTANCES = 10
 LEAST_MOVE = 2
-# Several calling nodes are asked for each missing permit, since the one whose
-# request ends first is not known; the others get theirs back.
-RECALLS = 8
+# So many requests more than permits are missing must be in flight at the calling
+# nodes that are asked for theirs, since the one that ends first is not known. The
+# first wait is then about an eighth of a service time.
+ENDING = 8
 
 
 class Demand(NamedTuple):
@@ -16,10 +17,12 @@
 
     :param by_importance: requests in flight or waiting, for importance 0 to 9.
     :param spare: permits it would like beyond those.
+    :param waiting: requests that wait for a permit, for importance 0 to 9.
     """
 
     by_importance: tuple
     spare: int = 0
+    waiting: tuple = (0,) * IMPORTANCES
 
     @property
     def total(self):
@@ -127,16 +130,6 @@
     return left
 
 
-def lowest_served(holding):
-    """Gives the importance that the last granted permit of a holding serves."""
-    left = holding.granted
-    for importance in range(IMPORTANCES - 1, -1, -1):
-        left -= holding.demand.by_importance[importance]
-        if left <= 0:
-            return importance
-    return -1
-
-
 class _Holding:
     """What the owner knows of one calling node.
 
@@ -169,6 +162,21 @@
         most = max((permits for _, permits in self.pending), default=0)
         return max(most, self.in_use)
 
+    def next_waiting(self, granted):
+        """Gives the importance of the request that one more permit would serve.
+
+        Requests in flight are not interrupted, so only waiting ones count.
+
+        :param granted: permits that the calling node has.
+        :return: importance, or -1 when none waits.
+        """
+        served = max(0, granted - self.in_use)
+        for importance in range(IMPORTANCES - 1, -1, -1):
+            served -= self.demand.waiting[importance]
+            if served < 0:
+                return importance
+        return -1
+
 
 class PermitPool:
     """Divides the slots of one upstream among calling nodes.
@@ -259,83 +267,82 @@
         if self.confirming or not (self.movable or self.committed > self.limit):
             return []
         targets = self._targets()
-        waiting = self._waiting(targets)
-        return self._recall(targets, waiting) + self._raise(targets, waiting, now)
-
-    def _waiting(self, targets):
-        """Lists the calling nodes below their target.
-
-        The most important come first, then those that got a permit longest ago.
-        """
-        waiting = []
-        for caller, holding in self._holdings.items():
-            if targets[caller] <= holding.granted:
-                continue
-            unmet = holding.demand.total > holding.granted
-            importance = highest(holding.demand) if unmet else -1
-            waiting.append((-importance, holding.met_at, caller))
-        return sorted(waiting)
-
-    def _recall(self, targets, waiting):
-        wanted = -waiting[0][0] if waiting else -1
-        pushes = []
-        for caller, holding in self._holdings.items():
-            if self._recalls(holding, targets[caller], wanted):
-                pushes.append((caller, self._grant(holding, targets[caller], 0.0)))
-        if wanted < 0:
-            return pushes
-        missing = sum(
-            min(targets[caller], self._holdings[caller].demand.total)
-            - self._holdings[caller].granted
-            for importance, _, caller in waiting
-            if -importance == wanted
-        )
-        coming = sum(item.committed - item.granted for item in self._holdings.values())
-        named = {caller for caller, _ in pushes}
-        lesser = [
-            (lowest_served(holding), caller)
-            for caller, holding in self._holdings.items()
-            if caller not in named and holding.granted
+        before = {caller: item.granted for caller, item in self._holdings.items()}
+        after = dict(before)
+        if self.committed > self.limit:
+            after = {caller: min(after[caller], targets[caller]) for caller in after}
+        else:
+            self._raise(after, targets, now)
+            self._recall(after, before, targets)
+        return [
+            (caller, self._grant(self._holdings[caller], permits, 0.0))
+            for caller, permits in after.items()
+            if permits != before[caller]
         ]
-        for lowest, caller in sorted(lesser):
-            if lowest >= wanted or coming >= RECALLS * missing:
-                break
-            holding = self._holdings[caller]
-            pushes.append((caller, self._grant(holding, holding.granted - 1, 0.0)))
-            coming += 1
-        return pushes
 
-    def _raise(self, targets, waiting, now):
+    def _raise(self, after, targets, now):
+        """Gives free permits to the most important waiting requests."""
         free = self.limit - self.committed
-        pushes = []
-        for *_, caller in waiting:
+        while True:
+            order = [
+                # A permit that was just recalled must not go straight back, and
+                # within one importance the farthest below its share is first.
+                (
+                    -item.next_waiting(after[caller]),
+                    item.committed > item.granted,
+                    after[caller] - targets[caller],
+                    item.met_at,
+                    caller,
+                )
+                for caller, item in self._holdings.items()
+                if item.next_waiting(after[caller]) >= 0
+                or after[caller] < targets[caller]
+            ]
+            if not order:
+                return
+            caller = min(order)[-1]
             holding = self._holdings[caller]
-            wanted = targets[caller]
-            # Permits up to the committed number cost nothing more.
-            permits = min(wanted, holding.committed + max(0, free))
-            if permits > holding.granted:
-                free -= max(0, permits - holding.committed)
-                pushes.append((caller, self._grant(holding, permits, 0.0)))
-                holding.met_at = now
-            if permits < wanted:
-                # What is recalled must not go back to less important requests.
-                break
-        return pushes
-
-    def _recalls(self, holding, target, wanted):
-        """Whether permits are taken back for a wanted importance."""
-        surplus = holding.granted - target
-        if surplus <= 0:
-            return False
-        if self.committed > self.limit:
-            return True
-        if wanted >= 0 and holding.granted > holding.demand.total:
-            return True
-        # Moving a permit leaves it unused for a moment, so an even division
-        # within one importance is not worth the move of a single one.
+            if after[caller] >= holding.committed:
+                if free <= 0:
+                    return
+                free -= 1
+            after[caller] += 1
+            holding.met_at = now
+
+    def _recall(self, after, before, targets):
+        """Takes back permits for more important requests that still wait."""
+        waiting = {
+            caller: item.next_waiting(after[caller])
+            for caller, item in self._holdings.items()
+        }
+        wanted = max(waiting.values(), default=-1)
         if wanted < 0:
-            return False
-        return wanted > lowest_served(holding) or surplus >= LEAST_MOVE
+            return
+        missing = sum(
+            self._holdings[caller].demand.waiting[wanted]
+            for caller, importance in waiting.items()
+            if importance == wanted
+        )
+        # Any request in flight at a calling node that was asked may free a permit.
+        ending = sum(
+            item.in_use
+            for caller, item in self._holdings.items()
+            if item.committed > after[caller]
+        )
+        for importance, surplus, caller in sorted(
+            (waiting[caller], targets[caller] - after[caller], caller)
+            for caller in after
+            if after[caller] and after[caller] == before[caller]
+        ):
+            holding = self._holdings[caller]
+            if after[caller] > holding.demand.total:
+                after[caller] = holding.demand.total
+            elif importance > wanted or ending >= ENDING + missing:
+                return
+            elif importance < wanted or -surplus >= LEAST_MOVE:
+                if holding.committed == holding.granted:
+                    ending += max(1, holding.in_use)
+                after[caller] -= 1
 
     def confirm_members(self, names):
         """Ends the phase after a start once every member has exchanged.
@@ -367,6 +374,7 @@
         later = [item for item in holding.pending if item[0] > order]
         # What is held may be less than granted, or come from an earlier process.
         holding.pending = [(order, usage.held), *later]
+        holding.granted = holding.pending[-1][1]
 
     def _allowed(self, caller, holding, usage):
         others = self.committed - holding.committed
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -250,10 +250,10 @@
             in_use = upstream.permits.by_importance
             elsewhere = len(self._queue) - sum(waiting)
             wanted = tuple(map(sum, zip(in_use, waiting, strict=True)))
-            return Demand(wanted, min(elsewhere, MOST_CONTENDED_SPARE))
+            return Demand(wanted, min(elsewhere, MOST_CONTENDED_SPARE), waiting)
         peaks = upstream.permits.peaks(PEAK_KEPT)
         wanted = tuple(map(sum, zip(peaks, waiting, strict=True)))
-        return Demand(wanted, max(LEAST_SPARE, sum(wanted) // 2))
+        return Demand(wanted, max(LEAST_SPARE, sum(wanted) // 2), waiting)
 
     def _waiting_for(self, upstream):
         """Counts the waiting calls that ask for this upstream, by importance.
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -68,8 +68,11 @@
         cache = self.caches[name]
         self.number += 1
         wanted = [0] * 10
-        wanted[ord(name) % 10] = cache.in_use + self.waiting[name]
-        return cache.usage(self.number, Demand(tuple(wanted), 1), self.now)
+        wanted[ord(name) % 10] = self.waiting[name]
+        total = list(wanted)
+        total[5] += cache.in_use
+        demand = Demand(tuple(total), 1, tuple(wanted))
+        return cache.usage(self.number, demand, self.now)
 
     def step(self):
         self.now += self.random.choice((0.0, 0.01, 0.1, 0.1, 0.7))
@@ -113,6 +116,9 @@
     def restart(self):
         self.incarnation += 1
         self.pool = PermitPool(self.LIMIT, self.incarnation, self.now)
+        # Connections to the earlier process end with it, so what was sent to it
+        # never reaches the new one.
+        self.mail = [item for item in self.mail if item[0] in ("reply", "push")]
 
     def check(self):
         for cache in self.caches.values():
@@ -181,3 +187,14 @@
     cache.accept(Grant(1, 7, 2, 0.0), 10.0)
     cache.accept(Grant(8, 7, 1, LEASE_S), 9.9)
     assert cache.held(10.0) == 1
+
+
+def test_renounced_permits_are_not_granted_again_by_a_recall():
+    """Guards against a recall that raises what a calling node has given up."""
+    pool, cache = PermitPool(10, 1, None), PermitCache()
+    many = Demand((0,) * 9 + (8,), 0, (0,) * 9 + (8,))
+    cache.accept(pool.exchange("a", cache.usage(1, many, 0.0), 0.0), 0.0)
+    none = Demand((0,) * 10)
+    pool.acknowledge("a", cache.usage(2, none, 0.1), 0.1)
+    assert pool.committed == 0
+    assert pool.grants() == {"a": 0}
