--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -1,12 +1,11 @@
-"""A plain forwarder: the baseline without any decision of figpick.
+"""Plain forwarding with three attempts per layer, the baseline of experiments.
 
-Started as ``python -m bench.forwarder CONFIG``, a JSON file of
-:class:`ForwarderConfig`, in the place of a node. It forwards each call to the
-upstreams of the service in turn, makes three attempts, and limits nothing.
+Started as ``python -m bench.forwarder CONFIG`` in place of a node, a JSON file of
+:class:`ForwarderConfig`.
 """
 
 import asyncio
-import itertools
+import random
 import sys
 from typing import TypedDict
 
@@ -16,25 +15,29 @@
 from tornado.iostream import StreamClosedError
 
 from bench.client import HttpClient
+from bench.cluster import READY_TIMEOUT_S, Cluster, wait_for
+from bench.standin import ANNOUNCE_PATH
 
 ATTEMPTS = 3
-TIMEOUT_S = 1.5
-ANNOUNCE_PATH = "/.well-known/figpick/announce"
+ATTEMPT_TIMEOUT_S = 3.0
+DROPPED_HEADERS = frozenset(("Connection", "Content-Length", "Transfer-Encoding"))
 
 
 class ForwarderConfig(TypedDict):
     """Configuration of one forwarder.
 
     :param address: ``ip:port`` on which it takes calls.
-    :param upstreams: addresses of the upstreams by service.
+    :param own: service for hosts that name no service.
+    :param services: upstream addresses by service.
     """
 
     address: str
-    upstreams: dict[str, list[str]]
+    own: str
+    services: dict[str, list[str]]
 
 
 class Forwarder:
-    """Forwards calls round robin.
+    """Sends each call to a random upstream, up to three times.
 
     :param config: :class:`ForwarderConfig`.
     """
@@ -42,15 +45,12 @@
     def __init__(self, config):
         self._config = config
         self._client = HttpClient()
-        self._turns = {
-            service: itertools.cycle(addresses)
-            for service, addresses in config["upstreams"].items()
-        }
 
     async def run(self):
         """Serves until the process is ended."""
         ip, port = self._config["address"].split(":")
-        HTTPServer(self._receive, max_body_size=1 << 30).listen(int(port), ip)
+        server = HTTPServer(self._receive, max_body_size=1 << 30)
+        server.listen(int(port), ip)
         await asyncio.Event().wait()
 
     def _receive(self, request):
@@ -59,29 +59,30 @@
 
     async def _answer(self, request):
         if request.path == ANNOUNCE_PATH:
-            self._write(request, 200, b"{}")
+            self._write(request, 200, HTTPHeaders(), b"{}")
             return
-        headers = {
-            name: value
-            for name, value in request.headers.get_all()
-            if name.startswith(("X-", "Host", "Idempotency-"))
-        }
-        turns = self._turns[request.headers["Host"]]
+        answer = None
         for _ in range(ATTEMPTS):
-            answer = await self._client.request(
-                next(turns),
-                request.method,
-                request.uri,
-                headers,
-                request.body,
-                TIMEOUT_S,
-            )
-            if answer.status == 200:
+            answer = await self._forward(request)
+            if 0 < answer.status < 500:
                 break
-        self._write(request, answer.status or 504, answer.body)
-
-    def _write(self, request, status, body):
-        headers = HTTPHeaders()
+        self._write(request, answer.status or 502, answer.headers, answer.body)
+
+    async def _forward(self, request):
+        host = request.headers.get("Host", "").partition(":")[0]
+        services = self._config["services"]
+        addresses = services.get(host) or services[self._config["own"]]
+        return await self._client.request(
+            random.choice(addresses),
+            request.method,
+            request.uri,
+            _copy(request.headers),
+            request.body,
+            ATTEMPT_TIMEOUT_S,
+        )
+
+    def _write(self, request, status, headers, body):
+        headers = _copy(headers)
         headers["Content-Length"] = str(len(body))
         line = ResponseStartLine("HTTP/1.1", status, responses[status])
         try:
@@ -91,6 +92,52 @@
             pass
 
 
+def _copy(headers):
+    copied = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name not in DROPPED_HEADERS:
+            copied.add(name, value)
+    return copied
+
+
+class Forwarders(Cluster):
+    """A cluster whose hosts have a plain forwarder instead of a node."""
+
+    def __init__(self, services, data_centers=3):
+        super().__init__(services, 0, data_centers)
+
+    async def __aenter__(self):
+        try:
+            self._start_all()
+            await wait_for(self._answers, READY_TIMEOUT_S)
+        except BaseException:
+            self.stop_all()
+            raise
+        return self
+
+    async def _answers(self):
+        for host in self.hosts:
+            if await self.steer(host, "stats") is None:
+                return False
+            answer = await self.client.request(
+                host.call_address, "POST", ANNOUNCE_PATH, (), b"{}"
+            )
+            if answer.status != 200:
+                return False
+        return True
+
+    def _add_node(self, host, settings):
+        services = {}
+        for each in self.hosts:
+            services.setdefault(each.service, []).append(each.upstream_address)
+        config = {
+            "address": host.call_address,
+            "own": host.service,
+            "services": services,
+        }
+        self._add_command(host.name, "bench.forwarder", [], config)
+
+
 def main(path):
     """Runs the forwarder of a configuration file."""
     with open(path, "rb") as file:
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from bench import deployments, load
-from bench.baseline import ForwardingCluster
 from bench.cluster import Cluster
+from bench.forwarder import Forwarders
 from bench.load import LoadRun, Phase
 from bench.rows import Row
 
@@ -81,7 +81,7 @@
     arrivals = load.schedule(deployment, seed, PHASES)
     figpick, baseline = await asyncio.gather(
         measure(Cluster, deployment, arrivals),
-        measure(ForwardingCluster, deployment, arrivals),
+        measure(Forwarders, deployment, arrivals),
     )
     return list(zip(figpick, baseline, strict=True))
 
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -1,17 +1,17 @@
 """The composition root: wires the parts of one process."""
 
 import asyncio
+import gc
 import os
 import random
 import signal
 import sys
 from functools import partial
 
+from . import _shutdown
 from ._auth import Authenticator
-from ._candidates import RosterProposer
 from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
-from ._control import Control
 from ._dissemination import Dissemination
 from ._events import EventStore
 from ._exchange import PERIOD_S as EXCHANGE_PERIOD_S
@@ -22,10 +22,13 @@
 from ._members import LEFT, Member, Members
 from ._node import Node
 from ._probing import Prober
+from ._state import StateDump
 from ._supervisor import RestartLimitError, Supervisor
 from ._transport import PeerClient, PeerServer
 
 EXIT_FAILED = 1
+# The default first threshold of 700 starts several collections for each request.
+GC_THRESHOLDS = (20_000, 20, 50)
 
 log = logger("process")
 
@@ -50,12 +53,17 @@
         self._control = None
         self._fetcher = None
         self._headlines = Headlines()
-        self._server.handle("state", self._dump)
+        self._told_to_stop = asyncio.Event()
+        control = settings.get("control", [])
+        self._control_addresses = [member["address"] for member in control]
+        self._state = StateDump(settings["name"])
+        self._server.handle("state", self._state.receive)
         if "node" in settings["roles"]:
             self._add_node(authenticator)
         if "control" in settings["roles"]:
             self._add_control()
         self._add_dissemination()
+        self._add_state(authenticator)
 
     @property
     def members(self):
@@ -69,27 +77,38 @@
 
     async def run(self):
         """Runs until the process is told to stop."""
-        stopped = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stopped.set)
+            loop.add_signal_handler(number, self.request_stop)
         await self.start()
+        # What exists now stays, so later collections need not visit it.
+        gc.collect()
+        gc.freeze()
         tree = asyncio.ensure_future(self.supervisor.run())
-        stop = asyncio.ensure_future(stopped.wait())
-        await asyncio.wait([tree, stop], return_when=asyncio.FIRST_COMPLETED)
+        stop = asyncio.ensure_future(self._told_to_stop.wait())
         try:
+            await asyncio.wait([tree, stop], return_when=asyncio.FIRST_COMPLETED)
             if tree.done():
                 tree.result()
+            if self._node is not None:
+                spread = self._dissemination.flush
+                await _shutdown.drain(self._node, spread, self.clock)
         finally:
             tree.cancel()
+            stop.cancel()
             await self.stop()
 
+    def request_stop(self):
+        """Makes :meth:`run` drain the node, leave and return."""
+        self._told_to_stop.set()
+
     async def start(self):
         """Starts the roles; the supervisor is not started yet."""
         if self._control is not None:
             self._control.start()
             self._announce_versions()
         self._server.start()
+        self._dissemination.announce_own()
         if self._node is not None:
             await self._fetcher.confirm()
             self._node.start()
@@ -123,6 +142,7 @@
         )
         self._server.handle("exchange", self._node.exchange.receive)
         self._server.handle("permits", self._node.exchange.receive_push)
+        self._server.handle("cancel", self._node.cancellations.receive)
         self._server.handle("retry_grant", self._node.retries.receive)
         group = self.supervisor.add_group("node")
         self._add_claims(group)
@@ -131,8 +151,7 @@
 
     def _add_claims(self, group):
         claims = self._node.claims
-        control = [member["address"] for member in self._settings.get("control", [])]
-        copies = ClaimCopies(claims, self.clock, self._client, control)
+        copies = ClaimCopies(claims, self.clock, self._client, self._control_addresses)
         for kind in ("claim", "lookup", "finish", "release"):
             self._server.handle(kind, partial(claims.receive, kind))
         self._server.handle("roster", claims.receive_roster)
@@ -142,6 +161,10 @@
         group.add_periodic("claims", refresh, CLAIM_COPY_PERIOD_S)
 
     def _add_control(self):
+        # A node does not load the modules of the replicated log.
+        from ._candidates import RosterProposer
+        from ._control import Control
+
         self._control = Control(self._settings, self.clock, self._client)
         self._control.add_handlers(self._server)
         self._control.add_tasks(self.supervisor.add_group("control"))
@@ -197,7 +220,7 @@
             self._members,
             self._headlines,
             self._client,
-            [member["address"] for member in settings.get("control", [])],
+            self._control_addresses,
             self._seeds(),
             own + settings.get("calls", []),
             source,
@@ -239,7 +262,10 @@
     def _message_ended(self, address, kind, answered):
         contacts = self._members.contacts
         if answered:
-            contacts.answered(address, self.clock.monotonic())
+            now = self.clock.monotonic()
+            contacts.answered(address, now)
+            if address in self._control_addresses:
+                self._dissemination.note_control(0.0, now)
             return
         contacts.failed(address)
         # A check by a helper must not cause further checks.
@@ -265,22 +291,29 @@
         )
 
     def _seeds(self):
-        control = [member["address"] for member in self._settings.get("control", [])]
-        return control + self._settings.get("seeds", [])
-
-    async def _dump(self, message):
-        state = {
-            "name": self._settings["name"],
-            "members": [member._asdict() for member in self._members],
-            "supervisor": self.supervisor.dump(),
-        }
+        return self._control_addresses + self._settings.get("seeds", [])
+
+    def _add_state(self, authenticator):
+        add = self._state.add
+        add("members", lambda: [member._asdict() for member in self._members])
+        add("gossip", self._dissemination.dump)
+        add("traffic", self._dump_traffic)
+        add("authentication", authenticator.dump)
+        add("supervisor", self.supervisor.dump)
         if self._node is not None:
-            state["node"] = self._node.dump()
-        if self._fetcher is not None:
-            state["documents"] = self._fetcher.dump()
+            add("node", self._node.dump)
+            add("documents", self._fetcher.dump)
         if self._control is not None:
-            state["control"] = self._control.dump()
-        return state
+            add("control", self._control.dump)
+
+    def _dump_traffic(self):
+        client, server = self._client, self._server
+        return {
+            "sent": client.sent_count,
+            "received": server.received_count,
+            "sent_bytes": client.sent_bytes + server.sent_bytes,
+            "received_bytes": client.received_bytes + server.received_bytes,
+        }
 
 
 def run(settings):
@@ -298,7 +331,16 @@
             sys.exit(EXIT_FAILED)
 
 
+def prepare_process():
+    """Keeps garbage collection short, which would otherwise delay calls."""
+    gc.collect()
+    # Modules live as long as the process and need no further examination.
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 async def _run_process(settings):
+    prepare_process()
     await Process(settings).run()
 
 
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -1,6 +1,7 @@
 """The upstreams of one service as a calling node sees them."""
 
 import asyncio
+import itertools
 import random
 from typing import NamedTuple
 
@@ -8,7 +9,7 @@
 from ._connections import ConnectionPool
 from ._errors import DeadlineError, NoUpstreamError, OverloadedError
 from ._levels import REPORT_LIFETIME_S
-from ._members import COLD, TAKES_CALLS
+from ._members import COLD, DRAINING, TAKES_CALLS
 from ._observations import CallStatistics, OfferedLoad, UsualTimes
 from ._permits import IMPORTANCES, Demand, PermitCache
 from ._queues import WaitQueue
@@ -151,6 +152,7 @@
         self._when_short = when_short
         self._when_idle = when_idle
         self._upstreams = {}
+        self._leaving = {}
         self._used = []
         self._subset_size = _routing.SUBSET_SIZE
         self._queue = WaitQueue(service.limits.queue_length)
@@ -166,7 +168,7 @@
         return f"<UpstreamSet {self._service.name} {len(self._upstreams)}>"
 
     def __iter__(self):
-        return iter(self._upstreams.values())
+        return itertools.chain(self._upstreams.values(), self._leaving.values())
 
     @property
     def service(self):
@@ -183,6 +185,11 @@
         """Upstreams that this node sends calls to."""
         return self._used
 
+    @property
+    def leaving(self):
+        """Upstreams that drain; their owners wait for the end of the calls there."""
+        return self._leaving.values()
+
     @property
     def waiting(self):
         """Number of calls that wait for a permit."""
@@ -203,15 +210,25 @@
         """
         known = self._upstreams.get(member.name)
         if member.state not in TAKES_CALLS or not member.upstream_address:
-            if known is not None:
-                known.pool.close_idle()
-                del self._upstreams[member.name]
-        elif known is None or known.member.upstream_address != member.upstream_address:
-            self._upstreams[member.name] = Upstream(member, self.offered, now)
-        else:
-            known.member = member
+            self._remove(member, known)
+            return
+        if known is None:
+            known = self._leaving.pop(member.name, None)
+        if known is None or known.member.upstream_address != member.upstream_address:
+            known = Upstream(member, self.offered, now)
+        known.member = member
+        self._upstreams[member.name] = known
         self._select()
 
+    def _remove(self, member, upstream):
+        if upstream is not None:
+            upstream.pool.close_idle()
+            del self._upstreams[member.name]
+            self._select()
+            self._leaving[member.name] = upstream
+        if member.state != DRAINING:
+            self._leaving.pop(member.name, None)
+
     def admit(self, plan, now):
         """Decides whether a call may wait for a permit.
 
