--- a/src/figpick/_levels.py
+++ b/src/figpick/_levels.py
@@ -150,7 +150,8 @@
         """
         self._forget(now)
         self._service_s = self._measure_service()
-        if not self._service_s:
+        # A draining upstream has no permits left that a level could divide.
+        if not self._service_s or not limit:
             return self._lower(0.0)
         capacity = limit / self._service_s
         rates = self.offered()
--- a/tests/paths.py
+++ b/tests/paths.py
@@ -10,7 +10,7 @@
 
 
 @asynccontextmanager
-async def start_path(on_link=None):
+async def start_path(on_link=None, **limits):
     """Starts the path and gives graph, node, origin and proxy."""
     origin, target, listen = Origin(), free_address(), free_address()
     origin.listen(target)
@@ -18,7 +18,7 @@
     ip, port = listen.split(":")
     proxy.listen(int(port), ip)
     node = LocalNode("parts-1", "parts", listen)
-    async with LocalGraph([node], [document("parts")]) as graph:
+    async with LocalGraph([node], [document("parts", **limits)]) as graph:
         yield graph, node, origin, proxy
     proxy.stop()
     await origin.stop()
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -47,6 +47,14 @@
     assert controller.level == 0
 
 
+def test_draining_upstream_keeps_its_level_defined():
+    """Guards against a division by the limit of 0 that ended the node."""
+    controller = LevelController()
+    now = drive(controller, {4: 200, 36: 40}, 0.1, 3.0)
+    level = controller.level
+    assert controller.update(0, now) <= level
+
+
 def test_level_passes_to_routes_that_make_the_call():
     """Guards against refusals of routes that do not use the overloaded service."""
     routes = RouteLevels()
