--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -97,6 +97,7 @@
         self._finishing = False
         self._head = None
         self._keyed = False
+        self._repeated = False
 
     def headers_received(self, start_line, headers):
         self._head = start_line
@@ -249,6 +250,7 @@
         node, plan = self._node, self._plan
         if plan.parent is not None and node.is_cancelled(plan.parent.execution_id):
             raise AbandonedError("the execution that made this call was cancelled")
+        self._repeated = node.repeats(plan, self._body)
         node.admit(plan, self._body, node.clock.monotonic())
         excluded = await node.admit_resend(plan, self._body)
         if not plan.route.idempotent:
@@ -270,15 +272,18 @@
         asks = plan.key and not plan.route.idempotent and not self._sent
         if asks and error.outcome == OUTCOME_NOT_RUN:
             error.outcome = await self._node.claimed_outcome(plan)
+            self._repeated = False
         self._abort(error)
 
     def _outcome(self, error):
         if error.outcome != OUTCOME_NOT_RUN:
             return error.outcome
         # Once a byte was sent, no later refusal of this call may say not-run.
+        # An earlier attempt of the same request may have sent some as well.
         # Without a plan nobody knows whether a keyed request ran before.
         unplanned = self._task is None and self._keyed
-        return OUTCOME_UNKNOWN if self._sent or unplanned else OUTCOME_NOT_RUN
+        doubtful = self._sent or self._repeated or unplanned
+        return OUTCOME_UNKNOWN if doubtful else OUTCOME_NOT_RUN
 
     def _abort(self, error):
         self._ended = True
