--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -1,6 +1,6 @@
 """Cost of an idle node process and control process, and its growth.
 
-One real node and three real control processes run beside nodes that are objects
+Four real nodes and three real control processes run beside nodes that are objects
 inside worker processes, see :mod:`bench.fleet`. The cost at 1,600 nodes, 40
 services and 6,400 changes a day is extrapolated by the slopes.
 """
@@ -19,8 +19,10 @@
 from bench.rows import Row
 from figpick._errors import PeerError
 
-# The largest size makes the slope exact enough for 1,600 nodes.
-SIZES = (10, 40, 100, 300)
+# The largest size and the mean over several real nodes make the slope exact
+# enough for 1,600 nodes.
+SIZES = (10, 100, 400)
+REAL_NODES = 4
 WINDOW_S = 1.5
 SETTLE_S = 1.0
 ROLES = ("node", "control")
@@ -105,38 +107,50 @@
 
 async def _measure(seeds):
     """Lets the number of nodes grow and measures at each size."""
-    spec = ServiceSpec({"service": "service-0", "routes": []}, [], 1, 20)
+    spec = ServiceSpec({"service": "service-0", "routes": []}, [], REAL_NODES, 20)
     names = [f"service-{number}" for number in range(1, SERVICES)]
     idle = {}
     async with Cluster([spec], controls=3) as cluster:
         versions = await _put_all(cluster, names)
         # The nodes neither call the measured node nor ask for rosters, which
         # services without upstreams don't have.
-        fleet = Fleet(SIZES[0] - 1, names, cluster.controls, serving=False)
+        count = SIZES[0] - REAL_NODES
+        fleet = Fleet(count, names, cluster.controls, serving=False)
         async with fleet:
             for size in SIZES:
-                await fleet.grow(size - 1 - len(fleet.names))
-                await fleet.wait_for_members()
+                await fleet.grow(size - REAL_NODES - len(fleet.names))
+                await fleet.wait_for_members(REAL_NODES)
                 await asyncio.sleep(SETTLE_S)
                 idle[size] = [await _window(cluster) for _ in seeds]
             changes = await _changes(cluster, versions)
-            services = await _services(cluster)
+            services = await _services(cluster, seeds)
     return idle, changes, services
 
 
 async def _window(cluster, action=None):
-    """Measures the node and a control process for one window."""
-    targets = {
-        "node": (cluster.hosts[0].name, cluster.hosts[0].peer_address),
-        "control": (cluster.controls[0]["name"], cluster.controls[0]["address"]),
-    }
-    before = {role: await _sample(cluster, *each) for role, each in targets.items()}
+    """Measures the nodes and a control process for one window.
+
+    :return: dict from role to the mean :class:`Cost`.
+    """
+    controls = [(each["name"], each["address"]) for each in cluster.controls[:1]]
+    nodes = [(host.name, host.peer_address) for host in cluster.hosts]
+    targets = {"node": nodes, "control": controls}
+    before = await _sample_all(cluster, targets)
     if action is not None:
         await action()
-    rest_s = WINDOW_S - (time.monotonic() - before["node"].at)
+    rest_s = WINDOW_S - (time.monotonic() - before["node"][0].at)
     await asyncio.sleep(max(0.1, rest_s))
-    after = {role: await _sample(cluster, *each) for role, each in targets.items()}
-    return {role: _cost(before[role], after[role]) for role in targets}
+    after = await _sample_all(cluster, targets)
+    return {
+        role: _mean(list(map(_cost, before[role], after[role]))) for role in targets
+    }
+
+
+async def _sample_all(cluster, targets):
+    return {
+        role: [await _sample(cluster, *each) for each in processes]
+        for role, processes in targets.items()
+    }
 
 
 async def _sample(cluster, name, address):
@@ -183,12 +197,13 @@
     return await _window(cluster, change_all)
 
 
-async def _services(cluster):
-    """Adds services and measures an idle window."""
+async def _services(cluster, seeds):
+    """Adds services and measures idle windows."""
     names = [f"service-{number}" for number in range(SERVICES, MORE_SERVICES)]
     await _put_all(cluster, names)
-    await asyncio.sleep(1.0)
-    return await _window(cluster)
+    await asyncio.sleep(SETTLE_S)
+    windows = [await _window(cluster) for _ in seeds]
+    return {role: _mean([window[role] for window in windows]) for role in ROLES}
 
 
 async def _put_all(cluster, names):
--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -30,7 +30,7 @@
 )
 from ._headers import content_length, forwarded_headers
 from ._logs import logger
-from ._plans import KEY_HEADER
+from ._plans import KEY_HEADER, Moment
 from ._relays import AnswerRelay
 
 # The rest of a refused body is read for this long. Closing with unread bytes resets
@@ -84,6 +84,7 @@
         self._caller = caller
         self._plan = None
         self._headers = None
+        self._recorded_from = None
         self._body = None
         self._relay = None
         self._dispatch = None
@@ -149,6 +150,11 @@
     def on_connection_close(self):
         self.cancel()
 
+    @property
+    def status(self):
+        """HTTP status of the whole answer from an upstream, 0 without one."""
+        return self._status
+
     def cancel(self):
         """Stops the call, because nobody waits for its answer."""
         if self._linger is not None:
@@ -191,6 +197,8 @@
         )
         delay_s = plan.deadline - node.clock.monotonic()
         self._timer = loop.call_later(delay_s, self._expire)
+        if node.records(plan):
+            self._recorded_from = Moment(node.clock.monotonic(), node.clock.wall())
         self._task = loop.create_task(self._run())
 
     def _expire(self):
@@ -232,15 +240,19 @@
             node.finish_claim(plan, self._sent, relay.short_answer)
         status = relay.status if relay.complete else 0
         name = self._dispatch.upstream_name if self._dispatch is not None else ""
-        node.close_retries(plan, self._body, self._sent, status, name)
+        node.retries.close(plan, self._body, self._sent, status, name)
+        if self._recorded_from is not None:
+            sizes = (self._body.size, relay.size)
+            caller = self._caller.context.remote_ip
+            node.record(plan, caller, self._recorded_from, sizes, status)
 
     async def _carry_out(self):
         node, plan = self._node, self._plan
         if plan.parent is not None and node.is_cancelled(plan.parent.execution_id):
             raise AbandonedError("the execution that made this call was cancelled")
-        self._repeated = node.repeats(plan, self._body)
+        self._repeated = node.retries.repeats(plan, self._body)
         node.admit(plan, self._body, node.clock.monotonic())
-        excluded = await node.admit_resend(plan, self._body)
+        excluded = await node.retries.admit(plan, self._body)
         if not plan.route.idempotent:
             stored = await node.claim(plan)
             if stored is not None:
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -21,6 +21,7 @@
 from ._members import DRAINING, LEFT, READY, TAKES_CALLS
 from ._plans import Moment
 from ._quarantining import Suspicion
+from ._recorder import make_span
 from ._retrying import Retries
 from ._settings import split_address
 from ._silence import SilenceWatch
@@ -64,6 +65,7 @@
         self._in_flight = 0
         self._server = None
         self.fetcher = None
+        self.recorder = None
         members.listen(self._member_changed)
 
     @property
@@ -221,38 +223,6 @@
         fields = {"service": service, "epoch": epoch, "positions": positions}
         return self.claims.adopt({**fields, **times})
 
-    async def enter(self, plan, body, upstream):
-        """Waits until a request that may crash upstreams may run alone.
-
-        :return: slot for :meth:`leave`, ``None`` for other requests.
-        """
-        return await self.suspicion.enter(plan, body, upstream)
-
-    def leave(self, slot, upstream, complete):
-        """Ends the run of a request that may crash upstreams."""
-        self.suspicion.leave(slot, upstream, complete)
-
-    async def report_break(self, plan, body, upstream, slot):
-        """Notes that a connection broke while a call was in flight on it.
-
-        :param body: :class:`~figpick._bodies.RequestBody`.
-        :param upstream: :class:`~figpick._upstreams.Upstream`.
-        :param slot: result of :meth:`enter`.
-        """
-        await self.suspicion.report_break(plan, body, upstream, slot)
-
-    def repeats(self, plan, body):
-        """Whether an earlier attempt of a call may have run."""
-        return self.retries.repeats(plan, body)
-
-    async def admit_resend(self, plan, body):
-        """Asks for a retry grant when a call repeats an earlier one.
-
-        :return: names of upstreams that must not be used.
-        :raises CallError: when it is refused.
-        """
-        return await self.retries.admit(plan, body)
-
     async def allow_retry(self, plan, attempts):
         """Asks the home of the root request for a retry grant.
 
@@ -262,10 +232,6 @@
         self.counters.retries += 1
         await self.retries.allow(plan, attempts)
 
-    def close_retries(self, plan, body, sent, status, upstream):
-        """Notes the end of a call for the recognition of retries."""
-        self.retries.close(plan, body, sent, status, upstream)
-
     def upstreams(self, service):
         """Gives the :class:`UpstreamSet` of a service."""
         return self._upstream_sets[service]
@@ -288,7 +254,24 @@
         if plan.parent is not None:
             execution_id = plan.parent.execution_id
             self._executions.remove(execution_id, call)
-            self.exchange.owner.downstream.end(execution_id, self.clock.monotonic())
+            failed = call.status == 0 or call.status >= 500
+            now = self.clock.monotonic()
+            self.exchange.owner.downstream.end(execution_id, failed, now)
+
+    def records(self, plan):
+        """Whether the calls of a root request are recorded."""
+        return self.recorder is not None and self.recorder.wants(plan)
+
+    def record(self, plan, caller, started, sizes, status):
+        """Records a call that has ended.
+
+        :param caller: IP address of the caller.
+        :param started: :class:`~figpick._plans.Moment` of the start.
+        :param sizes: bytes of the request body and of the answer body.
+        :param status: HTTP status of a whole answer, 0 without one.
+        """
+        ended = self.clock.monotonic()
+        self.recorder.record(make_span(plan, caller, started, ended, sizes, status))
 
     def local_handler(self, start_line, caller):
         """Finds the handler of a request to the node itself.
--- /dev/null
+++ b/tests/test_recorder.py
@@ -0,0 +1,64 @@
+"""Recorded spans can be joined into whole requests."""
+
+import asyncio
+
+import msgspec
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from bench import collect
+from figpick._documents import Service
+from figpick._plans import Moment, make_plan
+from figpick._recorder import Recorder, make_span
+
+NOW = Moment(10.0, 1000.0)
+SERVICE = Service({"service": "parts", "routes": []}, 1)
+
+
+def plan(path, parent=None):
+    line = RequestStartLine("GET", path, "HTTP/1.1")
+    return make_plan(SERVICE, line, HTTPHeaders(), parent, "127.0.0.1:1", NOW)
+
+
+def span(each, latency_s):
+    ended = NOW.monotonic + latency_s
+    return make_span(each, "10.0.0.1", NOW, ended, (0, 64), 200)
+
+
+def test_spans_of_a_chain_become_one_request(tmp_path):
+    """Guards against calls that lose their place in the tree of a request."""
+    root = plan("/a")
+    below = plan("/b", root.context)
+    recorder = Recorder(tmp_path / "spans", 1.0)
+    recorder.record(span(below, 0.020))
+    recorder.record(span(root, 0.050))
+    asyncio.run(recorder.flush())
+
+    trace = collect.collect((tmp_path / "spans").read_bytes().splitlines(), "chain")
+
+    (request,) = trace.requests
+    call = trace.head["trees"][request["tree"]]["call"]
+    assert call["path"] == "/a"
+    assert call["service_ms"] == 30.0
+    assert [each["path"] for each in call["calls"]] == ["/b"]
+
+
+def test_share_selects_whole_requests():
+    """Guards against traces with a root but without the calls below it."""
+    recorder = Recorder("unused", 0.5)
+    roots = [plan("/a") for _ in range(50)]
+    chosen = [recorder.wants(root) for root in roots]
+
+    assert any(chosen)
+    assert not all(chosen)
+    for root, wanted in zip(roots, chosen, strict=True):
+        assert recorder.wants(plan("/b", root.context)) == wanted
+
+
+def test_examples_are_valid():
+    """Guards against example files that the program refuses."""
+    from figpick import check
+    from figpick.settings import load
+
+    assert check("examples/parts.json")["service"] == "parts"
+    assert load("examples/node.json")["roles"] == ["node"]
+    assert msgspec.json.encode(load("examples/control.json"))
