Find each crash and hold back requests under judgement

A request that waited for a permit while it was quarantined ran as well.

Change: a crash is checked for 40 ms; the quarantine is checked again before a send; a suspect that crashed an upstream alone does not run anywhere for 0.4 s, while the other reports arrive.

--- a/src/figpick/_quarantine.py
+++ b/src/figpick/_quarantine.py
@@ -11,7 +11,11 @@
 MAX_SUSPECTS = 10_000
 MAX_ENTRIES = 1000
 
+# A suspect that crashed an upstream alone does not run while this is judged.
+HOLD_S = 0.4
+
 SUSPECTED = "suspected"
+ACCUSED = "accused"
 CLEARED = "cleared"
 QUARANTINED = "quarantined"
 RELEASED = "released"
@@ -20,7 +24,8 @@
 class Event(NamedTuple):
     """What other nodes are told.
 
-    :param kind: ``suspected``, ``cleared``, ``quarantined`` or ``released``.
+    :param kind: ``suspected``, ``accused``, ``cleared``, ``quarantined`` or
+        ``released``.
     :param fingerprint: identifies equal requests.
     :param upstream: name of the upstream that crashed, or empty.
     :param request: service, method and target, for operators.
@@ -38,6 +43,7 @@
     def __init__(self):
         self._suspects = ExpiringTable(SUSPECT_S, MAX_SUSPECTS)
         self._entries = ExpiringTable(QUARANTINE_S, MAX_ENTRIES)
+        self._held = ExpiringTable(HOLD_S, MAX_SUSPECTS)
 
     @property
     def active(self):
@@ -51,6 +57,13 @@
         """
         return self._suspects.get(fingerprint, now) is not None
 
+    def is_held(self, fingerprint, now):
+        """Whether a suspect must wait for the verdict on an earlier run.
+
+        :param now: monotonic seconds.
+        """
+        return self._held.get(fingerprint, now) is not None
+
     def is_quarantined(self, fingerprint, now):
         """Whether a request is refused.
 
@@ -58,16 +71,19 @@
         """
         return self._entries.get(fingerprint, now) is not None
 
-    def suspect(self, fingerprint, upstream, request, now):
+    def suspect(self, fingerprint, upstream, request, alone, now):
         """Notes a request that was in flight as an upstream crashed.
 
         :param upstream: name of the upstream.
         :param request: service, method and target.
+        :param alone: whether it ran as the only suspect there.
         :param now: monotonic seconds.
         :return: :class:`Event` for the other nodes.
         """
-        self._add_crash(fingerprint, upstream, now)
-        return Event(SUSPECTED, fingerprint, upstream, request)
+        kind = ACCUSED if alone else SUSPECTED
+        event = Event(kind, fingerprint, upstream, request)
+        self.receive(event, now)
+        return event
 
     def is_shared(self, fingerprint, upstream, crashed_at):
         """Whether another request was in flight in this crash and an earlier one.
@@ -118,6 +134,9 @@
         """
         if event.kind == SUSPECTED:
             self._add_crash(event.fingerprint, event.upstream, now)
+        elif event.kind == ACCUSED:
+            self._add_crash(event.fingerprint, event.upstream, now)
+            self._held.put(event.fingerprint, True, now)
         elif event.kind == CLEARED:
             self.clear(event.fingerprint)
         elif event.kind == RELEASED:
--- a/src/figpick/_quarantining.py
+++ b/src/figpick/_quarantining.py
@@ -24,6 +24,8 @@
 SLOT_PAUSE_S = 0.02
 MAX_SLOT_WAIT_S = 2.0
 TOGETHER_S = 0.1
+# A process that ends may close its connections a moment before its listener.
+CONNECT_PAUSES_S = (0.0, 0.01, 0.03)
 # Of the 1 s until a request is refused everywhere, this part is spent on reports.
 VERDICT_S = 0.15
 # Gossip alone may take a second to reach a last node, which would run a suspect
@@ -75,14 +77,19 @@
         """
         fingerprint = self._fingerprint(plan, body)
         now = self._clock.monotonic()
-        if not fingerprint or not self._quarantine.is_suspect(fingerprint, now):
+        if not fingerprint:
+            return None
+        # It may have been quarantined while it waited for a permit.
+        self.check(plan, body, now)
+        if not self._quarantine.is_suspect(fingerprint, now):
             return None
         holder = _context.new_id()
         limit = min(plan.deadline, now + MAX_SLOT_WAIT_S)
         while now < limit:
             self.check(plan, body, now)
             message = {"holder": holder, "lease_s": plan.deadline - now}
-            if await self._ask_slot(upstream, message):
+            held = self._quarantine.is_held(fingerprint, now)
+            if not held and await self._ask_slot(upstream, message):
                 return fingerprint, holder
             await asyncio.sleep(SLOT_PAUSE_S)
             now = self._clock.monotonic()
@@ -111,12 +118,14 @@
         together = now - self._breaks.get(upstream.name, -TOGETHER_S) < TOGETHER_S
         self._breaks[upstream.name] = now
         fingerprint = self._fingerprint(plan, body, always=True)
+        request = f"{plan.service.name} {plan.method} {plan.target}"
         if not fingerprint or not (together or await self._crashed(upstream)):
+            log.info("A connection to {} broke under {}.", upstream.name, request)
             return
-        request = f"{plan.service.name} {plan.method} {plan.target}"
         name = upstream.name
         alone = slot is not None and self._quarantine.is_suspect(fingerprint, now)
-        self._tell(self._quarantine.suspect(fingerprint, name, request, now))
+        log.info("{} crashed with {} in flight, alone: {}.", name, request, alone)
+        self._tell(self._quarantine.suspect(fingerprint, name, request, alone, now))
         if not alone:
             return
         # Other nodes tell which requests were in flight on the upstream as well.
@@ -177,11 +186,13 @@
         """Whether an upstream has just ended, rather than one connection."""
         if upstream.pool.drop_closed():
             return True
-        try:
-            connection = await upstream.pool.connect(self._clock.monotonic())
-        except StreamClosedError:
-            return True
-        connection.close()
+        for pause_s in CONNECT_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            try:
+                connection = await upstream.pool.connect(self._clock.monotonic())
+            except StreamClosedError:
+                return True
+            connection.close()
         return False
 
     async def _ask_slot(self, upstream, message):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 from figpick._quarantine import (
     CRASH_S,
+    HOLD_S,
     QUARANTINE_S,
     Quarantine,
     SuspectSlot,
@@ -24,19 +25,29 @@
     """Guards against blaming one of two requests that crashed together twice."""
     quarantine = Quarantine()
     for name in ("poison", "harmless"):
-        quarantine.suspect(name, "u1", REQUEST, 0.0)
-    quarantine.suspect("bystander", "u2", REQUEST, 5.0)
-    quarantine.suspect("poison", "u2", REQUEST, 5.0)
+        quarantine.suspect(name, "u1", REQUEST, False, 0.0)
+    quarantine.suspect("bystander", "u2", REQUEST, False, 5.0)
+    quarantine.suspect("poison", "u2", REQUEST, False, 5.0)
     assert not quarantine.is_shared("poison", "u2", 5.0)
-    quarantine.suspect("harmless", "u2", REQUEST, 5.0 + CRASH_S / 2)
+    quarantine.suspect("harmless", "u2", REQUEST, False, 5.0 + CRASH_S / 2)
     assert quarantine.is_shared("poison", "u2", 5.0)
     assert quarantine.is_shared("harmless", "u2", 5.0)
 
 
+def test_accused_suspect_waits_for_its_verdict():
+    """Guards against further crashes while one is judged, also elsewhere."""
+    first, second = Quarantine(), Quarantine()
+    event = first.suspect("poison", "u1", REQUEST, True, 0.0)
+    second.receive(event, 0.0)
+    for quarantine in (first, second):
+        assert quarantine.is_held("poison", HOLD_S / 2)
+        assert not quarantine.is_held("poison", 2 * HOLD_S)
+
+
 def test_completed_suspect_is_cleared():
     """Guards against a quarantine after two unrelated crashes."""
     quarantine = Quarantine()
-    quarantine.suspect("harmless", "u1", REQUEST, 0.0)
+    quarantine.suspect("harmless", "u1", REQUEST, False, 0.0)
     assert quarantine.is_suspect("harmless", 1.0)
     quarantine.clear("harmless")
     assert not quarantine.is_suspect("harmless", 1.0)
@@ -45,7 +56,7 @@
 def test_release_and_events_reach_other_nodes():
     """Guards against nodes that disagree after an operator's release."""
     first, second = Quarantine(), Quarantine()
-    second.receive(first.suspect("poison", "u1", REQUEST, 0.0), 0.0)
+    second.receive(first.suspect("poison", "u1", REQUEST, False, 0.0), 0.0)
     second.receive(first.quarantine("poison", "u1", REQUEST, 0.0), 0.0)
     assert second.is_quarantined("poison", 1.0)
     second.receive(first.release("poison"), 1.0)
