Keep two silent attempts from waiting for each other

Cause: while a rescue attempt ran, no silent attempt was given up, so a call whose second connection was silent too waited for its deadline. One delayed overtaking call also raised the limit of silence for good. Change: each silent attempt ends by itself, and the mean of the overtaking calls counts. The new test fails without the change after 10 s.

--- a/bench/checks.py
+++ b/bench/checks.py
@@ -7,6 +7,7 @@
 
 from bench.local import LocalGraph
 from bench.rows import Row
+from figpick._compose import prepare_process
 
 
 class Checker:
@@ -111,6 +112,7 @@
     """Runs ``scenario(graph, source)`` with nodes in a new event loop."""
 
     async def main():
+        prepare_process()
         async with LocalGraph(nodes, documents) as graph:
             return await scenario(graph, random.Random(seed))
 
--- a/bench/faultproxy.py
+++ b/bench/faultproxy.py
@@ -82,6 +82,7 @@
         self._delay_s = 0.0
         self._bytes_per_s = None
         self._accepts = True
+        self._silence_on = None
         self._links = set()
         self._tasks = set()
         self._silenced = 0
@@ -91,12 +92,13 @@
         """The open connections."""
         return self._links
 
-    def configure(self, delay_ms=None, bytes_per_s=None, accepts=None):
+    def configure(self, delay_ms=None, bytes_per_s=None, accepts=None, silence_on=None):
         """Changes what applies to all connections.
 
         :param delay_ms: milliseconds by which each direction is delayed.
         :param bytes_per_s: rate of each direction, 0 for no limit.
         :param accepts: whether new connections are taken.
+        :param silence_on: text of a request that silences its connection.
         """
         if delay_ms is not None:
             self._delay_s = delay_ms / 1000
@@ -104,6 +106,8 @@
             self._bytes_per_s = bytes_per_s or None
         if accepts is not None:
             self._accepts = accepts
+        if silence_on is not None:
+            self._silence_on = silence_on.encode()
 
     def silence(self, directions=(UP, DOWN)):
         """Stops forwarding on all open connections, which stay open."""
@@ -180,6 +184,8 @@
         if limit is not None and link.passed[direction] + len(data) > limit:
             data = data[: limit - link.passed[direction]]
         link.passed[direction] += len(data)
+        if direction == UP and self._silence_on and self._silence_on in data:
+            link.silent.update((UP, DOWN))
         if direction not in link.silent:
             await self._write(link, direction, sink, data)
         if limit is not None and link.passed[direction] >= limit:
--- a/src/figpick/_dispatch.py
+++ b/src/figpick/_dispatch.py
@@ -35,6 +35,7 @@
         self._refusing = set(excluded)
         self._broken = set()
         self._rescue = None
+        self._rescuer = None
         self._active = set()
         self._silent = False
         self._attempts = 0
@@ -70,10 +71,11 @@
 
         :param attempt: :class:`~figpick._attempts.Attempt`.
         """
-        running = self._rescue is not None and not self._rescue.done()
-        if running or self._relay.started:
+        rescuing = self._rescue is not None and not self._rescue.done()
+        if self._relay.started or (rescuing and self._rescuer not in self._active):
             return
-        self._silent = True
+        if len(self._active) == 1:
+            self._silent = True
         attempt.abandon()
 
     def _can_repeat(self):
@@ -120,7 +122,9 @@
                 if connection is None:
                     ended = Result(False, 0, 0.0, refused=True)
                 else:
-                    result = await self._send(plan, upstream, connection)
+                    result = await self._send(
+                        plan, upstream, connection, new_connection
+                    )
                     cancelled = not result.complete and not result.broken
                     ended = Result(
                         result.complete, result.status, 0.0, False, cancelled
@@ -159,12 +163,14 @@
         except StreamClosedError:
             return None
 
-    async def _send(self, plan, upstream, connection):
+    async def _send(self, plan, upstream, connection, rescues):
         node = self._node
         self.sent = True
         self._attempts += 1
         self.upstream_name = upstream.name
         attempt = Attempt(plan, upstream, connection, self._relay, node.silence, self)
+        if rescues:
+            self._rescuer = attempt
         result = None
         self._active.add(attempt)
         try:
--- a/src/figpick/_progress.py
+++ b/src/figpick/_progress.py
@@ -63,7 +63,7 @@
         "waiting",
         "overtaken",
         "overtaken_by_fresh",
-        "overtaker_latency_s",
+        "overtakers_s",
         "suspected",
     )
 
@@ -80,13 +80,15 @@
         self.progress_at = now
         self.overtaken = 0
         self.overtaken_by_fresh = False
-        self.overtaker_latency_s = 0.0
+        self.overtakers_s = 0.0
         self.suspected = False
 
     def limit_s(self, expected_s):
         """Seconds without progress after which the call may be suspect."""
-        usual_s = max(expected_s, self.overtaker_latency_s)
-        return max(MIN_SILENCE_S, LATENCY_FACTOR * usual_s)
+        if self.overtaken:
+            # The mean, since one call that was delayed by chance says little.
+            expected_s = max(expected_s, self.overtakers_s / self.overtaken)
+        return max(MIN_SILENCE_S, LATENCY_FACTOR * expected_s)
 
 
 class Flights:
@@ -177,4 +179,4 @@
 def _overtake(earlier, flight, latency_s):
     earlier.overtaken += 1
     earlier.overtaken_by_fresh |= flight.fresh
-    earlier.overtaker_latency_s = max(earlier.overtaker_latency_s, latency_s)
+    earlier.overtakers_s += latency_s
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -36,6 +36,25 @@
     asyncio.run(scenario())
 
 
+def test_call_ends_when_its_second_connection_is_silent_too():
+    """Guards against two silent attempts that wait for each other."""
+
+    async def scenario():
+        async with start_path() as (graph, node, _, proxy):
+            allow_retries(node)
+            await warm_up(graph, node)
+
+            proxy.configure(silence_on="X-Request: silent")
+            started_at = time.monotonic()
+            headers = {"X-Request": "silent"}
+            answer = await call(graph, node, "GET", "/a?ms=5", headers)
+            assert answer.outcome == "unknown"
+            assert node.node.counters.rescues == 1
+            assert time.monotonic() - started_at < RECOVERY_S
+
+    asyncio.run(scenario())
+
+
 def test_refused_retry_ends_a_silent_call():
     """Guards against a call without retries left that hangs until its deadline."""
 
