--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -10,11 +10,10 @@
 
 from . import _shutdown
 from ._auth import Authenticator
-from ._candidates import RosterProposer
 from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
 from ._clock import Clock
-from ._control import Control
 from ._dissemination import Dissemination
+from ._errors import FigpickError
 from ._events import EventStore
 from ._exchange import PERIOD_S as EXCHANGE_PERIOD_S
 from ._fetching import ControlDocuments, DocumentFetcher
@@ -24,7 +23,9 @@
 from ._members import LEFT, Member, Members
 from ._node import Node
 from ._probing import Prober
-from ._supervisor import RestartLimitError, Supervisor
+from ._recorder import PERIOD_S as RECORD_PERIOD_S, Recorder
+from ._state import StateDump
+from ._supervisor import Supervisor
 from ._transport import PeerClient, PeerServer
 
 EXIT_FAILED = 1
@@ -54,13 +55,18 @@
         self._control = None
         self._fetcher = None
         self._headlines = Headlines()
+        control = settings.get("control", [])
+        self._control_addresses = [member["address"] for member in control]
+        self._state = StateDump(settings["name"])
+        self._server.handle("state", self._state.receive)
         self._told_to_stop = asyncio.Event()
-        self._server.handle("state", self._dump)
         if "node" in settings["roles"]:
             self._add_node(authenticator)
         if "control" in settings["roles"]:
             self._add_control()
         self._add_dissemination()
+        self._add_state(authenticator)
+        self._metrics = self._make_metrics(authenticator)
 
     @property
     def members(self):
@@ -78,6 +84,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
         await self.start()
+        # What exists now stays, so later collections need not visit it.
+        gc.collect()
+        gc.freeze()
         tree = asyncio.ensure_future(self.supervisor.run())
         stop = asyncio.ensure_future(self._told_to_stop.wait())
         try:
@@ -102,6 +111,7 @@
             self._control.start()
             self._announce_versions()
         self._server.start()
+        self._dissemination.announce_own()
         if self._node is not None:
             await self._fetcher.confirm()
             self._node.start()
@@ -113,6 +123,8 @@
         await self._dissemination.flush()
         self.close()
         await self.close_listeners()
+        if self._metrics is not None:
+            await self._metrics.stop()
         log.info("Process {} has stopped.", self._settings["name"])
 
     async def close_listeners(self):
@@ -139,13 +151,16 @@
         self._server.handle("retry_grant", self._node.retries.receive)
         group = self.supervisor.add_group("node")
         self._add_claims(group)
+        if "record" in self._settings:
+            record = self._settings["record"]
+            recorder = self._node.recorder = Recorder(record["file"], record["share"])
+            group.add_periodic("recorder", recorder.flush, RECORD_PERIOD_S)
         group.add_periodic("permits", self._node.renew_permits, EXCHANGE_PERIOD_S)
         group.add_periodic("announcement", self._node.check_announcement, 1)
 
     def _add_claims(self, group):
         claims = self._node.claims
-        control = [member["address"] for member in self._settings.get("control", [])]
-        copies = ClaimCopies(claims, self.clock, self._client, control)
+        copies = ClaimCopies(claims, self.clock, self._client, self._control_addresses)
         for kind in ("claim", "lookup", "finish", "release"):
             self._server.handle(kind, partial(claims.receive, kind))
         self._server.handle("roster", claims.receive_roster)
@@ -155,6 +170,10 @@
         group.add_periodic("claims", refresh, CLAIM_COPY_PERIOD_S)
 
     def _add_control(self):
+        # A node does not load the modules of the replicated log.
+        from ._candidates import RosterProposer
+        from ._control import Control
+
         self._control = Control(self._settings, self.clock, self._client)
         self._control.add_handlers(self._server)
         self._control.add_tasks(self.supervisor.add_group("control"))
@@ -210,7 +229,7 @@
             self._members,
             self._headlines,
             self._client,
-            [member["address"] for member in settings.get("control", [])],
+            self._control_addresses,
             self._seeds(),
             own + settings.get("calls", []),
             source,
@@ -252,7 +271,10 @@
     def _message_ended(self, address, kind, answered):
         contacts = self._members.contacts
         if answered:
-            contacts.answered(address, self.clock.monotonic())
+            now = self.clock.monotonic()
+            contacts.answered(address, now)
+            if address in self._control_addresses:
+                self._dissemination.note_control(0.0, now)
             return
         contacts.failed(address)
         # A check by a helper must not cause further checks.
@@ -278,22 +300,47 @@
         )
 
     def _seeds(self):
-        control = [member["address"] for member in self._settings.get("control", [])]
-        return control + self._settings.get("seeds", [])
-
-    async def _dump(self, message):
-        state = {
-            "name": self._settings["name"],
-            "members": [member._asdict() for member in self._members],
-            "supervisor": self.supervisor.dump(),
-        }
+        return self._control_addresses + self._settings.get("seeds", [])
+
+    def _add_state(self, authenticator):
+        add = self._state.add
+        add("members", lambda: [member._asdict() for member in self._members])
+        add("gossip", self._dissemination.dump)
+        add("traffic", self._dump_traffic)
+        add("authentication", authenticator.dump)
+        add("supervisor", self.supervisor.dump)
         if self._node is not None:
-            state["node"] = self._node.dump()
-        if self._fetcher is not None:
-            state["documents"] = self._fetcher.dump()
+            add("node", self._node.dump)
+            add("documents", self._fetcher.dump)
         if self._control is not None:
-            state["control"] = self._control.dump()
-        return state
+            add("control", self._control.dump)
+
+    def _make_metrics(self, authenticator):
+        if "metrics" not in self._settings:
+            return None
+        from . import _metrics
+
+        reader = _metrics.make_reader(self._settings["metrics"])
+        metrics = _metrics.Metrics(self._settings, reader)
+        metrics.add_counters("peers", _metrics.TRAFFIC_COUNTERS, self._dump_traffic)
+        metrics.add_counters(
+            "authentication", _metrics.AUTHENTICATION_COUNTERS, authenticator.dump
+        )
+        metrics.add_members(self._members)
+        if self._node is not None:
+            metrics.add_node(self._node)
+        if self._control is not None:
+            metrics.add_control(self._control)
+        return metrics
+
+    def _dump_traffic(self):
+        client, server = self._client, self._server
+        return {
+            "sent": client.sent_count,
+            "received": server.received_count,
+            "sent_bytes": client.sent_bytes + server.sent_bytes,
+            "received_bytes": client.received_bytes + server.received_bytes,
+        }
 
 
 def run(settings):
@@ -306,7 +353,7 @@
     with asyncio.Runner(loop_factory=_loop_factory()) as runner:
         try:
             runner.run(_run_process(settings))
-        except RestartLimitError as error:
+        except FigpickError as error:
             log.critical("The process ends: {}.", error)
             sys.exit(EXIT_FAILED)
 
--- a/src/figpick/_permits.py
+++ b/src/figpick/_permits.py
@@ -6,9 +6,10 @@
 LEASE_S = 5.0
 IMPORTANCES = 10
 LEAST_MOVE = 2
-# Several calling nodes are asked for each missing permit, since the one whose
-# request ends first is not known; the others get theirs back.
-RECALLS = 3
+# So many requests more than permits are missing must be in flight at the calling
+# nodes that are asked for theirs, since the one that ends first is not known. The
+# first wait is then about an eighth of a service time.
+ENDING = 8
 
 
 class Demand(NamedTuple):
@@ -16,10 +17,12 @@
 
     :param by_importance: requests in flight or waiting, for importance 0 to 9.
     :param spare: permits it would like beyond those.
+    :param waiting: requests that wait for a permit, for importance 0 to 9.
     """
 
     by_importance: tuple
     spare: int = 0
+    waiting: tuple = (0,) * IMPORTANCES
 
     @property
     def total(self):
@@ -70,31 +73,24 @@
 def divide(limit, demands):
     """Divides permits among calling nodes, most important demand first.
 
-    Each calling node with requests gets one permit while permits last. Within
-    one importance the rest is divided in proportion to demand.
+    Within one importance each calling node gets one permit while permits last,
+    and the rest is divided in proportion to demand. A minimum across importances
+    would leave important requests waiting where permits are fewer than nodes.
 
     :param limit: permits to divide.
     :param demands: dict from calling node to :class:`Demand`.
     :return: dict from calling node to permits.
     """
     shares = dict.fromkeys(demands, 0)
-    active = [caller for caller, demand in demands.items() if demand.total]
-    active.sort(key=lambda caller: (-highest(demands[caller]), caller))
-    minimum = active[: max(0, limit)]
-    shares.update(dict.fromkeys(minimum, 1))
-    left = limit - len(minimum)
-    credits = dict.fromkeys(minimum, 1)
+    left = limit
     for importance in range(IMPORTANCES - 1, -1, -1):
         if left <= 0:
             return shares
-        needs = {}
-        for caller in active:
-            need = demands[caller].by_importance[importance]
-            used = min(need, credits.get(caller, 0))
-            if used:
-                credits[caller] -= used
-            if need > used:
-                needs[caller] = need - used
+        needs = {
+            caller: demand.by_importance[importance]
+            for caller, demand in demands.items()
+            if demand.by_importance[importance]
+        }
         left -= _share(left, needs, shares)
     spare = {caller: demand.spare for caller, demand in demands.items() if demand.spare}
     _share(left, spare, shares)
@@ -116,28 +112,24 @@
         for caller, need in needs.items():
             shares[caller] += need
         return total
+    minimum = [caller for caller in needs if not shares[caller]][:left]
+    for caller in minimum:
+        shares[caller] += 1
+    rest = left - len(minimum)
+    total -= len(minimum)
     remainders = []
     given = 0
     for caller, need in needs.items():
-        whole, remainder = divmod(left * need, total)
+        need -= caller in minimum
+        whole, remainder = divmod(rest * need, total)
         shares[caller] += whole
         given += whole
         remainders.append((-remainder, caller))
-    for _, caller in sorted(remainders)[: left - given]:
+    for _, caller in sorted(remainders)[: rest - given]:
         shares[caller] += 1
     return left
 
 
-def lowest_served(holding):
-    """Gives the importance that the last granted permit of a holding serves."""
-    left = holding.granted
-    for importance in range(IMPORTANCES - 1, -1, -1):
-        left -= holding.demand.by_importance[importance]
-        if left <= 0:
-            return importance
-    return -1
-
-
 class _Holding:
     """What the owner knows of one calling node.
 
@@ -145,7 +137,15 @@
     acknowledged last and all that were sent after it.
     """
 
-    __slots__ = ("number", "granted", "in_use", "demand", "expires_at", "pending")
+    __slots__ = (
+        "number",
+        "granted",
+        "in_use",
+        "demand",
+        "expires_at",
+        "pending",
+        "met_at",
+    )
 
     def __init__(self):
         self.number = 0
@@ -154,6 +154,7 @@
         self.demand = Demand((0,) * IMPORTANCES)
         self.expires_at = 0.0
         self.pending = []
+        self.met_at = 0.0
 
     @property
     def committed(self):
@@ -161,6 +162,21 @@
         most = max((permits for _, permits in self.pending), default=0)
         return max(most, self.in_use)
 
+    def next_waiting(self, granted):
+        """Gives the importance of the request that one more permit would serve.
+
+        Requests in flight are not interrupted, so only waiting ones count.
+
+        :param granted: permits that the calling node has.
+        :return: importance, or -1 when none waits.
+        """
+        served = max(0, granted - self.in_use)
+        for importance in range(IMPORTANCES - 1, -1, -1):
+            served -= self.demand.waiting[importance]
+            if served < 0:
+                return importance
+        return -1
+
 
 class PermitPool:
     """Divides the slots of one upstream among calling nodes.
@@ -193,6 +209,15 @@
         """Whether requests wait for more permits than are granted."""
         return any(item.granted < item.demand.total for item in self._holdings.values())
 
+    @property
+    def movable(self):
+        """Whether a push could give a calling node more of what it wants."""
+        free = self.committed < self.limit
+        return any(
+            item.granted < item.demand.total + (item.demand.spare if free else 0)
+            for item in self._holdings.values()
+        )
+
     def grants(self):
         """Gives the permits granted, by calling node."""
         return {caller: item.granted for caller, item in self._holdings.items()}
@@ -239,71 +264,85 @@
         :return: list of calling node and :class:`Grant`, to send as pushes.
         """
         self.expire(now)
-        if self.confirming or not (self.short or self.committed > self.limit):
+        if self.confirming or not (self.movable or self.committed > self.limit):
             return []
         targets = self._targets()
-        waiting = self._waiting(targets)
-        return self._recall(targets, waiting) + self._raise(targets, waiting)
+        before = {caller: item.granted for caller, item in self._holdings.items()}
+        after = dict(before)
+        if self.committed > self.limit:
+            after = {caller: min(after[caller], targets[caller]) for caller in after}
+        else:
+            self._raise(after, targets, now)
+            self._recall(after, before, targets)
+        return [
+            (caller, self._grant(self._holdings[caller], permits, 0.0))
+            for caller, permits in after.items()
+            if permits != before[caller]
+        ]
 
-    def _waiting(self, targets):
-        """Lists the calling nodes below their target, most important first."""
-        waiting = [
-            (-highest(item.demand), caller)
+    def _raise(self, after, targets, now):
+        """Gives free permits to the most important waiting requests."""
+        free = self.limit - self.committed
+        while True:
+            order = [
+                # A permit that was just recalled must not go straight back, and
+                # within one importance the farthest below its share is first.
+                (
+                    -item.next_waiting(after[caller]),
+                    item.committed > item.granted,
+                    after[caller] - targets[caller],
+                    item.met_at,
+                    caller,
+                )
+                for caller, item in self._holdings.items()
+                if item.next_waiting(after[caller]) >= 0
+                or after[caller] < targets[caller]
+            ]
+            if not order:
+                return
+            caller = min(order)[-1]
+            holding = self._holdings[caller]
+            if after[caller] >= holding.committed:
+                if free <= 0:
+                    return
+                free -= 1
+            after[caller] += 1
+            holding.met_at = now
+
+    def _recall(self, after, before, targets):
+        """Takes back permits for more important requests that still wait."""
+        waiting = {
+            caller: item.next_waiting(after[caller])
             for caller, item in self._holdings.items()
-            if min(targets[caller], item.demand.total) > item.granted
-        ]
-        return sorted(waiting)
-
-    def _recall(self, targets, waiting):
-        wanted = -waiting[0][0] if waiting else -1
-        pushes = []
-        for caller, holding in self._holdings.items():
-            if self._recalls(holding, targets[caller], wanted):
-                pushes.append((caller, self._grant(holding, targets[caller], 0.0)))
+        }
+        wanted = max(waiting.values(), default=-1)
+        if wanted < 0:
+            return
         missing = sum(
-            min(targets[caller], self._holdings[caller].demand.total)
-            - self._holdings[caller].granted
-            for importance, caller in waiting
-            if -importance == wanted
+            self._holdings[caller].demand.waiting[wanted]
+            for caller, importance in waiting.items()
+            if importance == wanted
         )
-        coming = sum(item.committed - item.granted for item in self._holdings.values())
-        named = {caller for caller, _ in pushes}
-        for caller, holding in self._holdings.items():
-            if coming >= RECALLS * missing:
-                break
-            lowest = lowest_served(holding) if holding.granted else wanted
-            if caller not in named and lowest < wanted:
-                permits = holding.granted - 1
-                pushes.append((caller, self._grant(holding, permits, 0.0)))
-                coming += 1
-        return pushes
-
-    def _raise(self, targets, waiting):
-        free = self.limit - self.committed
-        pushes = []
-        for _, caller in waiting:
+        # Any request in flight at a calling node that was asked may free a permit.
+        ending = sum(
+            item.in_use
+            for caller, item in self._holdings.items()
+            if item.committed > after[caller]
+        )
+        for importance, surplus, caller in sorted(
+            (waiting[caller], targets[caller] - after[caller], caller)
+            for caller in after
+            if after[caller] and after[caller] == before[caller]
+        ):
             holding = self._holdings[caller]
-            wanted = min(targets[caller], max(holding.demand.total, holding.granted))
-            # Permits up to the committed number cost nothing more.
-            permits = min(wanted, holding.committed + max(0, free))
-            if permits > holding.granted:
-                free -= max(0, permits - holding.committed)
-                pushes.append((caller, self._grant(holding, permits, 0.0)))
-            if permits < wanted:
-                # What is recalled must not go back to less important requests.
-                break
-        return pushes
-
-    def _recalls(self, holding, target, wanted):
-        """Whether permits are taken back for a wanted importance."""
-        surplus = holding.granted - target
-        if surplus <= 0:
-            return False
-        if self.committed > self.limit or holding.granted > holding.demand.total:
-            return True
-        # Moving a permit leaves it unused for a moment, so an even division
-        # within one importance is not worth the move of a single one.
-        return wanted > lowest_served(holding) or surplus >= LEAST_MOVE
+            if after[caller] > holding.demand.total:
+                after[caller] = holding.demand.total
+            elif importance > wanted or ending >= ENDING + missing:
+                return
+            elif importance < wanted or -surplus >= LEAST_MOVE:
+                if holding.committed == holding.granted:
+                    ending += max(1, holding.in_use)
+                after[caller] -= 1
 
     def confirm_members(self, names):
         """Ends the phase after a start once every member has exchanged.
@@ -335,6 +374,7 @@
         later = [item for item in holding.pending if item[0] > order]
         # What is held may be less than granted, or come from an earlier process.
         holding.pending = [(order, usage.held), *later]
+        holding.granted = holding.pending[-1][1]
 
     def _allowed(self, caller, holding, usage):
         others = self.committed - holding.committed
