Run the schedules of the quorum with real processes

Cause: the pure modules leave out HTTP, real disks and the commands of operators. Change: partition, race, repair and restart each run five schedules with three processes behind relays that drop messages by sender. They found: a new process that is not a member let an operator wait 30 s instead of trying the next address, and a member that did not answer gave an internal error; both are mended. Changes of leader are logged.

--- a/bench/control_cluster.py
+++ b/bench/control_cluster.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 import shutil
+import sys
 import time
+from contextlib import AsyncExitStack
 
 import msgspec
 from tornado.httpserver import HTTPServer
@@ -12,13 +14,15 @@
 
 from bench.client import HttpClient
 from bench.cluster import KEY, Cluster, free_address, wait_for
+from bench.rows import Row
 from bench.schedules import make_document
-from figpick._errors import PeerError, PeerRefusedError
+from figpick._errors import PeerError, PeerRefusedError, PeerUnreachableError
 from figpick._formation import name_of
 from figpick._settings import split_address
 
 READY_TIMEOUT_S = 15.0
 RESEND_S = 0.2
+SEEDS = (1, 2, 3, 4, 5)
 
 
 class Relay:
@@ -57,11 +61,15 @@
     async def _pass_on(self, request):
         if self._sender(request.body) in self.cut_off:
             return
-        headers = list(request.headers.get_all())
-        answer = await self._client.request(
-            self._target, "POST", request.path, headers, request.body, 10.0
-        )
-        if answer.status == 0 or self._sender(request.body) in self.cut_off:
+        answer = await self._send(request)
+        if answer.status == 0:
+            # Kept connections do not show that the process was restarted.
+            self._client.close()
+            answer = await self._send(request)
+        if self._sender(request.body) in self.cut_off:
+            return
+        if answer.status == 0:
+            request.connection.stream.close()
             return
         line = ResponseStartLine("HTTP/1.1", answer.status, responses[answer.status])
         headers = HTTPHeaders({"Content-Length": str(len(answer.body))})
@@ -71,6 +79,12 @@
         except StreamClosedError:
             pass
 
+    async def _send(self, request):
+        headers = list(request.headers.get_all())
+        return await self._client.request(
+            self._target, "POST", request.path, headers, request.body, 10.0
+        )
+
     def _sender(self, body):
         message = msgspec.json.decode(body)
         sender = message.get("sender") or message.get("forwarded") or ""
@@ -123,6 +137,33 @@
         """Sends a message to a process, past its relay."""
         return await self.peers.send(self.addresses[name], kind, message, timeout_s)
 
+    def known_address(self, name):
+        """Gives the address at which the other processes know a process."""
+        controls = {each["name"]: each["address"] for each in self.controls}
+        return controls[name]
+
+    async def change_members(self, name, message):
+        """Sends a change of members to a process until it is done."""
+
+        attempts = 0
+
+        async def change():
+            nonlocal attempts
+            attempts += 1
+            try:
+                await self.ask(name, "members", message, 30.0)
+            except PeerUnreachableError:
+                return False
+            except PeerRefusedError as error:
+                # The first attempt may have removed it and lost its answer.
+                removed = message["action"] == "remove" and error.status == 404
+                if error.status != 503 and not (removed and attempts > 1):
+                    raise
+                return removed
+            return True
+
+        await wait_for(change, READY_TIMEOUT_S)
+
     async def control_state(self, name):
         """Gives the state of the control role of a process."""
         return (await self.ask(name, "state", {}))["control"]
@@ -220,7 +261,7 @@
     async def check(self, service="parts"):
         """Compares the history with what the operators were told.
 
-        :return: number of accepted changes lost, reverted or applied twice.
+        :return: tuple of the number of violations and what they are.
         """
         await wait_for(self._cluster.has_leader, READY_TIMEOUT_S)
         leader = await self._cluster.leader()
@@ -234,7 +275,9 @@
         for change, version in self._accepted.items():
             if versions.get(change) != version:
                 self.problems.append(f"{change} accepted as {version} is not there")
-        return len(self.problems)
+        if not self._accepted:
+            self.problems.append("no change was accepted")
+        return len(self.problems), self.problems
 
     async def _operate(self, number, service):
         base = 0
@@ -249,16 +292,39 @@
             self.problems.append(f"{change} got {known} and {answer}")
 
 
-async def run_together(scenario, seeds):
+async def _run_together(scenario, seeds):
+    # The relays of all clusters share one loop, which the end of a cluster blocks
+    # for up to a second, so all clusters end after the last scenario.
+    async with AsyncExitStack() as stack:
+        clusters = [ControlCluster(seed) for seed in seeds]
+        await asyncio.gather(*map(stack.enter_async_context, clusters))
+        return await asyncio.gather(
+            *(scenario(cluster, Workload(cluster)) for cluster in clusters)
+        )
+
+
+def run_processes(scenario, seeds):
     """Runs a scenario with several seeds at the same time.
 
     :param scenario: coroutine function from a :class:`ControlCluster` and a
-        :class:`Workload`, which it leaves checked.
+        :class:`Workload`.
     :return: list of its results, by seed.
     """
+    return asyncio.run(_run_together(scenario, seeds))
 
-    async def run_one(seed):
-        async with ControlCluster(seed) as cluster:
-            return await scenario(cluster, Workload(cluster))
 
-    return await asyncio.gather(*(run_one(seed) for seed in seeds))
+def rows(experiment, scenario):
+    """Runs five schedules with real processes.
+
+    :param scenario: coroutine function that returns the number of violations
+        and a list of what they are.
+    :return: list of :class:`~bench.rows.Row`.
+    """
+    found = []
+    results = run_processes(scenario, SEEDS)
+    for seed, (violations, problems) in zip(SEEDS, results, strict=True):
+        case = "processes: accepted changes lost, reverted or applied twice"
+        found.append(Row(experiment, case, seed, None, violations, 0, "changes"))
+        for problem in problems:
+            print(f"{experiment} processes seed {seed}: {problem}", file=sys.stderr)
+    return found
--- a/bench/partition.py
+++ b/bench/partition.py
@@ -1,11 +1,14 @@
 """Control processes that are cut off, wholly, one way or by loss and delay."""
 
-from bench import schedules
-from bench.schedules import CompactingReplica, Variant
+import asyncio
+
+from bench import control_cluster, schedules
+from bench.schedules import CompactingReplica, Variant, make_document
 from figpick._consensus import Raft
 
 OPERATORS = 2
 FIRST_FAULT_S = 2.0
+PUT_TIMEOUT_S = 2.0
 
 
 class CarelessRaft(Raft):
@@ -51,11 +54,41 @@
     schedule.later(FIRST_FAULT_S, cut)
 
 
+async def scenario(cluster, workload):
+    """Cuts off the leader for a while and then lets it return."""
+    workload.start(OPERATORS)
+    await asyncio.sleep(1.0)
+    name = await cluster.leader()
+    cluster.isolate(name)
+    await asyncio.sleep(2.5)
+    refused = await asyncio.gather(
+        cluster.refuses(name, "get", {"service": "parts"}),
+        cluster.refuses(name, "put", make_change("refused")),
+    )
+    if not all(refused):
+        workload.problems.append(f"{name} answered without a quorum")
+    other = next(each for each in cluster.names if each != name)
+    await cluster.ask(other, "put", make_change("accepted"), PUT_TIMEOUT_S)
+    term = max([(await cluster.control_state(each))["term"] for each in cluster.names])
+    cluster.mend()
+    await asyncio.sleep(1.5)
+    await workload.stop()
+    if (await cluster.control_state(name))["term"] != term:
+        workload.problems.append(f"{name} disturbed the leader when it returned")
+    return await workload.check()
+
+
+def make_change(change):
+    """Makes a change of a new document."""
+    return {"document": make_document("scans", 1), "base": 0, "change": change}
+
+
 def run(seeds):
-    """Runs the schedules.
+    """Runs the schedules, on pure modules and with processes.
 
-    :param seeds: not used; the schedules have their own 500 seeds.
+    :param seeds: not used; the schedules have their own seeds.
     """
     yield from schedules.rows(
         "partition", plan, Variant(replica_class=CarelessReplica), OPERATORS
     )
+    yield from control_cluster.rows("partition", scenario)
--- a/bench/race.py
+++ b/bench/race.py
@@ -1,6 +1,8 @@
 """Operators that change the same documents at once and resend their changes."""
 
-from bench import schedules
+import asyncio
+
+from bench import control_cluster, schedules
 from bench.schedules import Variant
 from figpick._registry import Registry
 
@@ -40,10 +42,26 @@
     schedule.later(random.uniform(2.0, 4.0), depose)
 
 
+async def scenario(cluster, workload):
+    """Lets six operators change one document while leaders are killed."""
+    workload.start(OPERATORS)
+    for _ in range(2):
+        await asyncio.sleep(cluster.random.uniform(0.5, 1.0))
+        name = await cluster.leader()
+        if name is not None:
+            cluster.kill(name)
+            await asyncio.sleep(1.5)
+            cluster.start(name)
+    await asyncio.sleep(0.5)
+    await workload.stop()
+    return await workload.check()
+
+
 def run(seeds):
-    """Runs the schedules.
+    """Runs the schedules, on pure modules and with processes.
 
-    :param seeds: not used; the schedules have their own 500 seeds.
+    :param seeds: not used; the schedules have their own seeds.
     """
     variant = Variant(registry_class=UncheckedRegistry)
     yield from schedules.rows("race", plan, variant, OPERATORS)
+    yield from control_cluster.rows("race", scenario)
--- a/bench/repair.py
+++ b/bench/repair.py
@@ -1,12 +1,15 @@
 """A control host is replaced, and a second one is lost right after."""
 
-from bench import schedules
-from bench.schedules import NAMES, Variant
+import asyncio
+
+from bench import control_cluster, schedules
+from bench.schedules import NAMES, Variant, make_document
 from figpick._consensus_messages import Membership
 from figpick._formation import name_of
 
 OPERATORS = 2
 STEP_S = 0.05
+PUT_TIMEOUT_S = 2.0
 
 
 class Repair:
@@ -98,10 +101,33 @@
     schedule.later(lost_at, Repair(schedule, name).begin)
 
 
+async def scenario(cluster, workload):
+    """Replaces a host with its disk and kills a second one right after."""
+    workload.start(OPERATORS)
+    await asyncio.sleep(1.0)
+    name, second, third = cluster.random.sample(cluster.names, 3)
+    cluster.kill(name)
+    cluster.erase_disk(name)
+    cluster.start(name)
+    address = cluster.known_address(name)
+    await cluster.change_members(third, {"action": "remove", "name": name})
+    message = {"action": "add", "name": name, "address": address}
+    await cluster.change_members(third, message)
+    cluster.kill(second)
+    await asyncio.sleep(2.5)
+    change = {"document": make_document("scans", 1), "base": 0, "change": "after"}
+    await cluster.ask(name, "put", change, PUT_TIMEOUT_S)
+    await workload.stop()
+    outcome = await workload.check()
+    cluster.start(second)
+    return outcome
+
+
 def run(seeds):
-    """Runs the schedules.
+    """Runs the schedules, on pure modules and with processes.
 
-    :param seeds: not used; the schedules have their own 500 seeds.
+    :param seeds: not used; the schedules have their own seeds.
     """
     variant = Variant(keeps_identity=True)
     yield from schedules.rows("repair", plan, variant, OPERATORS)
+    yield from control_cluster.rows("repair", scenario)
--- a/bench/restart.py
+++ b/bench/restart.py
@@ -1,9 +1,19 @@
 """Control processes that lose power, also in the middle of a write."""
 
-from bench import schedules
+import time
+
+from bench import control_cluster, schedules
+from bench.rows import Row
 from bench.schedules import Variant
+from figpick._errors import PeerError
 
 OPERATORS = 2
+CHANGES = 500
+RESTART_TIMEOUT_S = 15.0
+TIMED_CASES = (
+    ("slowest restart of one process after 500 changes", 2),
+    ("slowest cold start of all after 500 changes", None),
+)
 FIRST_FAULT_S = 2.0
 
 
@@ -38,9 +48,54 @@
     schedule.later(FIRST_FAULT_S, fail)
 
 
+async def scenario(cluster, workload):
+    """Makes 500 changes, restarts one process and then all of them.
+
+    :return: violations, what they are, and the seconds of both restarts.
+    """
+    version = 0
+    for number in range(CHANGES):
+        version = await workload.change(f"c{number}", "parts", version)
+    name = await cluster.leader()
+    one_s = await _restart(cluster, [name], version)
+    all_s = await _restart(cluster, cluster.names, version)
+    violations, problems = await workload.check()
+    return violations, problems, one_s, all_s
+
+
+async def _restart(cluster, names, version):
+    """Kills processes and waits until each has applied a version again."""
+    for name in names:
+        cluster.kill(name)
+    started_at = time.monotonic()
+    for name in names:
+        cluster.start(name)
+
+    async def has_applied():
+        try:
+            states = [await cluster.control_state(name) for name in names]
+        except PeerError:
+            return False
+        return all(each["documents"].get("parts") == version for each in states)
+
+    await control_cluster.wait_for(has_applied, RESTART_TIMEOUT_S, 0.02)
+    return time.monotonic() - started_at
+
+
 def run(seeds):
-    """Runs the schedules.
+    """Runs the schedules, on pure modules and with processes.
 
-    :param seeds: not used; the schedules have their own 500 seeds.
+    :param seeds: not used; the schedules have their own seeds.
     """
     yield from schedules.rows("restart", plan, Variant(syncs=False), OPERATORS)
+    times = []
+
+    async def timed(cluster, workload):
+        violations, problems, *seconds = await scenario(cluster, workload)
+        times.append(seconds)
+        return violations, problems
+
+    yield from control_cluster.rows("restart", timed)
+    for number, (case, bound) in enumerate(TIMED_CASES):
+        slowest = max(each[number] for each in times)
+        yield Row("restart", case, 1, None, round(slowest, 2), bound, "s")
--- a/src/figpick/_control.py
+++ b/src/figpick/_control.py
@@ -18,7 +18,7 @@
 NOT_FOUND = 404
 NO_QUORUM = 503
 # Long enough for an election, with one that is repeated.
-REQUEST_TIMEOUT_S = 4.0
+FIND_LEADER_S = 4.0
 FORWARD_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.1
 ROSTER_PERIOD_S = 1.0
@@ -156,6 +156,7 @@
         raft = replica.raft
         return {
             "identity": replica.identity,
+            "must_be_added": self._quorum.must_be_added,
             "failure": None if replica.failure is None else str(replica.failure),
             "role": raft.role,
             "term": raft.term,
@@ -196,9 +197,12 @@
             raise PeerRefusedError(NOT_FOUND, {"error": f"no document for {service!r}"})
         return entry
 
-    async def _at_leader(self, kind, message, function, timeout_s=REQUEST_TIMEOUT_S):
-        """Runs a request here when this process leads, else at the leader."""
-        limit = self._clock.monotonic() + timeout_s
+    async def _at_leader(self, kind, message, function, timeout_s=FORWARD_TIMEOUT_S):
+        """Runs a request here when this process leads, else at the leader.
+
+        :param timeout_s: seconds that the leader may take.
+        """
+        limit = self._clock.monotonic() + FIND_LEADER_S
         while True:
             try:
                 if self._quorum.replica.raft.is_leader:
@@ -206,8 +210,8 @@
                 return await self._forward(kind, message, timeout_s)
             except NoQuorumError as error:
                 refusal = error
-            forwarded = message.get("forwarded")
-            if forwarded or self._clock.monotonic() > limit:
+            hopeless = message.get("forwarded") or self._quorum.must_be_added
+            if hopeless or self._clock.monotonic() > limit:
                 raise refusal
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -216,7 +220,6 @@
         if message.get("forwarded") or address is None:
             raise NoQuorumError("no quorum: no leader is known")
         message = {**message, "forwarded": self._name}
-        timeout_s = max(FORWARD_TIMEOUT_S, timeout_s / 2)
         try:
             return await self._client.send(address, kind, message, timeout_s)
         except PeerUnreachableError as error:
--- a/src/figpick/_control_members.py
+++ b/src/figpick/_control_members.py
@@ -7,15 +7,24 @@
 
 from ._consensus import MembershipError
 from ._consensus_messages import Membership
-from ._errors import Fault, InvalidDocumentError, NoQuorumError, PeerRefusedError
+from ._errors import (
+    Fault,
+    InvalidDocumentError,
+    NoQuorumError,
+    PeerRefusedError,
+    PeerUnreachableError,
+)
 from ._formation import name_of
 from ._logs import logger
 from ._settings import Address, Name
 
 CONFLICT = 409
 NOT_FOUND = 404
+NO_ANSWER = 502
 CATCH_UP_TIMEOUT_S = 20.0
 CHANGE_TIMEOUT_S = 5.0
+# A process that has just been started may not listen yet.
+IDENTIFY_TIMEOUT_S = 2.0
 PAUSE_S = 0.05
 
 log = logger("control")
@@ -72,11 +81,7 @@
         return self._quorum.replica.raft.members
 
     async def _add(self, name, address):
-        answer = await self._client.send(address, "identify", {})
-        if answer["name"] != name:
-            error = f"the process at {address} is {answer['name']!r}, not {name!r}"
-            raise PeerRefusedError(CONFLICT, {"error": error})
-        identity = answer["identity"]
+        identity = await self._identify(name, address)
         if identity in self._members.voters:
             return
         if name in map(name_of, set(self._members.addresses) - {identity}):
@@ -88,6 +93,22 @@
         await self._apply(lambda members: _with_voter(members, identity, address))
         log.info("Control process {} votes from now on.", identity)
 
+    async def _identify(self, name, address):
+        limit = self._clock.monotonic() + IDENTIFY_TIMEOUT_S
+        while True:
+            try:
+                answer = await self._client.send(address, "identify", {})
+                break
+            except PeerUnreachableError as error:
+                if self._clock.monotonic() > limit:
+                    body = {"error": f"{name} does not answer at {address}"}
+                    raise PeerRefusedError(NO_ANSWER, body) from error
+            await asyncio.sleep(PAUSE_S)
+        if answer["name"] != name:
+            error = f"the process at {address} is {answer['name']!r}, not {name!r}"
+            raise PeerRefusedError(CONFLICT, {"error": error})
+        return answer["identity"]
+
     async def _remove(self, name):
         identities = [each for each in self._members.addresses if name_of(each) == name]
         if not identities:
--- a/src/figpick/_quorum.py
+++ b/src/figpick/_quorum.py
@@ -46,6 +46,7 @@
         self._clock = clock
         self._client = client
         self._replica = None
+        self._must_be_added = False
         self._planned = 0.0
         self._wake = asyncio.Event()
         self._open_sends = Counter()
@@ -56,6 +57,11 @@
         """:class:`~figpick._replica.Replica`, once started."""
         return self._replica
 
+    @property
+    def must_be_added(self):
+        """Whether this process joins only when an operator adds it."""
+        return self._must_be_added and self._last_index == 0
+
     @property
     def leader_address(self):
         """Peer address of the known leader, or ``None``."""
@@ -99,7 +105,6 @@
             member["name"]: member["address"] for member in self._settings["control"]
         }
         formation = Formation(self._replica.identity, addresses)
-        waits = False
         while self._last_index == 0:
             for name, address in addresses.items():
                 if name != self._settings["name"]:
@@ -108,8 +113,8 @@
                 self._replica.form(formation.members, self._clock.monotonic())
                 self._finish()
                 log.info("Formed a quorum of {}.", ", ".join(addresses))
-            elif formation.must_wait and not waits:
-                waits = True
+            elif formation.must_wait and not self._must_be_added:
+                self._must_be_added = True
                 log.warning("The quorum exists; an operator must add this process.")
             await asyncio.sleep(FORM_PERIOD_S)
 
--- a/src/figpick/_replica.py
+++ b/src/figpick/_replica.py
@@ -50,6 +50,7 @@
         self._finished = deque()
         self._draining = False
         self._failure = None
+        self._logged_leader = (self._raft.term, None)
 
     @property
     def identity(self):
@@ -220,12 +221,24 @@
                 for entry in output.committed:
                     self._apply(entry)
                 self._confirm(output.reads)
+            self._log_leader()
             if not self._raft.is_leader:
                 self._abandon(NoQuorumError(UNKNOWN_OUTCOME))
             self._compact()
         except FigpickError as error:
             self._fail(error)
 
+    def _log_leader(self):
+        known = self._raft.term, self._raft.leader
+        if known == self._logged_leader:
+            return
+        self._logged_leader = known
+        term, leader = known
+        if leader is None:
+            log.info("No leader is known in term {}.", term)
+        else:
+            log.info("Leader of term {} is {}.", term, leader)
+
     def _store(self, output):
         if output.snapshot is not None:
             self._install(output.snapshot)
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,87 @@
+"""Operators and three control processes."""
+
+import asyncio
+import json
+
+import pytest
+
+from bench.cluster import KEY
+from bench.control_cluster import ControlCluster
+from bench.schedules import make_document
+from figpick import _cli
+
+
+def run_command(capsys, *arguments):
+    """Runs the command line and gives its exit code and output."""
+    code = 0
+    try:
+        _cli.main(list(arguments))
+    except SystemExit as error:
+        code = error.code
+    captured = capsys.readouterr()
+    return code, captured.out, captured.err
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("get", "parts", "--at=localhost"),
+        ("get", "parts", "--at=10.0.0.1:9101,nowhere"),
+        ("members", "add", "control-4", "nowhere"),
+        ("put", "missing.json", "--base=0"),
+        ("check", "missing.json"),
+    ],
+)
+def test_bad_arguments_are_refused_without_a_process(capsys, arguments):
+    """Guards against a command that fails only after it was sent."""
+    code, _, error = run_command(capsys, *arguments)
+    assert code == 2
+    assert "Traceback" not in error and error
+
+
+@pytest.mark.processes
+def test_operator_commands_from_quorum_to_no_quorum(capsys, tmp_path, monkeypatch):
+    """Guards against changes that are lost or repeated at a change of leader, a
+    replaced control process that never votes, and stale answers."""
+    monkeypatch.setenv("FIGPICK_KEY", KEY)
+    path = tmp_path / "parts.json"
+    path.write_text(json.dumps(make_document("parts", 1)))
+
+    async def scenario():
+        async with ControlCluster(1) as cluster:
+            addresses = list(cluster.addresses.values())
+
+            async def command(*arguments, at=addresses):
+                options = (*arguments, f"--at={','.join(at)}")
+                return await asyncio.to_thread(run_command, capsys, *options)
+
+            put = ("put", str(path), "--base=0", "--change=a")
+            first = await command(*put)
+            leader = await cluster.leader()
+            cluster.kill(leader)
+            again = await command(*put)
+            assert first[0] == again[0] == 0 and first[1] == again[1]
+            version = json.loads(first[1])["version"]
+            conflict = await command("put", str(path), "--base=0", "--change=b")
+            assert conflict[0] == 3
+            assert json.loads(conflict[1])["current"]["version"] == version
+
+            cluster.erase_disk(leader)
+            cluster.start(leader)
+            added = ("members", "add", leader, cluster.known_address(leader))
+            assert (await command(*added))[0] == 1
+            assert (await command("members", "remove", leader))[0] == 0
+            code, output, _ = await command(*added)
+            assert code == 0 and leader in json.loads(output)["voters"]
+            assert (await command("get", "none"))[0] == 1
+
+            others = [name for name in cluster.names if name != leader]
+            cluster.kill(others[0])
+            code, output, _ = await command("history", "parts")
+            assert [each["change"] for each in json.loads(output)] == ["a"]
+            cluster.kill(others[1])
+            code, _, error = await command("get", "parts")
+            assert code == 5 and "no quorum" in error
+            assert (await command("state", at=[cluster.addresses[leader]]))[0] == 0
+
+    asyncio.run(scenario())
