--- a/bench/partition.py
+++ b/bench/partition.py
@@ -3,15 +3,14 @@
 import asyncio
 
 from bench import control_cluster, schedules
-from bench.schedules import CompactingReplica, Variant, make_document
-from figpick._consensus import Raft
+from bench.schedules import CompactingReplica, SmallPartsRaft, Variant, make_document
 
 OPERATORS = 2
 FIRST_FAULT_S = 2.0
 PUT_TIMEOUT_S = 2.0
 
 
-class CarelessRaft(Raft):
+class CarelessRaft(SmallPartsRaft):
     """Votes for candidates whose log lacks committed entries."""
 
     def _is_up_to_date(self, message):
@@ -32,11 +31,11 @@
 
     def cut():
         leader = world.leader()
-        name = random.choice(schedules.NAMES)
+        name = random.choice(schedule.names)
         if leader is not None and random.random() < 0.5:
             name = leader.name
         kind = random.choice(("whole", "whole", "in", "out", "pair"))
-        others = [other for other in schedules.NAMES if other != name]
+        others = [other for other in schedule.names if other != name]
         if kind == "whole":
             world.isolate(name)
         elif kind == "pair":
--- a/bench/repair.py
+++ b/bench/repair.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from bench import control_cluster, schedules
-from bench.schedules import NAMES, Variant, make_document
+from bench.schedules import Variant, make_document
 from figpick._consensus_messages import Membership
 from figpick._formation import name_of
 
@@ -69,7 +69,7 @@
         return Membership({**voters, identity: self._name}, learners)
 
     def _lose_second(self):
-        others = [name for name in NAMES if name != self._name]
+        others = [name for name in self._schedule.names if name != self._name]
         name = self._schedule.random.choice(others)
         process = self._world.processes[name]
         if self._schedule.random.random() < 0.5:
@@ -90,15 +90,25 @@
     """Adds the faults of one schedule.
 
     In half of the schedules another host was cut off until the first one is
-    lost, so that only the leader has the last changes.
+    lost, so that only the leader has the last changes. In some the leader is cut
+    off while the membership changes.
     """
     random = schedule.random
-    name, cut_off, _ = random.sample(NAMES, 3)
+    name, cut_off = random.sample(schedule.names, 2)
     lost_at = random.uniform(2.5, 4.0)
     if random.random() < 0.5:
         schedule.later(lost_at - 0.5, schedule.world.isolate, cut_off)
         schedule.later(lost_at, schedule.world.cuts.clear)
     schedule.later(lost_at, Repair(schedule, name).begin)
+    if random.random() < 0.3:
+        schedule.later(lost_at + random.uniform(0.3, 1.5), _cut_leader, schedule)
+
+
+def _cut_leader(schedule):
+    leader = schedule.world.leader()
+    if leader is not None:
+        schedule.world.isolate(leader.name)
+        schedule.later(1.5, schedule.world.cuts.clear)
 
 
 async def scenario(cluster, workload):
--- a/bench/schedules.py
+++ b/bench/schedules.py
@@ -14,13 +14,15 @@
 
 from bench.rows import Row
 from bench.simulation import World
+from figpick._consensus import Raft
 from figpick._consensus_messages import Membership
 from figpick._errors import ConflictError
 from figpick._formation import name_of
 from figpick._registry import Registry
 from figpick._replica import Replica
 
-NAMES = ("control-1", "control-2", "control-3")
+NAMES = tuple(f"control-{number}" for number in range(1, 6))
+SIZES = (3, 3, 3, 5)
 SERVICES = ("parts", "scans")
 RUN_S = 12.0
 SETTLE_S = 8.0
@@ -32,9 +34,16 @@
 CHUNK = 5
 
 
+class SmallPartsRaft(Raft):
+    """Sends a snapshot in many parts."""
+
+    part_bytes = 1500
+
+
 class CompactingReplica(Replica):
     """Replaces its log so often that schedules install snapshots."""
 
+    raft_class = SmallPartsRaft
     compact_entries = 25
 
 
@@ -139,9 +148,10 @@
         self.random = random.Random(seed)
         self.variant = variant
         self.end_s = RUN_S
+        self.names = NAMES[: self.random.choice(SIZES)]
         self.world = World(
             self.random,
-            NAMES,
+            self.names,
             variant.replica_class,
             variant.registry_class,
             variant.syncs,
@@ -210,7 +220,7 @@
         return leader and leader.replica
 
     def _form(self):
-        identities = {name: self.new_identity(name) for name in NAMES}
+        identities = {name: self.new_identity(name) for name in self.names}
         members = Membership(
             {identity: name for name, identity in identities.items()}, {}
         )
--- a/src/figpick/_answers.py
+++ b/src/figpick/_answers.py
@@ -42,31 +42,39 @@
     def encode(self):
         """Gives all records as bytes, sorted by digest."""
         if self._recent:
-            records = [
-                RECORD.pack(digest, *fields) for digest, fields in self._recent.items()
-            ]
-            size = RECORD.size
-            block = self._block
-            records.extend(
-                block[start : start + size] for start in range(0, len(block), size)
-            )
-            self._block = b"".join(sorted(records))
+            self._block = b"".join(self._merged())
             self._recent = {}
         return self._block
 
+    def _merged(self):
+        # Few records are new, so the block is cut only where they belong.
+        start = 0
+        for digest, fields in sorted(self._recent.items()):
+            end = self._position(digest) * RECORD.size
+            yield self._block[start:end]
+            yield RECORD.pack(digest, *fields)
+            start = end
+        yield self._block[start:]
+
     def _search(self, digest):
+        offset = self._position(digest) * RECORD.size
+        if offset == len(self._block):
+            return None
+        found, index, number, conflict = RECORD.unpack_from(self._block, offset)
+        return (index, number, bool(conflict)) if found == digest else None
+
+    def _position(self, digest):
+        """Gives the number of records before a digest."""
         low = 0
         high = len(self._block) // RECORD.size
         while low < high:
             middle = (low + high) // 2
-            found, *fields = RECORD.unpack_from(self._block, middle * RECORD.size)
-            if found == digest:
-                return fields[0], fields[1], bool(fields[2])
-            if found < digest:
+            start = middle * RECORD.size
+            if self._block[start : start + DIGEST_BYTES] < digest:
                 low = middle + 1
             else:
                 high = middle
-        return None
+        return low
 
 
 def _digest(change_id):
--- a/src/figpick/_consensus_leader.py
+++ b/src/figpick/_consensus_leader.py
@@ -54,10 +54,12 @@
         """Notes that the log of the member differs.
 
         :param hint: last index that may be equal.
+        :return: whether an earlier entry is sent next.
         """
         self.in_flight = 0
-        lower = min(hint + 1, self.next_index - 1)
-        self.next_index = max(self.match + 1, lower)
+        before = self.next_index
+        self.next_index = max(self.match + 1, min(hint + 1, before - 1))
+        return self.next_index < before
 
 
 class Leadership:
--- a/src/figpick/_consensus_replication.py
+++ b/src/figpick/_consensus_replication.py
@@ -26,6 +26,8 @@
 class Replication(Elections):
     """Sends the log as leader and stores it as follower."""
 
+    part_bytes = SNAPSHOT_PART_BYTES
+
     def _on_append(self, message, now):
         if message.term < self._term:
             self._answer(message, False, 0)
@@ -50,13 +52,10 @@
         if message.ok:
             progress.advance(message.match)
             self._advance_commit(now)
-        else:
-            lost_entries = message.match < progress.match
-            progress.fall_back(message.match)
-            if lost_entries:
-                # It lost entries that it had synced, so sending more at once
-                # would only be refused again.
-                return
+        elif not progress.fall_back(message.match):
+            # It lost or changed entries that it had synced. The next heartbeat
+            # tries again; at once would be an endless exchange.
+            return
         self._continue(message.sender, progress, now)
 
     def _on_install(self, message, now):
@@ -223,7 +222,7 @@
         if progress.snapshot_index != snapshot.index:
             progress.snapshot_index = snapshot.index
             progress.offset = 0
-        end = progress.offset + SNAPSHOT_PART_BYTES
+        end = progress.offset + self.part_bytes
         progress.in_flight = snapshot.index
         self._messages.append(
             Install(
--- a/src/figpick/_control.py
+++ b/src/figpick/_control.py
@@ -158,7 +158,7 @@
             "identity": replica.identity,
             "must_be_added": self._quorum.must_be_added,
             "failure": None if replica.failure is None else str(replica.failure),
-            "role": raft.role,
+            "role": "none" if self._quorum.is_out else raft.role,
             "term": raft.term,
             "leader": raft.leader and name_of(raft.leader),
             "index": replica.applied,
@@ -210,8 +210,9 @@
                 return await self._forward(kind, message, timeout_s)
             except NoQuorumError as error:
                 refusal = error
-            hopeless = message.get("forwarded") or self._quorum.must_be_added
-            if hopeless or self._clock.monotonic() > limit:
+            if message.get("forwarded") or self._quorum.is_out:
+                raise refusal
+            if self._clock.monotonic() > limit:
                 raise refusal
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -230,8 +231,9 @@
             raise NoQuorumError(error.body.get("error", "no quorum")) from error
 
     async def _commit_rosters(self):
-        leads = self._quorum.replica.raft.is_leader
-        if self._propose_rosters is None or not leads:
+        if self._propose_rosters is None or self._quorum.is_out:
+            return
+        if not self._quorum.replica.raft.is_leader:
             return
         for proposal in self._propose_rosters(self._clock.monotonic()):
             try:
@@ -253,6 +255,7 @@
             progress = raft.progress.get(identity)
             if progress is not None:
                 member["missing_entries"] = raft.log.last_index - progress.match
+                member["protocol"] = progress.version
                 member["heard_s_ago"] = round(now - progress.heard_at, 3)
             members.append(member)
         return members
--- a/src/figpick/_quorum.py
+++ b/src/figpick/_quorum.py
@@ -62,6 +62,11 @@
         """Whether this process joins only when an operator adds it."""
         return self._must_be_added and self._last_index == 0
 
+    @property
+    def is_out(self):
+        """Whether this process cannot take part until an operator acts."""
+        return self.must_be_added or self._replica.failure is not None
+
     @property
     def leader_address(self):
         """Peer address of the known leader, or ``None``."""
--- a/src/figpick/_replica.py
+++ b/src/figpick/_replica.py
@@ -7,15 +7,17 @@
 from collections import deque
 
 from ._consensus import Raft
-from ._consensus_messages import COMMAND, MEMBERS, Snapshot
+from ._consensus_messages import COMMAND, MEMBERS, NOOP, Snapshot
 from ._errors import FigpickError, NoQuorumError
 from ._logs import logger
+from ._registry import UnknownCommandError
 from ._registry_commands import put_command
 
 # The log is replaced by a snapshot after this many entries or bytes.
 COMPACT_ENTRIES = 1000
 COMPACT_BYTES = 8 * 1024 * 1024
 
+NO_LEADER = "no quorum: this process no longer leads"
 UNKNOWN_OUTCOME = (
     "no quorum: the outcome of the change is unknown; resend it with the same id"
 )
@@ -223,7 +225,7 @@
                 self._confirm(output.reads)
             self._log_leader()
             if not self._raft.is_leader:
-                self._abandon(NoQuorumError(UNKNOWN_OUTCOME))
+                self._abandon(NoQuorumError(UNKNOWN_OUTCOME), NoQuorumError(NO_LEADER))
             self._compact()
         except FigpickError as error:
             self._fail(error)
@@ -258,6 +260,8 @@
             answer = self._registry.apply(entry.data, entry.index)
         elif entry.kind == MEMBERS:
             log.info("Members at entry {}: {}.", entry.index, entry.data)
+        elif entry.kind != NOOP:
+            raise UnknownCommandError(f"entry {entry.index}: kind {entry.kind!r}")
         self._applied = entry.index
         self._applied_term = entry.term
         term, done = self._waiting.pop(entry.index, (None, None))
@@ -275,13 +279,13 @@
             self._reads.pop(done, None)
             self._finish(done, None, None)
 
-    def _abandon(self, error):
-        waiting = [done for _, done in self._waiting.values()]
-        waiting.extend(self._reads)
+    def _abandon(self, change_error, read_error):
+        for _, done in self._waiting.values():
+            self._finish(done, None, change_error)
+        for done in self._reads:
+            self._finish(done, None, read_error)
         self._waiting = {}
         self._reads = {}
-        for done in waiting:
-            self._finish(done, None, error)
 
     def _finish(self, done, answer, error):
         self._finished.append((done, answer, error))
@@ -305,4 +309,5 @@
         self._failure = error
         self._messages = []
         log.error("Participation in the quorum has ended: {}.", error)
-        self._abandon(NoQuorumError(f"no quorum: {error}"))
+        refusal = NoQuorumError(f"no quorum: {error}")
+        self._abandon(refusal, refusal)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -18,8 +18,9 @@
 
 @pytest.fixture
 def world():
-    world = World(random.Random(1), schedules.NAMES)
-    members = Membership({f"{name}#1": name for name in schedules.NAMES}, {})
+    names = schedules.NAMES[:3]
+    world = World(random.Random(1), names)
+    members = Membership({f"{name}#1": name for name in names}, {})
     for name, process in world.processes.items():
         process.replace_disk(f"{name}#1")
         process.start()
@@ -143,3 +144,24 @@
     del fields["round"]
     message = decode(Append, {**fields, "field_of_a_later_release": 1, "v": 2})
     assert message == Append("a#1", "b#1", 2, 0, 0, v=2)
+
+
+def test_member_that_lost_synced_entries_is_not_flooded(world):
+    """Guards against an endless exchange with a member whose disk lost entries."""
+    follower = next(
+        each for each in world.processes.values() if each is not world.leader()
+    )
+    old = dict(follower.files._durable)
+    version = 0
+    for number in range(5):
+        answer = put(world, world.leader(), f"c{number}", version)[0]
+        version = answer["version"]
+    follower.crash()
+    follower.files._durable = old
+    follower.start()
+    put(world, world.leader(), "later", version)
+    sent = []
+    send = world.send
+    world.send = lambda *arguments: (sent.append(1), send(*arguments))
+    world.run_until(world.now + 1.0)
+    assert len(sent) < 100
