--- a/src/figpick/_control_members.py
+++ b/src/figpick/_control_members.py
@@ -82,7 +82,10 @@
 
     async def _add(self, name, address):
         identity = await self._identify(name, address)
+        if self._members.voters.get(identity) == address:
+            return
         if identity in self._members.voters:
+            await self._apply(lambda members: _with_voter(members, identity, address))
             return
         if name in map(name_of, set(self._members.addresses) - {identity}):
             error = f"{name} is a member with an earlier disk; remove it first"
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -7,8 +7,19 @@
 from bench import partition, race, repair, restart, schedules
 from bench.schedules import Variant, make_document, run_one
 from bench.simulation import World
-from figpick._consensus import MembershipError
-from figpick._consensus_messages import Append, Membership, decode, encode
+from figpick._consensus import MembershipError, Raft
+from figpick._consensus_messages import (
+    NO_SNAPSHOT,
+    Append,
+    AppendReply,
+    Entry,
+    Membership,
+    Stored,
+    VoteReply,
+    VoteState,
+    decode,
+    encode,
+)
 from figpick._errors import NoQuorumError
 from figpick._formation import Formation
 
@@ -165,3 +176,38 @@
     world.send = lambda *arguments: (sent.append(1), send(*arguments))
     world.run_until(world.now + 1.0)
     assert len(sent) < 100
+
+
+def test_host_cut_off_from_the_leader_only_does_not_disturb_it(world):
+    """Guards against elections forced by a host that hears all but the leader."""
+    leader = world.leader()
+    follower = next(each for each in world.processes.values() if each is not leader)
+    term = leader.replica.raft.term
+    world.cut(leader.name, follower.name)
+    world.cut(follower.name, leader.name)
+    world.run_until(30.0)
+    assert leader.replica.raft.is_leader
+    assert leader.replica.raft.term == term
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_counting():
+    """Guards against the loss of an entry that a majority stored in an earlier
+    term, and against a change of membership before the leader has committed."""
+    members = Membership({"a#1": "a", "b#1": "b", "c#1": "c"}, {})
+    entries = (
+        Entry(1, 1, "members", members._asdict()),
+        Entry(2, 2, "command", {}),
+    )
+    stored = Stored(VoteState(3, None), NO_SNAPSHOT, entries)
+    raft = Raft("a#1", stored, random.Random(1), 0.0)
+    raft.tick(2.0)
+    raft.receive(VoteReply("b#1", "a#1", 4, True, pre=True), 2.0)
+    raft.receive(VoteReply("b#1", "a#1", 4, True), 2.0)
+    raft.stored(raft.take_output(), 2.0)
+    assert raft.is_leader
+    raft.receive(AppendReply("b#1", "a#1", 4, True, match=2), 2.1)
+    assert raft.commit == 0
+    with pytest.raises(MembershipError):
+        raft.change_members(Membership({"a#1": "a", "b#1": "b"}, {}), 2.1)
+    raft.receive(AppendReply("b#1", "a#1", 4, True, match=3), 2.2)
+    assert raft.commit == 3
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,10 +5,14 @@
 
 import pytest
 
-from bench.cluster import KEY
+from bench.cluster import KEY, free_address
 from bench.control_cluster import ControlCluster
 from bench.schedules import make_document
 from figpick import _cli
+from figpick._consensus_core import Output
+from figpick._consensus_messages import Entry
+from figpick._files import Files
+from figpick._storage import Storage
 
 
 def run_command(capsys, *arguments):
@@ -85,3 +89,34 @@
             assert (await command("state", at=[cluster.addresses[leader]]))[0] == 0
 
     asyncio.run(scenario())
+
+
+def test_damaged_log_is_refused_with_file_and_offset(capsys, tmp_path):
+    """Guards against a start that drops accepted changes without a word."""
+    folder = tmp_path / "data"
+    storage = Storage(Files(str(folder)))
+    storage.create("control-1#1")
+    for index in (1, 2):
+        entry = Entry(index, 1, "command", {"text": "x" * 100})
+        storage.write(Output(None, None, (entry,), index, (), (), ()))
+    log = folder / "log"
+    data = bytearray(log.read_bytes())
+    data[len(data) // 2] ^= 1
+    log.write_bytes(data)
+    address = free_address()
+    settings = {
+        "name": "control-1",
+        "region": "region-1",
+        "data_center": "dc-1",
+        "roles": ["control"],
+        "peer_address": address,
+        "control": [{"name": "control-1", "address": address}],
+        "data_folder": str(folder),
+        "shared_key": KEY,
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    code, _, error = run_command(capsys, "run", str(path))
+    assert code == 1
+    assert f"{log}: damaged record at byte offset " in error
+    assert "Traceback" not in error
