Keep fewer connections and smaller buffers for messages between processes

Cause: each process kept the connections of news to random peers for 5 s and read into buffers of 64 KiB, so bursts of joins left memory behind. Change: connections of news and probes are closed at once, reads between processes take 8 KiB, and the table of status texts replaces http.client in a plain node.

--- a/src/figpick/_connections.py
+++ b/src/figpick/_connections.py
@@ -64,10 +64,12 @@
     """Connections to one address.
 
     :param address: ``ip:port``.
+    :param read_bytes: size of the buffer that each read allocates.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, read_bytes=CHUNK_BYTES):
         self.address = address
+        self._read_bytes = read_bytes
         self._target = split_address(address)
         self._idle = []
 
@@ -110,6 +112,7 @@
         stream = IOStream(
             socket.socket(socket.AF_INET, socket.SOCK_STREAM),
             max_buffer_size=MAX_BUFFER_BYTES,
+            read_chunk_size=self._read_bytes,
         )
         loop = stream.io_loop
         timer = loop.call_later(CONNECT_TIMEOUT_S, stream.close)
--- a/src/figpick/_footprint.py
+++ b/src/figpick/_footprint.py
@@ -3,10 +3,12 @@
 A node may take 32 MB. OpenSSL takes about 5 MB of that and is imported by the
 event loop, by tornado and by ``hashlib``, although processes of figpick speak
 plain HTTP and the hash functions of the interpreter are enough for their small
-messages. ``curses``, with which tornado colours logs, takes another 0.5 MB.
+messages. ``curses``, with which tornado colours logs, and the parsers of mail
+behind ``http.client``, of which tornado uses a table, take another 1 MB.
 """
 
 import sys
+from http import HTTPStatus
 from types import ModuleType
 
 # The importers of these modules have a replacement when they are missing.
@@ -32,9 +34,16 @@
         # ``None`` makes an import fail with ImportError.
         sys.modules.setdefault(name, None)
     sys.modules.setdefault("ssl", _TlsModule("ssl"))
+    sys.modules.setdefault("http.client", _client_module())
     return True
 
 
+def _client_module():
+    module = ModuleType("http.client")
+    module.responses = {int(status): status.phrase for status in HTTPStatus}
+    return module
+
+
 class _TlsModule(ModuleType):
     """Gives a placeholder for each name, since importers look some up."""
 
--- a/src/figpick/_transport.py
+++ b/src/figpick/_transport.py
@@ -31,9 +31,13 @@
 
 PATH_PREFIX = "/peer/"
 DEFAULT_TIMEOUT_S = 1.0
-# Most exchanges go to a random process, so few connections are used again soon.
 PEER_IDLE_S = 5.0
+# These go to random processes. Their connections would hardly be used again, and
+# after a burst of news each process would hold hundreds of them.
+ONE_TIME_KINDS = frozenset(("news", "ping", "probe"))
 SERVER_IDLE_S = 60.0
+# Each read allocates a buffer of this size; most messages have under 1 KiB.
+READ_BYTES = 8 * 1024
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 log = logger("transport")
@@ -102,7 +106,7 @@
     async def _exchange(self, address, kind, message):
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = ConnectionPool(address)
+            pool = self._pools[address] = ConnectionPool(address, READ_BYTES)
         connection = pool.take_idle(self._clock.monotonic())
         if connection is not None:
             try:
@@ -119,8 +123,11 @@
         except BaseException:
             connection.close()
             raise
+        if connection.fresh and kind in ONE_TIME_KINDS:
+            connection.close()
+            return answer.status, answer.decode()
         now = self._clock.monotonic()
-        pool = self._pools.setdefault(address, ConnectionPool(address))
+        pool = self._pools.setdefault(address, ConnectionPool(address, READ_BYTES))
         pool.put_back(connection, now)
         return answer.status, answer.decode()
 
@@ -199,6 +206,7 @@
         ip, port = split_address(self._address)
         self._server = HTTPServer(
             self._receive,
+            chunk_size=READ_BYTES,
             max_body_size=MAX_MESSAGE_BYTES,
             idle_connection_timeout=SERVER_IDLE_S,
         )
