--- a/src/figpick/_calls.py
+++ b/src/figpick/_calls.py
@@ -30,7 +30,7 @@
 )
 from ._headers import content_length, forwarded_headers
 from ._logs import logger
-from ._plans import KEY_HEADER
+from ._plans import KEY_HEADER, Moment
 from ._relays import AnswerRelay
 
 # The rest of a refused body is read for this long. Closing with unread bytes resets
@@ -84,6 +84,7 @@
         self._caller = caller
         self._plan = None
         self._headers = None
+        self._recorded_from = None
         self._body = None
         self._relay = None
         self._dispatch = None
@@ -96,6 +97,7 @@
         self._finishing = False
         self._head = None
         self._keyed = False
+        self._repeated = False
 
     def headers_received(self, start_line, headers):
         self._head = start_line
@@ -148,10 +150,19 @@
     def on_connection_close(self):
         self.cancel()
 
+    @property
+    def status(self):
+        """HTTP status of the whole answer from an upstream, 0 without one."""
+        return self._status
+
     def cancel(self):
         """Stops the call, because nobody waits for its answer."""
         if self._linger is not None:
             self._linger.cancel()
+        plan = self._plan
+        if self._sent and plan.key and not plan.route.idempotent:
+            # The answer is stored for a resend; stopping would only lose it.
+            return
         if self._task is not None and not self._ended:
             self._node.counters.cancelled += 1
             self._ended = True
@@ -186,6 +197,8 @@
         )
         delay_s = plan.deadline - node.clock.monotonic()
         self._timer = loop.call_later(delay_s, self._expire)
+        if node.records(plan):
+            self._recorded_from = Moment(node.clock.monotonic(), node.clock.wall())
         self._task = loop.create_task(self._run())
 
     def _expire(self):
@@ -228,11 +241,16 @@
         status = relay.status if relay.complete else 0
         name = self._dispatch.upstream_name if self._dispatch is not None else ""
         node.close_retries(plan, self._body, self._sent, status, name)
+        if self._recorded_from is not None:
+            sizes = (self._body.size, relay.size)
+            caller = self._caller.context.remote_ip
+            node.record(plan, caller, self._recorded_from, sizes, status)
 
     async def _carry_out(self):
         node, plan = self._node, self._plan
         if plan.parent is not None and node.is_cancelled(plan.parent.execution_id):
             raise AbandonedError("the execution that made this call was cancelled")
+        self._repeated = node.repeats(plan, self._body)
         node.admit(plan, self._body, node.clock.monotonic())
         excluded = await node.admit_resend(plan, self._body)
         if not plan.route.idempotent:
@@ -254,15 +272,18 @@
         asks = plan.key and not plan.route.idempotent and not self._sent
         if asks and error.outcome == OUTCOME_NOT_RUN:
             error.outcome = await self._node.claimed_outcome(plan)
+            self._repeated = False
         self._abort(error)
 
     def _outcome(self, error):
         if error.outcome != OUTCOME_NOT_RUN:
             return error.outcome
         # Once a byte was sent, no later refusal of this call may say not-run.
+        # An earlier attempt of the same request may have sent some as well.
         # Without a plan nobody knows whether a keyed request ran before.
         unplanned = self._task is None and self._keyed
-        return OUTCOME_UNKNOWN if self._sent or unplanned else OUTCOME_NOT_RUN
+        doubtful = self._sent or self._repeated or unplanned
+        return OUTCOME_UNKNOWN if doubtful else OUTCOME_NOT_RUN
 
     def _abort(self, error):
         self._ended = True
--- a/src/figpick/_owner.py
+++ b/src/figpick/_owner.py
@@ -3,12 +3,15 @@
 from collections import deque
 
 from ._levels import LevelController, Report, RouteLevels
-from ._limits import DownstreamTime, LearnedLimit, Observation
+from ._limits import DownstreamCalls, LearnedLimit, Observation
 from ._permits import Demand, PermitPool, Usage
 
 WINDOW_S = 0.5
-# Calling nodes are told of a level at once when it rose by more than this.
-LEVEL_RISE = 0.02
+# Calling nodes that know of a level ask for it each 100 ms. Others are told at
+# once, and all are when it rose by more than this.
+LEVEL_RISE = 0.5
+# Calling nodes return unused permits at once until this long after a shortage.
+CONTENDED_S = 1.0
 
 
 class UpstreamOwner:
@@ -21,7 +24,7 @@
     def __init__(self, incarnation, now):
         self.pool = PermitPool(0, incarnation, now)
         self.routes = RouteLevels()
-        self.downstream = DownstreamTime()
+        self.downstream = DownstreamCalls()
         self._levels = LevelController()
         self._limit = LearnedLimit()
         self._slots = 0
@@ -31,6 +34,7 @@
         self._level = 0.0
         self._route_levels = {}
         self._told = {}
+        self._contended_until = 0.0
         self._window = deque()
         self._ticked_at = now
         self._counts = [0, 0.0, 0]
@@ -48,6 +52,7 @@
         """
         self._slots_limit = limits.slots
         self._connections_limit = limits.connections
+        self._levels.queue_s = limits.queue_s
         self._apply_ceiling()
 
     def receive(self, message, now):
@@ -66,7 +71,7 @@
         for route_id, number in report.routes:
             self.routes.note_executions(route_id, number)
         grant = self.pool.exchange(caller, decode_usage(message["usage"]), now)
-        return self._message(caller, grant)
+        return self._message(caller, grant, now)
 
     def acknowledge(self, caller, usage, now):
         """Takes the answer of a calling node to a push.
@@ -83,12 +88,12 @@
         :return: list of calling node and message.
         """
         messages = [
-            (caller, self._message(caller, grant))
+            (caller, self._message(caller, grant, now))
             for caller, grant in self.pool.pushes(now)
         ]
         named = {caller for caller, _ in messages}
         told = [
-            (caller, self._message(caller, None))
+            (caller, self._message(caller, None, now))
             for caller in self.pool.grants()
             if caller not in named and self._rose_for(caller)
         ]
@@ -121,17 +126,21 @@
             "granted": self.pool.grants(),
         }
 
-    def _message(self, caller, grant):
+    def _message(self, caller, grant, now):
+        if self.pool.short:
+            self._contended_until = now + CONTENDED_S
         self._told[caller] = (self._level, self._route_levels)
         return {
             "grant": None if grant is None else list(grant),
             "level": self._level,
             "routes": self._route_levels,
-            "contended": self.pool.short,
+            "contended": now < self._contended_until,
         }
 
     def _rose_for(self, caller):
         level, routes = self._told.get(caller, (0.0, {}))
+        if not level and not routes and (self._level or self._route_levels):
+            return True
         if self._level > level + LEVEL_RISE:
             return True
         return any(
@@ -141,6 +150,7 @@
 
     def _observe(self, now):
         spent_s = self.downstream.take()
+        self._counts[2] = self.downstream.unexcused(self._counts[2], now)
         self._window.append((now, *self._counts, spent_s))
         self._counts = [0, 0.0, 0]
         while now - self._window[0][0] > WINDOW_S:
@@ -163,4 +173,4 @@
 def decode_usage(fields):
     """Decodes a :class:`~figpick._permits.Usage` from its JSON form."""
     *numbers, demand = fields
-    return Usage(*numbers, Demand(tuple(demand[0]), demand[1]))
+    return Usage(*numbers, Demand(tuple(demand[0]), demand[1], tuple(demand[2])))
