Keep upstreams in routing while their calls succeed

Cause: a member that others held for failed lost its calls at once, also when only a partition or the end of its node stood behind the verdict; a call from an application to an unknown service reached the service of its own node, and a first fetch could wait for each silent process in turn. A call inside the graph to an unknown name gets 404 after others were asked, for at most one second and once for all waiting calls.

--- a/src/figpick/_announcements.py
+++ b/src/figpick/_announcements.py
@@ -5,6 +5,7 @@
 from msgspec import Meta
 
 from . import _schema
+from ._errors import InvalidDocumentError
 from ._settings import Address, Name
 
 PATH = "/.well-known/figpick/announce"
@@ -36,3 +37,22 @@
     :raises InvalidDocumentError: with every fault found.
     """
     return _schema.parse(data, Announcement, "announcement")
+
+
+def take(method, from_own_host, body):
+    """Reads a request that announces an upstream.
+
+    :param method: HTTP method.
+    :param from_own_host: whether it comes from the host of the node.
+    :param body: JSON bytes.
+    :return: tuple of :class:`Announcement` and ``None``, or of ``None`` and the
+        status and JSON answer of the refusal.
+    """
+    if not from_own_host:
+        return None, (403, {"error": "announcements come from the host of the node"})
+    if method != "POST":
+        return None, (405, {"error": "use POST"})
+    try:
+        return parse(body), None
+    except InvalidDocumentError as error:
+        return None, (400, {"error": str(error), "faults": error.faults})
--- a/src/figpick/_compose.py
+++ b/src/figpick/_compose.py
@@ -157,6 +157,7 @@
             group.add_periodic("recorder", recorder.flush, RECORD_PERIOD_S)
         group.add_periodic("permits", self._node.renew_permits, EXCHANGE_PERIOD_S)
         group.add_periodic("announcement", self._node.check_announcement, 1)
+        group.add_periodic("reach", self._node.drop_lost, 1)
 
     def _add_claims(self, group):
         claims = self._node.claims
--- a/src/figpick/_fetching.py
+++ b/src/figpick/_fetching.py
@@ -2,12 +2,13 @@
 
 import asyncio
 
-from ._errors import FigpickError, PeerError, PeerRefusedError
+from ._errors import DocumentMissingError, FigpickError, PeerError, PeerRefusedError
 from ._headlines import Headline
 from ._logs import logger
 
 CONFIRM_S = 1.0
 CONFIRM_PAUSE_S = 0.1
+FETCH_S = 1.0
 # Called services that no process knows are asked for again after this time.
 UNKNOWN_S = 5.0
 MAX_UNKNOWN = 1000
@@ -45,6 +46,7 @@
         self._sources = {}
         self._unknown = {}
         self._task = None
+        self._first_fetches = {}
         self.confirmed = False
 
     def holds(self, service):
@@ -65,30 +67,44 @@
             self._task = asyncio.ensure_future(self._fetch_outdated())
             self._task.add_done_callback(self._ended)
 
-    def may_exist(self, service, now):
-        """Whether it is worth asking others for the document of a service.
+    def require(self, service, now):
+        """Checks that others were asked for a document before it is called unknown.
 
         :param now: monotonic seconds.
+        :raises DocumentMissingError: when the document should be fetched first.
         """
         asked_at = self._unknown.get(service)
-        return asked_at is None or now - asked_at > UNKNOWN_S
+        if asked_at is None or now - asked_at > UNKNOWN_S:
+            raise DocumentMissingError(service)
 
     async def fetch(self, service, now):
         """Fetches the document of a service that is called for the first time.
 
+        Calls that come meanwhile wait for the same fetch, at most one second.
+
         :param now: monotonic seconds.
         :return: whether the document is here.
         """
-        for address in self._addresses(service):
-            await self._fetch_from(address, [service])
-            if service in self._node.documents:
-                self._wanted.add(service)
-                return True
+        task = self._first_fetches.get(service)
+        if task is None:
+            task = asyncio.ensure_future(self._fetch_first(service))
+            self._first_fetches[service] = task
+            task.add_done_callback(lambda _: self._first_fetches.pop(service, None))
+        await asyncio.wait([task], timeout=FETCH_S)
+        if service in self._node.documents:
+            return True
         if len(self._unknown) >= MAX_UNKNOWN:
             self._unknown.clear()
         self._unknown[service] = now
         return False
 
+    async def _fetch_first(self, service):
+        for address in self._addresses(service):
+            await self._fetch_from(address, [service])
+            if service in self._node.documents:
+                self._wanted.add(service)
+                return
+
     async def refresh(self):
         """Fetches what is still outdated, and confirms what is unconfirmed."""
         if not self.confirmed:
@@ -132,8 +148,9 @@
 
     def stop(self):
         """Ends the fetch under way."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in [self._task, *self._first_fetches.values()]:
+            if task is not None:
+                task.cancel()
 
     def _ended(self, task):
         self._task = None
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -10,9 +10,7 @@
 from ._counters import Counters
 from ._documents import Service
 from ._errors import (
-    DocumentMissingError,
     DrainingError,
-    InvalidDocumentError,
     UnknownServiceError,
 )
 from ._exchange import PermitExchange
@@ -20,6 +18,7 @@
 from ._logs import logger
 from ._members import DRAINING, LEFT, READY, TAKES_CALLS
 from ._plans import Moment
+from ._reach import Reach
 from ._recorder import make_span
 from ._retrying import Retries
 from ._settings import split_address
@@ -64,6 +63,7 @@
         self._server = None
         self.fetcher = None
         self.recorder = None
+        self._reach = Reach(members)
         members.listen(self._member_changed)
 
     @property
@@ -171,7 +171,7 @@
             # Calls made under a request in flight are needed to complete it.
             raise DrainingError("the node is shutting down", retry_after_s=1)
         start_line, host = _plans.split_target(start_line, headers)
-        service = self._service(host)
+        service = self._service(host, parent is not None)
         now = Moment(self.clock.monotonic(), self.clock.wall())
         home = self._settings["peer_address"]
         plan = _plans.make_plan(service, start_line, headers, parent, home, now)
@@ -308,6 +308,10 @@
         """Renews the permits at every known upstream."""
         await self.exchange.renew(self._upstream_sets)
 
+    async def drop_lost(self):
+        """Drops upstreams that neither answer calls nor have a node that does."""
+        self._reach.review(self._upstream_sets.values(), self.clock.monotonic())
+
     async def check_announcement(self):
         """Marks the upstream as draining when its announcement has lapsed."""
         lapsed = self._announced_until < self.clock.monotonic()
@@ -351,34 +355,30 @@
             "ejected": upstream.health.ejected,
         }
 
-    def _service(self, host):
+    def _service(self, host, inside):
         service = self._services.get(host)
-        if service is None:
-            self._check_fetched(host)
-            service = self._services.get(self._settings.get("service"))
-        if service is None:
+        if service is not None:
+            return service
+        named = _plans.names_service(host)
+        if named and self.fetcher is not None:
+            self.fetcher.require(host, self.clock.monotonic())
+        service = self._services.get(self._settings.get("service"))
+        # A call of an application must not reach another service than it names.
+        if service is None or (named and inside):
             raise UnknownServiceError(f"no document is known for {host!r}")
         return service
 
-    def _check_fetched(self, host):
-        now = self.clock.monotonic()
-        if self.fetcher is not None and self.fetcher.may_exist(host, now):
-            raise DocumentMissingError(host)
-
     def _member_changed(self, member):
         upstreams = self._upstream_sets.get(member.service)
         if upstreams is not None:
-            upstreams.update(member, self.clock.monotonic())
+            now = self.clock.monotonic()
+            upstreams.update(self._reach.routed(member, upstreams, now), now)
 
     def _announce(self, method, remote_ip, body):
-        if remote_ip != split_address(self._settings["call_address"])[0]:
-            return 403, {"error": "announcements come from the host of the node"}
-        if method != "POST":
-            return 405, {"error": "use POST"}
-        try:
-            announcement = _announcements.parse(body)
-        except InvalidDocumentError as error:
-            return 400, {"error": str(error), "faults": error.faults}
+        own_ip = split_address(self._settings["call_address"])[0]
+        announcement, refusal = _announcements.take(method, remote_ip == own_ip, body)
+        if announcement is None:
+            return refusal
         self._accept(announcement)
         return 200, {"name": self.members.own.name}
 
--- a/src/figpick/_plans.py
+++ b/src/figpick/_plans.py
@@ -169,6 +169,11 @@
     )
 
 
+def names_service(host):
+    """Whether a host value is a name rather than an address."""
+    return host not in ("", "localhost") and not host.replace(".", "").isdigit()
+
+
 def split_target(start_line, headers):
     """Reads the called service from the request line and the host header.
 
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -170,6 +170,10 @@
     def __iter__(self):
         return itertools.chain(self._upstreams.values(), self._leaving.values())
 
+    def get(self, name):
+        """Gives the upstream beside a node, or ``None``."""
+        return self._upstreams.get(name)
+
     @property
     def service(self):
         """Document in force; a change keeps the calls that wait."""
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -8,7 +8,7 @@
 from figpick._clock import Clock
 from figpick._dissemination import Dissemination
 from figpick._documents import Service
-from figpick._errors import PeerRefusedError, PeerUnreachableError
+from figpick._errors import DocumentMissingError, PeerRefusedError, PeerUnreachableError
 from figpick._events import EventStore
 from figpick._fetching import DocumentFetcher
 from figpick._gossip import Gossip
@@ -195,8 +195,9 @@
         assert node.documents["scans"].version == 7
         serve(network, "control")
         assert not await fetcher.fetch("nowhere", 0.0)
-        assert not fetcher.may_exist("nowhere", 1.0)
-        assert fetcher.may_exist("nowhere", 60.0)
+        fetcher.require("nowhere", 1.0)
+        with pytest.raises(DocumentMissingError):
+            fetcher.require("nowhere", 60.0)
 
     asyncio.run(scenario())
 
