Test a node that restarts while control is down

Cause: the unconfirmed start and the exit of a process whose part keeps failing were tested only in parts. Change: two tests with real processes. Conclusion: a restarted node finds its document through a seed, serves unconfirmed, and is confirmed once control is back.

--- /dev/null
+++ b/tests/test_outage.py
@@ -0,0 +1,88 @@
+"""Nodes while no control process answers, as separate processes."""
+
+import asyncio
+import sys
+
+import msgspec
+import pytest
+
+from bench.cluster import Cluster, ServiceSpec, wait_for
+
+from .test_whole_path import document
+
+PARTS = ServiceSpec(
+    document("parts"), [{"prefix": "/", "service_ms": 1}], servers=2, slots=10
+)
+
+
+def add_seed(cluster, name, address):
+    path = cluster.folder / f"{name}.json"
+    settings = msgspec.json.decode(path.read_bytes())
+    settings["seeds"] = [address]
+    path.write_bytes(msgspec.json.encode(settings))
+
+
+@pytest.mark.processes
+def test_node_that_restarts_without_control_serves_unconfirmed_until_it_is_back():
+    """Guards against a control outage that becomes an outage of calls."""
+
+    async def scenario():
+        async with Cluster([PARTS]) as cluster:
+            first, second = cluster.hosts
+            control = cluster.controls[0]["name"]
+            version = (await cluster.state(first.peer_address))["node"]["documents"]
+            add_seed(cluster, second.name, first.peer_address)
+            cluster.kill(control)
+            cluster.kill(second.name)
+            cluster.start(second.name)
+
+            async def serves():
+                answer = await cluster.client.request(
+                    second.call_address, "GET", "/", {"Host": "parts"}, timeout_s=2
+                )
+                return answer.status == 200
+
+            await wait_for(serves, 15.0)
+            state = await cluster.state(second.peer_address)
+            assert state["node"]["documents"] == version
+            assert state["documents"]["confirmed"] is False
+            assert state["gossip"]["control_heard_s_ago"] > 0.5
+            cluster.start(control)
+
+            async def confirmed():
+                state = await cluster.state(second.peer_address)
+                return state["documents"]["confirmed"]
+
+            await wait_for(confirmed, 15.0)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.processes
+def test_process_whose_part_keeps_failing_exits_with_1(tmp_path):
+    """Guards against a process that runs on without one of its parts."""
+
+    async def scenario():
+        path = tmp_path / "node.json"
+        settings = {
+            "name": "node-1",
+            "region": "region-1",
+            "data_center": "dc-1",
+            "roles": ["node"],
+            "call_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "shared_key": "a key of enough length",
+        }
+        path.write_bytes(msgspec.json.encode(settings))
+        code = (
+            "import sys; from figpick import _cli, _node;"
+            "_node.Node.renew_permits = None; _cli.main(['run', sys.argv[1]])"
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, str(path), stderr=asyncio.subprocess.PIPE
+        )
+        _, errors = await asyncio.wait_for(process.communicate(), 30.0)
+        assert process.returncode == 1
+        assert "The process ends: node failed" in errors.decode()
+
+    asyncio.run(scenario())
