--- a/src/figpick/_dispatch.py
+++ b/src/figpick/_dispatch.py
@@ -106,9 +106,10 @@
             raise BrokenAnswerError("the upstream gave no whole answer")
         await self._node.allow_retry(self._plan, self._attempts)
 
-    async def _attempt(self, new_connection):
+    async def _attempt(self, rescues):
         """Makes one attempt, at the first upstream that accepts a connection.
 
+        :param rescues: whether it replaces one on a silent connection.
         :return: whether the whole answer was relayed.
         """
         node, plan = self._node, self._next_plan()
@@ -117,14 +118,16 @@
             upstream = await self._acquire(upstreams, plan)
             started_at = node.clock.monotonic()
             ended = Result(False, 0, 0.0, cancelled=True)
+            slot = None
             try:
+                slot = await node.suspicion.enter(plan, self._body, upstream)
+                # A break of an old connection may belong to the crash before.
+                new_connection = rescues or slot is not None
                 connection = await self._connect(upstream, new_connection)
                 if connection is None:
                     ended = Result(False, 0, 0.0, refused=True)
                 else:
-                    result = await self._send(
-                        plan, upstream, connection, new_connection
-                    )
+                    result = await self._send(plan, upstream, connection, rescues, slot)
                     cancelled = not result.complete and not result.broken
                     ended = Result(
                         result.complete, result.status, 0.0, False, cancelled
@@ -132,6 +135,7 @@
                     return result.complete
                 self._refusing.add(upstream.name)
             finally:
+                node.suspicion.leave(slot, upstream, ended.complete)
                 now = node.clock.monotonic()
                 ended = ended._replace(latency_s=now - started_at)
                 upstreams.release(upstream, ended, now, plan)
@@ -151,10 +155,9 @@
     async def _connect(self, upstream, new_connection):
         now = self._node.clock.monotonic()
         connection = None
-        if self._plan.route.idempotent:
-            if not new_connection:
-                connection = upstream.pool.take_idle(now)
-        else:
+        if not new_connection and self._plan.route.idempotent:
+            connection = upstream.pool.take_idle(now)
+        elif not new_connection:
             connection = upstream.pool.take_idle(now, MAX_IDLE_ONCE_S)
         if connection is not None:
             return connection
@@ -163,7 +166,7 @@
         except StreamClosedError:
             return None
 
-    async def _send(self, plan, upstream, connection, rescues):
+    async def _send(self, plan, upstream, connection, rescues, slot):
         node = self._node
         self.sent = True
         self._attempts += 1
@@ -185,7 +188,7 @@
                 node.cancellations.send(upstream.member, plan.context.execution_id)
         if result.broken:
             self._broken.add(upstream.name)
-            node.report_break(plan, self._body, upstream, node.clock.monotonic())
+            await node.suspicion.report_break(plan, self._body, upstream, slot)
         return result
 
     def _next_plan(self):
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -18,6 +18,7 @@
 from ._logs import logger
 from ._members import DRAINING, LEFT, READY, TAKES_CALLS
 from ._plans import Moment
+from ._quarantining import Suspicion
 from ._reach import Reach
 from ._recorder import make_span
 from ._retrying import Retries
@@ -57,6 +58,7 @@
         self.exchange = PermitExchange(members, client, clock)
         self.claims = Claims(clock, members, client)
         self.retries = Retries(settings["peer_address"], clock, client)
+        self.suspicion = Suspicion(clock, members, client)
         self._announced_until = 0.0
         self._draining = False
         self._in_flight = 0
@@ -184,6 +186,7 @@
         :param now: monotonic seconds.
         :raises CallError: when it is refused.
         """
+        self.suspicion.check(plan, body, now)
         if plan.parent is not None:
             parent = plan.parent
             called = (plan.service.name, plan.route.route_id)
@@ -220,26 +223,6 @@
         fields = {"service": service, "epoch": epoch, "positions": positions}
         return self.claims.adopt({**fields, **times})
 
-    def report_break(self, plan, body, upstream, now):
-        """Notes that a connection broke while a call was in flight on it.
-
-        :param body: :class:`~figpick._bodies.RequestBody`.
-        :param upstream: :class:`~figpick._upstreams.Upstream`.
-        :param now: monotonic seconds.
-        """
-
-    def repeats(self, plan, body):
-        """Whether an earlier attempt of a call may have run."""
-        return self.retries.repeats(plan, body)
-
-    async def admit_resend(self, plan, body):
-        """Asks for a retry grant when a call repeats an earlier one.
-
-        :return: names of upstreams that must not be used.
-        :raises CallError: when it is refused.
-        """
-        return await self.retries.admit(plan, body)
-
     async def allow_retry(self, plan, attempts):
         """Asks the home of the root request for a retry grant.
 
@@ -249,10 +232,6 @@
         self.counters.retries += 1
         await self.retries.allow(plan, attempts)
 
-    def close_retries(self, plan, body, sent, status, upstream):
-        """Notes the end of a call for the recognition of retries."""
-        self.retries.close(plan, body, sent, status, upstream)
-
     def upstreams(self, service):
         """Gives the :class:`UpstreamSet` of a service."""
         return self._upstream_sets[service]
@@ -339,6 +318,7 @@
             },
             "claims": self.claims.dump(),
             "retries": self.retries.dump(),
+            "quarantine": self.suspicion.dump(),
             "upstreams": {
                 name: [self._dump_upstream(item) for item in upstreams]
                 for name, upstreams in self._upstream_sets.items()
