Recover at once when a slow service is fast again

Cause: after a slow phase the mean service time was that of requests begun in it, so the level stayed near 9 for 1.7 s and the learned limit fell (Kilimo stand-in, recovery 2.3 s). The client process carried two loads and was itself saturated.

Change: requests that began and ended within half a second replace the mean when it is over twice the usual; without answers the mean returns to the usual; the level falls in steps that triple while half of the slots are unused.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -22,6 +22,8 @@
 READY_TIMEOUT_S = 30.0
 LISTEN_PORTS = (12_000, 32_000)
 
+_given_ports = set()
+
 
 class ServiceSpec(NamedTuple):
     """A service of a cluster.
@@ -75,11 +77,15 @@
     # connections before the caller listens.
     while True:
         port = random.randrange(*LISTEN_PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((ip, port))
             except OSError:
                 continue
+        # The processes that get an address listen on it only later.
+        _given_ports.add(port)
         return f"{ip}:{port}"
 
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,15 +1,19 @@
 """Open-loop load from a seed, and what an ideal admission would complete."""
 
 import asyncio
+import multiprocessing
 import random
 import time
 from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
 from typing import NamedTuple
 
 import msgspec
 
 from bench import deployments
 from bench.client import HttpClient
+from bench.cluster import Cluster
+from bench.forwarder import Forwarders
 
 # About three times the usual time of the longest request.
 PATIENCE_S = 1.5
@@ -61,6 +65,22 @@
         return self.status == 200
 
 
+def shrunk(deployment, factor):
+    """Lowers the slots of all services alike, which lowers the capacity.
+
+    :param factor: share of the slots that is kept.
+    """
+    services = [_shrunk_service(spec, factor) for spec in deployment.services]
+    return deployment._replace(services=services)
+
+
+def _shrunk_service(spec, factor):
+    slots = int(spec.slots * factor)
+    limits = {**spec.document["limits"], "slots": slots}
+    document = {**spec.document, "limits": limits}
+    return spec._replace(document=document, slots=slots)
+
+
 def usual_s(kind):
     """Gives the seconds that a request of a kind takes without load."""
     return (kind.service_ms + sum(map(_tree_total_ms, kind.calls))) / 1000
@@ -137,6 +157,21 @@
     return completed
 
 
+def side_by_side(measure, name, seed):
+    """Runs a measurement with figpick and with plain forwarding at the same time.
+
+    Each has its own process, since one process can't send the load of both.
+
+    :param measure: function from cluster class, name and seed to figures.
+    :return: tuple of the figures with figpick and with plain forwarding.
+    """
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(2, mp_context=context) as pool:
+        figpick = pool.submit(measure, Cluster, name, seed)
+        baseline = pool.submit(measure, Forwarders, name, seed)
+        return figpick.result(), baseline.result()
+
+
 class LoadRun:
     """Sends a schedule to a cluster, whatever the answers.
 
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -4,8 +4,6 @@
 from typing import NamedTuple
 
 from bench import deployments, load
-from bench.cluster import Cluster
-from bench.forwarder import Forwarders
 from bench.load import LoadRun, Phase
 from bench.rows import Row
 
@@ -33,7 +31,7 @@
     top: float
 
 
-async def measure(cluster_class, deployment, arrivals):
+async def _send(cluster_class, deployment, arrivals):
     """Sends a schedule through a cluster.
 
     :return: list of :class:`PhaseFigures`.
@@ -72,25 +70,22 @@
     return outcome.ended_s < limit_s
 
 
-async def compare(name, seed):
-    """Measures a deployment with figpick and with plain forwarding.
+def measure(cluster_class, name, seed):
+    """Measures a deployment.
 
-    :return: list of pairs of :class:`PhaseFigures`.
+    :return: list of :class:`PhaseFigures`.
     """
     deployment = load.stretched(getattr(deployments, name)(), STRETCH[name])
     arrivals = load.schedule(deployment, seed, PHASES)
-    figpick, baseline = await asyncio.gather(
-        measure(Cluster, deployment, arrivals),
-        measure(Forwarders, deployment, arrivals),
-    )
-    return list(zip(figpick, baseline, strict=True))
+    return asyncio.run(_send(cluster_class, deployment, arrivals))
 
 
 def run(seeds):
     """Runs both deployments, each with the first seed."""
     seed = seeds[0]
     for name in STRETCH:
-        for figpick, baseline in asyncio.run(compare(name, seed)):
+        both = load.side_by_side(measure, name, seed)
+        for figpick, baseline in zip(*both, strict=True):
             times = f"{name} {figpick.load:.0f}x"
             yield Row(
                 "overload",
--- a/src/figpick/_levels.py
+++ b/src/figpick/_levels.py
@@ -18,6 +18,9 @@
 HEADROOM = 1.05
 FIRST_STEP = 0.05
 STEP_GROWTH = 1.5
+# With half of the slots unused, 1.5 took 1.1 s from the highest level to none.
+IDLE_STEP_GROWTH = 3.0
+IDLE = 0.5
 # Measured load fluctuates by a fifth at 50 requests a second, so only a greater
 # excess moves the level straight to the capacity.
 EXCESS = 1.25
@@ -31,6 +34,16 @@
 RATE_TIME_S = 0.5
 SERVICE_WINDOW_S = 0.5
 REPORT_LIFETIME_S = 5.0
+# After a slow phase, requests that began in it still end for a while. Some that
+# began and ended within this time show that the upstream is fast again.
+YOUNG_S = 0.5
+MIN_YOUNG = 3
+SLOW_TIMES = 2.0
+LONG_RUN_SHARE = 0.002
+# Share of the distance to the usual service time that is kept for each 100 ms
+# without an answer.
+UNSEEN_KEPT = 0.85
+UTILISATION_SHARE = 0.3
 
 
 class Report(NamedTuple):
@@ -47,6 +60,8 @@
     :param in_flight: requests in flight.
     :param age_s: sum of the seconds since these were sent.
     :param routes: pairs of route id and executions that ended.
+    :param young: those of the completed that took at most ``YOUNG_S``.
+    :param young_s: sum of their seconds.
     """
 
     span_s: float
@@ -60,6 +75,8 @@
     in_flight: int = 0
     age_s: float = 0.0
     routes: tuple = ()
+    young: int = 0
+    young_s: float = 0.0
 
 
 def priority_bin(priority):
@@ -116,6 +133,8 @@
         self._callers = {}
         self._window = deque()
         self._service_s = 0.0
+        self._long_run_s = 0.0
+        self._utilisation = 0.0
         self._step = FIRST_STEP
 
     @property
@@ -157,6 +176,10 @@
         """
         self._forget(now)
         self._service_s = self._measure_service()
+        self._learn_usual()
+        in_flight = sum(caller.in_flight for caller in self._callers.values())
+        used = in_flight / limit if limit else 1.0
+        self._utilisation += UTILISATION_SHARE * (used - self._utilisation)
         if not self._service_s:
             return self._lower(0.0)
         capacity = limit / self._service_s
@@ -171,7 +194,7 @@
         if self._mean_wait(now) > WAIT_TARGET_SHARE * self.queue_s:
             # Not all of the load gets permits in time: give up a share of it.
             return self._raise(min(highest, level_for(rates, admitted / HEADROOM)))
-        if self._utilisation(limit) >= FULL:
+        if self._utilisation >= FULL:
             self._step = FIRST_STEP
             return self.level
         return self._lower(level_for(rates, capacity * HEADROOM))
@@ -183,7 +206,8 @@
 
     def _lower(self, lowest):
         self.level = max(lowest, self.level - self._step)
-        self._step = min(self._step * STEP_GROWTH, HIGHEST)
+        growth = IDLE_STEP_GROWTH if self._utilisation < IDLE else STEP_GROWTH
+        self._step = min(self._step * growth, HIGHEST)
         if self.level <= 0.0:
             self._step = FIRST_STEP
         return self.level
@@ -196,15 +220,29 @@
             known.rates[index] += share * number / span_s
 
     def _measure_service(self):
-        completed = sum(report.completed for _, report in self._window)
-        latency_s = sum(report.latency_s for _, report in self._window)
-        mean_s = latency_s / completed if completed else self._service_s
+        reports = [report for _, report in self._window]
+        completed = sum(report.completed for report in reports)
+        if completed:
+            mean_s = sum(report.latency_s for report in reports) / completed
+        else:
+            distance_s = self._service_s - self._long_run_s
+            mean_s = self._long_run_s + UNSEEN_KEPT * distance_s
         in_flight = sum(caller.in_flight for caller in self._callers.values())
-        if not in_flight:
-            return mean_s
-        # Answers that have not come yet are not in the mean of those that have.
-        age_s = sum(caller.age_s for caller in self._callers.values())
-        return max(mean_s, age_s / in_flight)
+        if in_flight:
+            # Answers that have not come yet are not in the mean of those that have.
+            age_s = sum(caller.age_s for caller in self._callers.values())
+            mean_s = max(mean_s, age_s / in_flight)
+        if mean_s > SLOW_TIMES * self._long_run_s > 0:
+            young = sum(report.young for report in reports)
+            if young >= MIN_YOUNG:
+                return sum(report.young_s for report in reports) / young
+        return mean_s
+
+    def _learn_usual(self):
+        if not self._long_run_s:
+            self._long_run_s = self._service_s
+        difference_s = self._service_s - self._long_run_s
+        self._long_run_s += LONG_RUN_SHARE * difference_s
 
     def _mean_wait(self, now):
         waits = 0
@@ -216,11 +254,6 @@
             wait_s += report.wait_s
         return wait_s / waits if waits else 0.0
 
-    def _utilisation(self, limit):
-        """Gives the share of the slots that ended requests have used."""
-        used_s = sum(report.latency_s for _, report in self._window)
-        return used_s / (SERVICE_WINDOW_S * limit)
-
     def _forget(self, now):
         while self._window and now - self._window[0][0] > SERVICE_WINDOW_S:
             self._window.popleft()
--- a/src/figpick/_observations.py
+++ b/src/figpick/_observations.py
@@ -1,6 +1,6 @@
 """What a calling node observes of calls, and reports to owners."""
 
-from ._levels import BINS, Report, priority_bin
+from ._levels import BINS, YOUNG_S, Report, priority_bin
 
 FIRST_TRIAL_S = 0.1
 MEDIAN_STEP = 0.1
@@ -106,7 +106,11 @@
             self._shed += 1
             return
         self._completed += 1
-        self._latency_s += now - started_at
+        latency_s = now - started_at
+        self._latency_s += latency_s
+        if result.complete and latency_s <= YOUNG_S:
+            self._young += 1
+            self._young_s += latency_s
         if result.status == 503:
             self._shed += 1
         if not result.complete and not result.cancelled:
@@ -140,6 +144,8 @@
             in_flight=len(starts),
             age_s=round(now * len(starts) - sum(starts), 4),
             routes=tuple(self._routes.items()),
+            young=self._young,
+            young_s=round(self._young_s, 4),
         )
         self._reported_counts = list(counts)
         self._reported_at = now
@@ -154,3 +160,5 @@
         self._waits = 0
         self._wait_s = 0.0
         self._routes = {}
+        self._young = 0
+        self._young_s = 0.0
--- a/src/figpick/_owner.py
+++ b/src/figpick/_owner.py
@@ -159,6 +159,9 @@
         latency_s = sum(item[2] for item in self._window)
         downstream_s = sum(item[4] for item in self._window)
         own_s = max(0.0, latency_s - downstream_s) / completed if completed else 0.0
+        if completed and self._levels.service_s < latency_s / completed:
+            # Recent requests were faster than those that began earlier.
+            own_s *= self._levels.service_s * completed / latency_s
         return Observation(completed, own_s, completed / WINDOW_S, self._window[-1][3])
 
     def _apply_ceiling(self):
