--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -97,13 +97,14 @@
         )
         return [note for part in parts for note in part["notes"]]
 
-    async def wait_for_members(self, timeout_s=20.0):
+    async def wait_for_members(self, real_nodes=0, timeout_s=20.0):
         """Waits until each node knows each other node.
 
+        :param real_nodes: number of nodes with a process of their own.
         :raises TimeoutError: when they do not in time.
         """
         limit = time.monotonic() + timeout_s
-        expected = len(self.names) + len(self._control)
+        expected = len(self.names) + len(self._control) + real_nodes
         while True:
             parts = await asyncio.gather(
                 *(_command(each, {"action": "sizes"}) for each in self._workers)
--- a/src/figpick/_levels.py
+++ b/src/figpick/_levels.py
@@ -180,7 +180,8 @@
         in_flight = sum(caller.in_flight for caller in self._callers.values())
         used = in_flight / limit if limit else 1.0
         self._utilisation += UTILISATION_SHARE * (used - self._utilisation)
-        if not self._service_s:
+        # A draining upstream has no permits left that a level could divide.
+        if not self._service_s or not limit:
             return self._lower(0.0)
         capacity = limit / self._service_s
         rates = self.offered()
