--- a/bench/load.py
+++ b/bench/load.py
@@ -15,8 +15,9 @@
 from bench.cluster import Cluster
 from bench.forwarder import Forwarders
 
-# About three times the usual time of the longest request.
+# Clients wait this long, or this many times the usual time of the longest request.
 PATIENCE_S = 1.5
+PATIENCE_TIMES = 3
 RESEND_PAUSE_S = 0.05
 QUEUE_MS = 100
 
@@ -185,6 +186,8 @@
         self._deployment = deployment
         self._resends = resends
         self._client = HttpClient()
+        longest_s = max(usual_s(kind) for kind in deployment.kinds)
+        self._patience_s = max(PATIENCE_S, PATIENCE_TIMES * longest_s)
         self._entries = {
             spec.name: cluster.entry(spec.name) for spec in deployment.services
         }
@@ -220,7 +223,7 @@
             await asyncio.sleep(delay_s)
             address = addresses[(arrival.number + attempt) % len(addresses)]
             answer = await self._client.request(
-                address, kind.method, kind.path, headers, timeout_s=PATIENCE_S
+                address, kind.method, kind.path, headers, timeout_s=self._patience_s
             )
             await asyncio.sleep(delay_s)
             if answer.status == 200:
