--- a/bench/costs.py
+++ b/bench/costs.py
@@ -18,11 +18,12 @@
 from figpick._auth import Authenticator
 from figpick._claims import GRANTED, Claim, Holder
 from figpick._clock import Clock
+from figpick._division import Demand
 from figpick._events import EventStore
 from figpick._gossip import Gossip
 from figpick._headlines import Headline, Headlines
 from figpick._members import Member, Members
-from figpick._permits import Demand, PermitPool, Usage
+from figpick._permits import PermitPool, Usage
 from figpick._plans import Moment
 from figpick._registry import Registry
 from figpick._rosters import POSITIONS, position_of
--- a/src/figpick/_dispatch.py
+++ b/src/figpick/_dispatch.py
@@ -7,7 +7,7 @@
 from . import _context
 from ._attempts import Attempt
 from ._errors import BrokenAnswerError, CallError, NoUpstreamError
-from ._upstreams import Result
+from ._upstream import Result
 
 MAX_CONNECT_ATTEMPTS = 3
 # A kept connection may have become silent unnoticed. A call that cannot be sent again
--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
+from ._division import IMPORTANCES, Demand, highest
 from ._errors import PeerError
 from ._levels import PERIOD_S as LEVEL_PERIOD_S
 from ._logs import logger
 from ._owner import UpstreamOwner
-from ._permits import IMPORTANCES, Demand, Grant, highest
+from ._permits import Grant
 
 PERIOD_S = LEVEL_PERIOD_S
 CALM_PERIOD_S = 2.0
--- a/src/figpick/_owner.py
+++ b/src/figpick/_owner.py
@@ -2,9 +2,10 @@
 
 from collections import deque
 
+from ._division import Demand
 from ._levels import LevelController, Report, RouteLevels
 from ._limits import DownstreamCalls, LearnedLimit, Observation
-from ._permits import Demand, PermitPool, Usage
+from ._permits import PermitPool, Usage
 
 WINDOW_S = 0.5
 # Calling nodes that know of a level ask for it each 100 ms. Others are told at
