--- a/bench/repair.py
+++ b/bench/repair.py
@@ -1,12 +1,15 @@
 """A control host is replaced, and a second one is lost right after."""
 
-from bench import schedules
-from bench.schedules import NAMES, Variant
+import asyncio
+
+from bench import control_cluster, schedules
+from bench.schedules import Variant, make_document
 from figpick._consensus_messages import Membership
 from figpick._formation import name_of
 
 OPERATORS = 2
 STEP_S = 0.05
+PUT_TIMEOUT_S = 2.0
 
 
 class Repair:
@@ -66,7 +69,7 @@
         return Membership({**voters, identity: self._name}, learners)
 
     def _lose_second(self):
-        others = [name for name in NAMES if name != self._name]
+        others = [name for name in self._schedule.names if name != self._name]
         name = self._schedule.random.choice(others)
         process = self._world.processes[name]
         if self._schedule.random.random() < 0.5:
@@ -87,21 +90,54 @@
     """Adds the faults of one schedule.
 
     In half of the schedules another host was cut off until the first one is
-    lost, so that only the leader has the last changes.
+    lost, so that only the leader has the last changes. In some the leader is cut
+    off while the membership changes.
     """
     random = schedule.random
-    name, cut_off, _ = random.sample(NAMES, 3)
+    name, cut_off = random.sample(schedule.names, 2)
     lost_at = random.uniform(2.5, 4.0)
     if random.random() < 0.5:
         schedule.later(lost_at - 0.5, schedule.world.isolate, cut_off)
         schedule.later(lost_at, schedule.world.cuts.clear)
     schedule.later(lost_at, Repair(schedule, name).begin)
+    if random.random() < 0.3:
+        schedule.later(lost_at + random.uniform(0.3, 1.5), _cut_leader, schedule)
+
+
+def _cut_leader(schedule):
+    leader = schedule.world.leader()
+    if leader is not None:
+        schedule.world.isolate(leader.name)
+        schedule.later(1.5, schedule.world.cuts.clear)
+
+
+async def scenario(cluster, workload):
+    """Replaces a host with its disk and kills a second one right after."""
+    workload.start(OPERATORS)
+    await asyncio.sleep(1.0)
+    name, second, third = cluster.random.sample(cluster.names, 3)
+    cluster.kill(name)
+    cluster.erase_disk(name)
+    cluster.start(name)
+    address = cluster.known_address(name)
+    await cluster.change_members(third, {"action": "remove", "name": name})
+    message = {"action": "add", "name": name, "address": address}
+    await cluster.change_members(third, message)
+    cluster.kill(second)
+    await asyncio.sleep(2.5)
+    change = {"document": make_document("scans", 1), "base": 0, "change": "after"}
+    await cluster.ask(name, "put", change, PUT_TIMEOUT_S)
+    await workload.stop()
+    outcome = await workload.check()
+    cluster.start(second)
+    return outcome
 
 
 def run(seeds):
-    """Runs the schedules.
+    """Runs the schedules, on pure modules and with processes.
 
-    :param seeds: not used; the schedules have their own 500 seeds.
+    :param seeds: not used; the schedules have their own seeds.
     """
     variant = Variant(keeps_identity=True)
     yield from schedules.rows("repair", plan, variant, OPERATORS)
+    yield from control_cluster.rows("repair", scenario)
