Accept a new change in one round instead of two

Change: a leader confirms itself only before it refuses a change or repeats an answer. The experiment sends its 500 changes to the leader. Files that cannot be read give a storage error with their path.

--- a/bench/control_cluster.py
+++ b/bench/control_cluster.py
@@ -234,16 +234,18 @@
         self._stopped = True
         await asyncio.gather(*self._tasks)
 
-    async def change(self, change, service, base):
+    async def change(self, change, service, base, first=None):
         """Makes one change and resends it until it is answered.
 
+        :param first: name of the process that is asked first.
         :return: version that is current now.
         """
         message = {"document": make_document(service, 5), "base": base}
         message["change"] = change
         limit = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < limit:
-            name = self._cluster.random.choice(self._cluster.names)
+            name = first or self._cluster.random.choice(self._cluster.names)
+            first = None
             try:
                 answer = await self._cluster.ask(name, "put", message, 1.5)
             except PeerRefusedError as error:
--- a/bench/restart.py
+++ b/bench/restart.py
@@ -54,9 +54,9 @@
     :return: violations, what they are, and the seconds of both restarts.
     """
     version = 0
-    for number in range(CHANGES):
-        version = await workload.change(f"c{number}", "parts", version)
     name = await cluster.leader()
+    for number in range(CHANGES):
+        version = await workload.change(f"c{number}", "parts", version, name)
     one_s = await _restart(cluster, [name], version)
     all_s = await _restart(cluster, cluster.names, version)
     violations, problems = await workload.check()
--- a/src/figpick/_files.py
+++ b/src/figpick/_files.py
@@ -35,19 +35,28 @@
         :raises StorageError: when another process holds the lock.
         """
         path = self.path("lock")
-        self._lock = open(path, "wb")  # noqa: SIM115
+        try:
+            self._lock = open(path, "wb")  # noqa: SIM115
+        except OSError as error:
+            raise StorageError(f"{path}: {error.strerror}") from error
         try:
             fcntl.lockf(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
             raise StorageError(f"{path}: held by another process") from error
 
     def read(self, name):
-        """Reads a whole file, ``None`` when it does not exist."""
+        """Reads a whole file, ``None`` when it does not exist.
+
+        :raises StorageError: when it cannot be read.
+        """
+        path = self.path(name)
         try:
-            with open(self.path(name), "rb") as file:
+            with open(path, "rb") as file:
                 return file.read()
         except FileNotFoundError:
             return None
+        except OSError as error:
+            raise StorageError(f"{path}: {error.strerror}") from error
 
     def append(self, name, data):
         """Adds bytes to a file and syncs it."""
--- a/src/figpick/_quorum.py
+++ b/src/figpick/_quorum.py
@@ -27,7 +27,7 @@
 # A part of a snapshot may take longer on a slow connection.
 SNAPSHOT_TIMEOUT_S = 2.0
 # More messages to a peer that does not answer are dropped.
-MAX_OPEN_SENDS = 4
+MAX_OPEN_SENDS = 16
 FORM_PERIOD_S = 0.2
 
 log = logger("quorum")
--- a/src/figpick/_replica.py
+++ b/src/figpick/_replica.py
@@ -131,13 +131,10 @@
         """
 
         def decide(_, error):
-            known = None
             try:
                 if error is not None:
                     raise error
-                known = self._registry.answer(message["change"])
-                if known is None:
-                    self._registry.check(message)
+                known = self._check(message)
             except FigpickError as refusal:
                 done(None, refusal)
                 return
@@ -146,8 +143,15 @@
             else:
                 self.propose(put_command(message, wall), done, now)
 
-        # Without the read, a leader that was cut off could show an old conflict.
-        self.read(decide, now)
+        try:
+            is_new = self._check(message) is None
+        except FigpickError:
+            is_new = False
+        if is_new:
+            self.propose(put_command(message, wall), done, now)
+        else:
+            # Without the read, a leader that was cut off could show an old conflict.
+            self.read(decide, now)
 
     def propose(self, command, done, now):
         """Adds a command to the log.
@@ -194,6 +198,13 @@
             return
         self._drain(now)
 
+    def _check(self, message):
+        """Gives the first answer to a change, or checks it when it is new."""
+        known = self._registry.answer(message["change"])
+        if known is None:
+            self._registry.check(message)
+        return known
+
     def _require_participation(self):
         if self._failure is not None:
             raise NoQuorumError(f"no quorum: {self._failure}")
