--- a/src/figpick/_control.py
+++ b/src/figpick/_control.py
@@ -18,7 +18,7 @@
 NOT_FOUND = 404
 NO_QUORUM = 503
 # Long enough for an election, with one that is repeated.
-REQUEST_TIMEOUT_S = 4.0
+FIND_LEADER_S = 4.0
 FORWARD_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.1
 ROSTER_PERIOD_S = 1.0
@@ -156,8 +156,9 @@
         raft = replica.raft
         return {
             "identity": replica.identity,
+            "must_be_added": self._quorum.must_be_added,
             "failure": None if replica.failure is None else str(replica.failure),
-            "role": raft.role,
+            "role": "none" if self._quorum.is_out else raft.role,
             "term": raft.term,
             "leader": raft.leader and name_of(raft.leader),
             "index": replica.applied,
@@ -196,9 +197,12 @@
             raise PeerRefusedError(NOT_FOUND, {"error": f"no document for {service!r}"})
         return entry
 
-    async def _at_leader(self, kind, message, function, timeout_s=REQUEST_TIMEOUT_S):
-        """Runs a request here when this process leads, else at the leader."""
-        limit = self._clock.monotonic() + timeout_s
+    async def _at_leader(self, kind, message, function, timeout_s=FORWARD_TIMEOUT_S):
+        """Runs a request here when this process leads, else at the leader.
+
+        :param timeout_s: seconds that the leader may take.
+        """
+        limit = self._clock.monotonic() + FIND_LEADER_S
         while True:
             try:
                 if self._quorum.replica.raft.is_leader:
@@ -206,8 +210,9 @@
                 return await self._forward(kind, message, timeout_s)
             except NoQuorumError as error:
                 refusal = error
-            forwarded = message.get("forwarded")
-            if forwarded or self._clock.monotonic() > limit:
+            if message.get("forwarded") or self._quorum.is_out:
+                raise refusal
+            if self._clock.monotonic() > limit:
                 raise refusal
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -216,7 +221,6 @@
         if message.get("forwarded") or address is None:
             raise NoQuorumError("no quorum: no leader is known")
         message = {**message, "forwarded": self._name}
-        timeout_s = max(FORWARD_TIMEOUT_S, timeout_s / 2)
         try:
             return await self._client.send(address, kind, message, timeout_s)
         except PeerUnreachableError as error:
@@ -227,8 +231,9 @@
             raise NoQuorumError(error.body.get("error", "no quorum")) from error
 
     async def _commit_rosters(self):
-        leads = self._quorum.replica.raft.is_leader
-        if self._propose_rosters is None or not leads:
+        if self._propose_rosters is None or self._quorum.is_out:
+            return
+        if not self._quorum.replica.raft.is_leader:
             return
         for proposal in self._propose_rosters(self._clock.monotonic()):
             try:
@@ -250,6 +255,7 @@
             progress = raft.progress.get(identity)
             if progress is not None:
                 member["missing_entries"] = raft.log.last_index - progress.match
+                member["protocol"] = progress.version
                 member["heard_s_ago"] = round(now - progress.heard_at, 3)
             members.append(member)
         return members
