Follow levels closely only where a service is called

Cause: every node exchanged with every owner each 100 ms while a level was in force, though most of them did not call the service. Change: only nodes that called the service within the last second do so.

--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -201,7 +201,8 @@
         line = self._line(upstream)
         if line.busy:
             return False
-        if upstreams.waiting or upstream.restrained:
+        followed = upstream.restrained and upstreams.active(now)
+        if upstreams.waiting or followed:
             return now - line.sent_at >= BUSY_PERIOD_S
         return now >= line.due_at
 
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -14,6 +14,8 @@
 
 # Services that were not called for this long are forgotten by their owners.
 IDLE_S = 60.0
+# Levels are followed closely by the nodes that call a service now.
+ACTIVE_S = 1.0
 LEAST_SPARE = 2
 MOST_CONTENDED_SPARE = 2
 # Share of a recent peak of calls in flight that is still asked for 100 ms later.
@@ -98,6 +100,13 @@
         """Number of calls that wait for a permit."""
         return len(self._queue)
 
+    def active(self, now):
+        """Whether the service was called within the last second.
+
+        :param now: monotonic seconds.
+        """
+        return now - self._last_call_at < ACTIVE_S
+
     def idle(self, now):
         """Whether the service was not called for a minute.
 
