Ask again for permits once earlier demand is met

Nodes with few calls left under a high level noticed its end only with the periodic exchange.

Change: demand that was met is asked for again; levels are followed for 10 s after the last call; a service that fails as a whole ejects no upstream, and an ejected one is tried again within 2 s.

--- a/src/figpick/_exchange.py
+++ b/src/figpick/_exchange.py
@@ -34,6 +34,7 @@
         "timer",
         "incarnation",
         "asked",
+        "told",
         "in_use",
         "again",
     )
@@ -46,6 +47,7 @@
         self.incarnation = incarnation
         # What the owner knows: the most important unmet demand, and the calls.
         self.asked = NOTHING_ASKED
+        self.told = 0
         self.in_use = 0
         self.again = False
 
@@ -105,8 +107,9 @@
             if demand.total <= upstream.permits.granted:
                 continue
             line = self._line(upstream)
-            # The owner pushes permits for demand that it knows.
-            if _urgency(demand) > line.asked:
+            # The owner pushes permits for demand that it knows and has not met.
+            met = upstream.permits.granted >= line.told
+            if met or _urgency(demand) > line.asked:
                 self._hasten(upstreams, upstream, line, LEAST_GAP_S)
 
     def give_back(self, upstreams, upstream):
@@ -180,6 +183,7 @@
         line.in_use = upstream.permits.in_use
         unmet = demand.total > upstream.permits.granted
         line.asked = _urgency(demand) if unmet else NOTHING_ASKED
+        line.told = demand.total
         return upstream.permits.usage(self._number, demand, now)
 
     def _accept(self, upstream, message, sent_at):
--- a/src/figpick/_routing.py
+++ b/src/figpick/_routing.py
@@ -9,13 +9,16 @@
 LATENCY_WEIGHT = 0.1
 ERROR_WEIGHT = 0.05
 FAILURES_IN_ROW = 5
+SHARED_FAILURES = 2
 ERROR_SHARE = 0.5
 SLOW_TIMES = 5.0
 SLOW_MARGIN_S = 0.05
 MIN_SAMPLES = 20
 EJECTED_SHARE = 0.5
-FIRST_BACK_OFF_S = 1.0
-MAX_BACK_OFF_S = 30.0
+FIRST_BACK_OFF_S = 0.5
+# An upstream that was ejected in a slow phase of the service must be back soon
+# after it, and a trial is a single call.
+MAX_BACK_OFF_S = 2.0
 SUBSET_SIZE = 8
 
 
@@ -128,10 +131,14 @@
 
 
 def _fails(health, healths):
-    if health.failures_in_row >= FAILURES_IN_ROW:
-        return True
     others = [item for item in healths if item is not health and not item.ejected]
-    if not others or health.samples < MIN_SAMPLES:
+    if not others:
+        return health.failures_in_row >= FAILURES_IN_ROW
+    if health.failures_in_row >= FAILURES_IN_ROW:
+        # A service that fails as a whole has no better upstream to offer.
+        in_row = median(item.failures_in_row for item in others)
+        return in_row < SHARED_FAILURES
+    if health.samples < MIN_SAMPLES:
         return False
     error_share = median(item.error_share for item in others)
     if health.error_share > max(ERROR_SHARE, 2 * error_share):
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -14,8 +14,9 @@
 
 # Services that were not called for this long are forgotten by their owners.
 IDLE_S = 60.0
-# Levels are followed closely by the nodes that call a service now.
-ACTIVE_S = 1.0
+# Levels are followed closely by the nodes that call a service. While a high level
+# is in force few calls come through, and its end must still be noticed at once.
+ACTIVE_S = 10.0
 LEAST_SPARE = 2
 MOST_CONTENDED_SPARE = 2
 # Share of a recent peak of calls in flight that is still asked for 100 ms later.
@@ -101,7 +102,7 @@
         return len(self._queue)
 
     def active(self, now):
-        """Whether the service was called within the last second.
+        """Whether the service was called within the last 10 seconds.
 
         :param now: monotonic seconds.
         """
