--- a/bench/drain.py
+++ b/bench/drain.py
@@ -51,8 +51,10 @@
                 break
             self._avoided[node] = time.monotonic()
             self._checker.outcomes["moved"] += 1
-        if answer.outcome == "unknown" or answer.status == 0:
+        if answer.outcome == "unknown":
             self._checker.violations["interrupted"] += 1
+        elif answer.status == 0:
+            self._checker.violations["no answer"] += 1
 
     def _choose(self):
         now = time.monotonic()
