--- a/src/figpick/_retrying.py
+++ b/src/figpick/_retrying.py
@@ -9,6 +9,8 @@
     RetryBoundError,
 )
 from ._retries import (
+    LEAST_AFTER_BREAK,
+    LEAST_REPETITIONS,
     REFUSAL_S,
     REFUSING_STATUSES,
     FailedCalls,
