Give retries of silent calls no minimum

Cause: with the minimum of one retry a second for each node, the ratio of executions to offered calls reached 1.103, 1.100 and 1.115 (bound 1.1) in a slow-down, since slow calls can look silent. Change: only a retry after a broken connection has the minimum. Conclusion: the node's own rescues are bounded by the ratio like the rest.

--- a/src/figpick/_dispatch.py
+++ b/src/figpick/_dispatch.py
@@ -83,7 +83,7 @@
         return idempotent and self._body.replayable and self._relay.restartable
 
     async def _run_rescue(self):
-        await self._node.allow_retry(self._plan, self._attempts)
+        await self._node.allow_retry(self._plan, self._attempts, False)
         self._node.counters.rescues += 1
         complete = await self._attempt(True)
         if complete:
@@ -104,7 +104,7 @@
             raise BrokenAnswerError("the connection to the upstream is silent")
         if not self._can_repeat():
             raise BrokenAnswerError("the upstream gave no whole answer")
-        await self._node.allow_retry(self._plan, self._attempts)
+        await self._node.allow_retry(self._plan, self._attempts, True)
 
     async def _attempt(self, rescues):
         """Makes one attempt, at the first upstream that accepts a connection.
--- a/src/figpick/_node.py
+++ b/src/figpick/_node.py
@@ -223,14 +223,15 @@
         fields = {"service": service, "epoch": epoch, "positions": positions}
         return self.claims.adopt({**fields, **times})
 
-    async def allow_retry(self, plan, attempts):
+    async def allow_retry(self, plan, attempts, broken):
         """Asks the home of the root request for a retry grant.
 
         :param attempts: number of times that the call was sent.
+        :param broken: whether its connection broke, rather than fell silent.
         :raises RetryBoundError: when the call may not be sent again.
         """
         self.counters.retries += 1
-        await self.retries.allow(plan, attempts)
+        await self.retries.allow(plan, attempts, broken)
 
     def upstreams(self, service):
         """Gives the :class:`UpstreamSet` of a service."""
--- a/src/figpick/_retries.py
+++ b/src/figpick/_retries.py
@@ -13,8 +13,9 @@
 # The budget follows a falling load within this time.
 RECENT_S = 0.3
 # After a broken connection a node may retry at any load, so that a crash of an
-# upstream stays unseen at low load. Repetitions by applications get no minimum:
-# in a slow-down that of many nodes together exceeded the ratio.
+# upstream stays unseen at low load. Repetitions by applications and retries of
+# silent calls get no minimum: in a slow-down that of many nodes together exceeded
+# the ratio.
 LEAST_AFTER_BREAK = 1
 LEAST_REPETITIONS = 0
 # A caller that resends later than this counts as a new request.
--- a/src/figpick/_retrying.py
+++ b/src/figpick/_retrying.py
@@ -96,16 +96,18 @@
             return {failure.refusing}
         return set()
 
-    async def allow(self, plan, attempts):
+    async def allow(self, plan, attempts, broken):
         """Asks for a grant to send a call again.
 
         :param attempts: number of times that the call was sent.
+        :param broken: whether its connection broke, rather than fell silent.
         :raises RetryBoundError: when it may not be sent again.
         """
         if attempts >= plan.route.attempts:
             raise RetryBoundError("the route allows no further attempt")
         now = self._clock.monotonic()
-        await self._take(plan, LEAST_AFTER_BREAK, now)
+        least = LEAST_AFTER_BREAK if broken else LEAST_REPETITIONS
+        await self._take(plan, least, now)
         left_s = max(0.0, plan.deadline - now)
         await asyncio.sleep(min(left_s, random.uniform(0, MAX_JITTER_S)))
 
