--- a/src/figpick/_retries.py
+++ b/src/figpick/_retries.py
@@ -10,6 +10,9 @@
 # A call or retry reaches its upstream up to this long after it was counted, and
 # the bound applies to any second at the upstream.
 QUEUE_MARGIN_S = 0.1
+# Calls leave their queue in bursts, so a second at the upstream can hold more of
+# them than were offered in it; the rest of the ratio is kept for that.
+USED_SHARE = 0.7
 # The budget follows a falling load within this time.
 RECENT_S = 0.3
 # After a broken connection a node may retry at any load, so that a crash of an
@@ -55,7 +58,7 @@
         self._expire(now)
         recent = sum(at > now - RECENT_S for at in reversed(self._calls))
         calls = min(len(self._calls), recent / RECENT_S * BUDGET_WINDOW_S)
-        allowed = max(least, int(ratio * calls))
+        allowed = max(least, int(ratio * USED_SHARE * calls))
         if len(self._retries) >= allowed:
             return False
         self._retries.append(now)
