--- a/src/figpick/_upstreams.py
+++ b/src/figpick/_upstreams.py
@@ -18,6 +18,9 @@
 # is in force few calls come through, and its end must still be noticed at once.
 ACTIVE_S = 10.0
 LEAST_SPARE = 2
+# The first exchange with the owners of a service may take longer than calls wait
+# for a permit, which refused first calls on a loaded host.
+FIRST_GRANT_S = 1.0
 MOST_CONTENDED_SPARE = 2
 # Share of a recent peak of calls in flight that is still asked for 100 ms later.
 PEAK_KEPT = 0.9
@@ -302,7 +305,7 @@
         if self._when_short is not None:
             self._when_short(self)
         remaining_s = plan.deadline - now - self.usual_times.get(plan.route.route_id)
-        limit_s = max(0.0, min(self._service.limits.queue_s, remaining_s))
+        limit_s = max(0.0, min(self._queue_s(), remaining_s))
         try:
             async with asyncio.timeout(limit_s):
                 return await future
@@ -317,6 +320,11 @@
             self._return(waiter, now)
             raise
 
+    def _queue_s(self):
+        granted = any(any(upstream.permits.order) for upstream in self._used)
+        queue_s = self._service.limits.queue_s
+        return queue_s if granted else max(queue_s, FIRST_GRANT_S)
+
     def _return(self, waiter, now):
         """Gives back the permit of a call that was given up as it got one."""
         future = waiter.future
--- /dev/null
+++ b/tests/test_first_grant.py
@@ -0,0 +1,38 @@
+"""The wait of calls before a node holds any permit of a service."""
+
+import asyncio
+import time
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from figpick._documents import Service
+from figpick._permits import Grant
+from figpick._plans import Moment, make_plan
+from figpick._upstreams import UpstreamSet
+
+from .test_members import record
+
+QUEUE_MS = 20
+DOCUMENT = {"service": "parts", "routes": [], "limits": {"queue_ms": QUEUE_MS}}
+
+
+def test_first_call_waits_for_the_first_grant():
+    """Guards against refused first calls when the first exchange is slow."""
+
+    async def scenario():
+        service = Service(DOCUMENT, 1)
+        upstreams = UpstreamSet(service)
+        upstreams.update(record("b"), 0.0)
+        now = time.monotonic()
+        line = RequestStartLine("GET", "/a", "HTTP/1.1")
+        moment = Moment(now, time.time())
+        plan = make_plan(service, line, HTTPHeaders(), None, "127.0.0.1:1", moment)
+        call = asyncio.ensure_future(upstreams.acquire(plan, now))
+        await asyncio.sleep(5 * QUEUE_MS / 1000)
+        granted_at = time.monotonic()
+        upstreams.get("b").permits.accept(Grant(1, 1, 1, 5.0), granted_at)
+        upstreams.wake(granted_at)
+
+        assert (await call).name == "b"
+
+    asyncio.run(scenario())
