Share the answers of stand-ins and the summary of checks in experiments

Change: one module writes answers, the checker gives its summary, services and request kinds of a deployment stand in functions of their own. Conclusion: no change in behaviour.

--- a/bench/checks.py
+++ b/bench/checks.py
@@ -56,6 +56,14 @@
         self.violations["run twice"] += twice
         self.violations["not-run but run"] += ran
 
+    def summary(self):
+        """Gives the counts of the run as a dict."""
+        return {
+            "calls": self.calls,
+            "outcomes": dict(self.outcomes),
+            "violations": dict(self.violations),
+        }
+
 
 async def run_calls(make_call, total, rate, source):
     """Starts calls at random times and waits for their end.
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -72,9 +72,13 @@
 
 def cascade():
     """Cascade: hangars keep aircraft maintenance logbooks."""
-    parts = ("parts", "GET", "/parts/7", 100, ())
-    entries = ("entries", "GET", "/entries/3", 50, (parts,))
-    services = [
+    return Deployment(
+        "cascade", _cascade_services(), _cascade_kinds(), "parts", 1.0, 0.5
+    )
+
+
+def _cascade_services():
+    return [
         _service(
             "entries",
             3,
@@ -89,7 +93,12 @@
         _service("scans", 3, 140, 950, [_route("GET", "/scans/*", 4, True)]),
         _service("parts", 3, 40, 330, [_route("GET", "/parts/*", 3, True)]),
     ]
-    kinds = [
+
+
+def _cascade_kinds():
+    parts = ("parts", "GET", "/parts/7", 100, ())
+    entries = ("entries", "GET", "/entries/3", 50, (parts,))
+    return [
         RequestKind(
             "signoff",
             0.15,
@@ -122,14 +131,17 @@
             (parts,),
         ),
     ]
-    return Deployment("cascade", services, kinds, "parts", 1.0, 0.5)
 
 
 def kilimo():
     """Kilimo: an issue tracker for game studios."""
-    read = ("tickets", "GET", "/tickets/5", 100, ())
-    write = ("tickets", "POST", "/tickets/5/state", 100, ())
-    services = [
+    return Deployment(
+        "kilimo", _kilimo_services(), _kilimo_kinds(), "tickets", 3.0, 1.0
+    )
+
+
+def _kilimo_services():
+    return [
         _service(
             "boards",
             4,
@@ -156,7 +168,12 @@
             ],
         ),
     ]
-    kinds = [
+
+
+def _kilimo_kinds():
+    read = ("tickets", "GET", "/tickets/5", 100, ())
+    write = ("tickets", "POST", "/tickets/5/state", 100, ())
+    return [
         RequestKind(
             "transition",
             0.15,
@@ -189,7 +206,6 @@
             (read,),
         ),
     ]
-    return Deployment("kilimo", services, kinds, "tickets", 3.0, 1.0)
 
 
 def capacity(deployment):
@@ -217,9 +233,11 @@
 
 def chain():
     """A chain of three services for the demonstration."""
-    third = ("stock", "GET", "/stock/1", 200, ())
-    second = ("orders", "GET", "/orders/1", 20, (third,))
-    services = [
+    return Deployment("chain", _chain_services(), _chain_kinds(), "stock", 1.0, 0.5)
+
+
+def _chain_services():
+    return [
         _service(
             "shop",
             2,
@@ -233,7 +251,12 @@
         _service("orders", 2, 80, 400, [_route("GET", "/orders/*", 3, True)]),
         _service("stock", 2, 40, 200, [_route("GET", "/stock/*", 3, True)]),
     ]
-    kinds = [
+
+
+def _chain_kinds():
+    third = ("stock", "GET", "/stock/1", 200, ())
+    second = ("orders", "GET", "/orders/1", 20, (third,))
+    return [
         RequestKind(
             "page", 0.8, "shop", "GET", "/pages/1", 2, True, 20, 2048, (second,)
         ),
@@ -241,4 +264,3 @@
             "checkout", 0.2, "shop", "POST", "/checkout", 9, False, 20, 64, (second,)
         ),
     ]
-    return Deployment("chain", services, kinds, "stock", 1.0, 0.5)
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -90,11 +90,7 @@
         await run_calls(callers.call, CALLS, RATE, source)
         turns.cancel()
         checker.finish()
-        return {
-            "calls": checker.calls,
-            "outcomes": dict(checker.outcomes),
-            "violations": dict(checker.violations),
-        }
+        return checker.summary()
 
     return run_graph(nodes, [document("parts", slots=50)], run, seed)
 
--- a/bench/forwarder.py
+++ b/bench/forwarder.py
@@ -11,11 +11,11 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
-from tornado.iostream import StreamClosedError
+from tornado.httputil import HTTPHeaders
 
 from bench.client import HttpClient
 from bench.cluster import READY_TIMEOUT_S, Cluster, wait_for
+from bench.serving import write_answer
 from bench.standin import ANNOUNCE_PATH
 
 ATTEMPTS = 3
@@ -59,14 +59,15 @@
 
     async def _answer(self, request):
         if request.path == ANNOUNCE_PATH:
-            self._write(request, 200, HTTPHeaders(), b"{}")
+            write_answer(request, 200, HTTPHeaders(), b"{}")
             return
         answer = None
         for _ in range(ATTEMPTS):
             answer = await self._forward(request)
             if 0 < answer.status < 500:
                 break
-        self._write(request, answer.status or 502, answer.headers, answer.body)
+        headers = _copy(answer.headers)
+        write_answer(request, answer.status or 502, headers, answer.body)
 
     async def _forward(self, request):
         host = request.headers.get("Host", "").partition(":")[0]
@@ -81,16 +82,6 @@
             ATTEMPT_TIMEOUT_S,
         )
 
-    def _write(self, request, status, headers, body):
-        headers = _copy(headers)
-        headers["Content-Length"] = str(len(body))
-        line = ResponseStartLine("HTTP/1.1", status, responses[status])
-        try:
-            request.connection.write_headers(line, headers, body)
-            request.connection.finish()
-        except StreamClosedError:
-            pass
-
 
 def _copy(headers):
     copied = HTTPHeaders()
--- a/bench/silent.py
+++ b/bench/silent.py
@@ -55,11 +55,7 @@
         await run_calls(make_call, CALLS, RATE, source)
         silencer.cancel()
         checker.finish()
-        return {
-            "calls": checker.calls,
-            "outcomes": dict(checker.outcomes),
-            "violations": dict(checker.violations),
-        }
+        return checker.summary()
 
     return run_graph(nodes, [document("parts", slots=50)], run, seed)
 
--- a/bench/standin.py
+++ b/bench/standin.py
@@ -16,10 +16,10 @@
 
 import msgspec
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
-from tornado.iostream import StreamClosedError
+from tornado.httputil import HTTPHeaders
 
 from bench.client import HttpClient
+from bench.serving import write_answer
 
 ANNOUNCE_PERIOD_S = 1.0
 ANNOUNCE_PATH = "/.well-known/figpick/announce"
@@ -124,7 +124,7 @@
             status, body = await self._steer(request)
         else:
             status, body = await self._execute(request)
-        self._write(request, status, body)
+        write_answer(request, status, HTTPHeaders(), body)
 
     async def _execute(self, request):
         route = self._route(request)
@@ -204,16 +204,6 @@
         }
         return 200, msgspec.json.encode(stats)
 
-    def _write(self, request, status, body):
-        headers = HTTPHeaders()
-        headers["Content-Length"] = str(len(body))
-        line = ResponseStartLine("HTTP/1.1", status, responses[status])
-        try:
-            request.connection.write_headers(line, headers, body)
-            request.connection.finish()
-        except StreamClosedError:
-            pass
-
 
 def main(path):
     """Runs the stand-in of a configuration file."""
--- a/bench/stream.py
+++ b/bench/stream.py
@@ -63,11 +63,7 @@
         await run_calls(make_call, CALLS, RATE, source)
         checker.finish()
         proxy.stop()
-        return {
-            "calls": checker.calls,
-            "outcomes": dict(checker.outcomes),
-            "violations": dict(checker.violations),
-        }
+        return checker.summary()
 
     return run_graph([node], [document("parts", slots=50)], run, seed)
 
