--- a/src/figpick/admission/__init__.py
+++ b/src/figpick/admission/__init__.py
@@ -2,10 +2,11 @@
 
 from ._budget import RetryBudget
 from ._quarantine import CrashJudge
-from ._queue import AdmissionQueue, Refusal, Ticket
+from ._queue import ENTRY_SHARE, AdmissionQueue, Refusal, Ticket
 from ._throttle import EntryThrottle
 
 __all__ = [
+    "ENTRY_SHARE",
     "AdmissionQueue",
     "CrashJudge",
     "EntryThrottle",
--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -88,6 +88,7 @@
         self._waiting = {}
         self._queued = 0
         self._work_s = {}
+        self._entry_work_s = 0.0
         self._service_s = {}
         self._delay_s = 0.0
 
@@ -122,14 +123,21 @@
         """Usual seconds that a call on a route holds a slot."""
         return self._service_s.get(route, DEFAULT_SERVICE_S)
 
-    def expected_wait_s(self, rank):
-        """Seconds until a new call of a rank is expected to start."""
+    def expected_wait_s(self, rank, is_inner):
+        """Seconds until a new call of a rank is expected to start.
+
+        :param is_inner: whether a running request needs the answer.
+        """
         if self._running < self._limit and not self._queued:
             return 0.0
         if not self._limit:
             return float("inf")
         ahead_s = sum(work for each, work in self._work_s.items() if each <= rank)
-        return ahead_s / self._limit
+        wait_s = ahead_s / self._limit
+        if not is_inner:
+            own_share_s = self._entry_work_s / (ENTRY_SHARE * self._limit)
+            wait_s = min(wait_s, own_share_s)
+        return wait_s
 
     def offer(self, ticket, now):
         """Takes a call.
@@ -145,7 +153,7 @@
         if self._running < self._limit and not self._queued:
             self._start(ticket, now)
             return None
-        wait_s = self.expected_wait_s(ticket.rank)
+        wait_s = self.expected_wait_s(ticket.rank, ticket.is_inner)
         if self._queued >= MAX_QUEUED:
             return Refusal(FULL, max(wait_s, MIN_RETRY_AFTER_S))
         left_s = min(ticket.target_at, ticket.leave_at) - now
@@ -155,6 +163,8 @@
         self._work_s[ticket.rank] = (
             self._work_s.get(ticket.rank, 0.0) + ticket.expected_s
         )
+        if not ticket.is_inner:
+            self._entry_work_s += ticket.expected_s
         self._queued += 1
         ticket.is_queued = True
         return ticket
@@ -249,6 +259,8 @@
         ticket.is_queued = False
         self._queued -= 1
         self._work_s[ticket.rank] -= ticket.expected_s
+        if not ticket.is_inner:
+            self._entry_work_s -= ticket.expected_s
         waiting = self._waiting[ticket.rank]
         while waiting and not waiting[0].is_queued:
             waiting.popleft()
--- a/src/figpick/configuration/_model.py
+++ b/src/figpick/configuration/_model.py
@@ -30,7 +30,7 @@
     target_s: float | None
     priority: int
     attempts: int
-    split: tuple
+    split: tuple[tuple[str, float], ...]
 
 
 class ServiceTerms(NamedTuple):
@@ -73,8 +73,8 @@
 
     version: int
     base: int
-    routes: tuple
-    services: dict
+    routes: tuple[Route, ...]
+    services: dict[str, ServiceTerms]
     limits: Limits
 
 
--- a/src/figpick/control/_member.py
+++ b/src/figpick/control/_member.py
@@ -122,6 +122,7 @@
         addresses = {seed: seed for seed in seeds}
         self._formation = Formation(self.identity, addresses)
         while not self._is_formed and not self._formation.must_wait:
+            self._form_if_known()
             for seed in seeds:
                 if seed != self._name:
                     self._send(seed, (IDENTIFY,))
@@ -153,6 +154,13 @@
             )
             self._after()
 
+    def _form_if_known(self):
+        members = self._formation.members
+        if members is not None and not self._is_formed:
+            self._replica.form(members, self._clock.monotonic())
+            log.info("Formed a quorum.", extra={"members": sorted(members.voters)})
+            self._after()
+
     def receive(self, kind, fields):
         """Takes a message of another member.
 
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -116,6 +116,15 @@
                 dialer.link.finish()
         log.info("Control process stops.")
 
+    def close(self):
+        """Closes everything at once."""
+        if self._server is not None:
+            self._server.close()
+        for dialer in self._dialers.values():
+            dialer.stop()
+        for link in list(self._accepted):
+            link.close()
+
     async def put(self, change):
         """Accepts a configuration.
 
--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -66,7 +66,14 @@
             if kind == PING:
                 self.send((PONG,))
             elif kind != PONG:
-                self._on_message(self, message)
+                self._deliver(message)
+
+    def _deliver(self, message):
+        try:
+            self._on_message(self, message)
+        except Exception:
+            # One message that fails must not end the calls of all others.
+            log.exception("Message {!r} of {} failed.", message[0], self.peer)
 
     def pause_writing(self):
         # The peer has stopped reading: its calls fail rather than fill the memory.
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -55,12 +55,17 @@
         for address in addresses:
             self._dial(address)
 
-    def stop(self):
+    def finish(self):
         """Closes the links after what was sent has been written."""
         for dialer in self._dialers.values():
             if dialer.link is not None:
                 dialer.link.finish()
 
+    def stop(self):
+        """Closes the links at once and opens no others."""
+        for dialer in self._dialers.values():
+            dialer.stop()
+
     def announce(self):
         """Sends the own record to every control process."""
         self._send_all((RECORD, list(self._announcer.record)))
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -71,6 +71,7 @@
             settings, self._token, self._announcer, clock, self
         )
         self._callers = {}
+        self._server = None
         self._wire_local()
         self._supervisor = Supervisor("node", clock)
         self._supervisor.add("entry", self._entry.watch)
@@ -106,7 +107,7 @@
 
     async def run(self):
         """Serves until cancelled."""
-        await listen(self._settings.link_address, self._make_accepted)
+        self._server = await listen(self._settings.link_address, self._make_accepted)
         await self._entry.start(self._settings.call_address)
         self._controls.start()
         log.info(
@@ -150,7 +151,24 @@
         )
         await asyncio.sleep(STOP_POLL_S)
         self._entry.close()
+        self._controls.finish()
+
+    def cut_links(self):
+        """Closes the links to other nodes; they open again and calls go on."""
+        for peer in self._peers:
+            if peer.dialer is not None and peer.link is not None:
+                peer.link.close()
+
+    def close(self):
+        """Closes everything at once."""
+        if self._server is not None:
+            self._server.close()
+        self._entry.close()
+        self._peers.stop()
         self._controls.stop()
+        for link in list(self._callers.values()):
+            if link.is_open:
+                link.close()
 
     def take_report(self, report):
         """Takes a heartbeat of the upstream beside this node.
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,328 @@
+"""A small fleet in one loop: control processes, nodes and stand-in upstreams."""
+
+import asyncio
+import base64
+import socket
+import zlib
+from types import SimpleNamespace
+
+import msgspec
+
+from figpick._clock import Clock
+from figpick.configuration import (
+    ChangeSet,
+    Configuration,
+    Limits,
+    Route,
+    ServiceTerms,
+)
+from figpick.control import ControlProcess, ControlSettings
+from figpick.directory import UpstreamReport
+from figpick.nodes import NodeProcess, NodeSettings
+from figpick.wire import DEFAULT_HEADERS, RequestReader
+
+HOST = b"shop.example"
+SLOTS = 17
+
+
+def free_address():
+    """Gives a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()
+
+
+class Upstream(asyncio.Protocol):
+    """One connection of a stand-in upstream."""
+
+    def __init__(self, service):
+        self._service = service
+        self._reader = RequestReader(self._run, lambda: 10**6, lambda: 10**8)
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self._service.connections.add(self)
+
+    def connection_lost(self, error):
+        self._service.connections.discard(self)
+        self._service.closed += 1
+
+    def data_received(self, data):
+        self._reader.feed(data, 0.0)
+
+    def _run(self, request):
+        task = asyncio.ensure_future(self._service.behave(self, request))
+        self._service.tasks.append(task)
+
+
+class Service:
+    """A stand-in upstream; tests replace :attr:`behave`."""
+
+    def __init__(self, name, instance):
+        self.name = name
+        self.instance = instance
+        self.address = free_address()
+        self.runs = []
+        self.tasks = []
+        self.closed = 0
+        self.connections = set()
+        self.behave = self.answer
+        self.delay_s = 0.0
+        self.running = 0
+        self.most_running = 0
+        self.sequence = 0
+        self._server = None
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Upstream(self), *self.address)
+
+    def stop(self):
+        self._server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+    def note(self, request):
+        """Records that a request runs."""
+        self.runs.append(request.header(DEFAULT_HEADERS.request_id).decode())
+
+    async def answer(self, connection, request):
+        """Answers with the body that it got, after the delay."""
+        self.note(request)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        await asyncio.sleep(self.delay_s)
+        self.running -= 1
+        connection.transport.write(self.render(request, b"".join(request.body)))
+
+    def render(self, request, body, status=b"200 OK", extra=b""):
+        """Gives the bytes of an answer."""
+        names = DEFAULT_HEADERS
+        request_id = request.header(names.request_id)
+        return b"HTTP/1.1 %b\r\n%b: %b\r\n%b: s\r\n%bContent-Length: %d\r\n\r\n%b" % (
+            status,
+            names.request_id,
+            request_id,
+            names.stamp,
+            extra,
+            len(body),
+            body,
+        )
+
+    def report(self, is_draining=False):
+        """Gives its next heartbeat."""
+        self.sequence += 1
+        return UpstreamReport(
+            self.instance,
+            None,
+            self.sequence,
+            self.name,
+            self.address,
+            SLOTS,
+            is_draining,
+            0.0,
+        )
+
+
+def routes():
+    """One idempotent and one other route for each service."""
+    found = []
+    for service in ("entries", "parts"):
+        split = ((service, 1.0),)
+        found.append(
+            Route(
+                f"{service}-get",
+                HOST.decode(),
+                f"/{service}/",
+                True,
+                2.0,
+                1.0,
+                2,
+                2,
+                split,
+            )
+        )
+        found.append(
+            Route(
+                f"{service}-once",
+                HOST.decode(),
+                f"/{service}/once/",
+                False,
+                2.0,
+                1.0,
+                0,
+                2,
+                split,
+            )
+        )
+    return tuple(found)
+
+
+def encode(configuration):
+    """Gives a configuration as a change set."""
+    fields = msgspec.json.encode(configuration)
+    document = base64.b64encode(zlib.compress(fields)).decode()
+    return ChangeSet(configuration.version, configuration.base, document[:40], document)
+
+
+def decode(document):
+    """Gives the configuration of a change set's document."""
+    return msgspec.json.decode(
+        zlib.decompress(base64.b64decode(document)), type=Configuration
+    )
+
+
+def make_configuration(version=1, base=0, all_routes=None):
+    """Gives a configuration of both services."""
+    services = {name: ServiceTerms(name, "/", 100) for name in ("entries", "parts")}
+    return Configuration(version, base, all_routes or routes(), services, Limits())
+
+
+class Fleet:
+    """Control processes and nodes with an upstream each.
+
+    :param folder: folder for the data of control processes.
+    :param services: names of the services, one host each.
+    """
+
+    def __init__(self, folder, services=("entries", "parts", "parts"), controls=1):
+        self._folder = folder
+        self._tasks = []
+        links = [free_address() for _ in range(controls)]
+        self.controls = [
+            ControlProcess(
+                ControlSettings(
+                    f"control-{number}",
+                    "dc",
+                    link,
+                    tuple(links),
+                    True,
+                    str(folder / str(number)),
+                ),
+                Clock(),
+            )
+            for number, link in enumerate(links)
+        ]
+        self.hosts = []
+        for number, name in enumerate(services):
+            service = Service(name, f"i-{number}")
+            settings = NodeSettings(
+                name=f"node-{number}",
+                data_center="dc",
+                region="r",
+                service=name,
+                call_address=free_address(),
+                upstream_address=service.address,
+                link_address=free_address(),
+                control_addresses=tuple(links),
+                grace_s=6.0,
+            )
+            self.hosts.append(
+                SimpleNamespace(
+                    service=service, settings=settings, node=None, task=None
+                )
+            )
+
+    async def __aenter__(self):
+        for control in self.controls:
+            self._tasks.append(asyncio.ensure_future(control.run()))
+        for host in self.hosts:
+            await host.service.start()
+            self.start_node(host)
+        await self.accept(make_configuration())
+        await until(lambda: all(host.node.is_ready for host in self.hosts))
+        for host in self.hosts:
+            host.node.take_report(host.service.report())
+        count = len(self.hosts) + len(self.controls)
+        await until(
+            lambda: all(len(host.node.state()["hosts"]) == count for host in self.hosts)
+        )
+        return self
+
+    async def __aexit__(self, *error):
+        for host in self.hosts:
+            host.task.cancel()
+            host.node.close()
+            host.service.stop()
+        for task in self._tasks:
+            task.cancel()
+        for control in self.controls:
+            control.close()
+
+    def start_node(self, host):
+        """Starts the node of a host, also again."""
+        host.node = NodeProcess(host.settings, Clock(), decode)
+        host.task = asyncio.ensure_future(host.node.run())
+
+    async def accept(self, configuration):
+        """Puts a configuration at the first control process that takes it."""
+        async with asyncio.timeout(8.0):
+            while True:
+                try:
+                    return await self.controls[0].put(encode(configuration))
+                except Exception as error:
+                    if "no quorum" not in str(error):
+                        raise
+                    await asyncio.sleep(0.05)
+
+
+async def until(condition, limit_s=8.0):
+    """Waits until a condition holds."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class Client:
+    """One connection of a client to a node."""
+
+    def __init__(self, address):
+        self._address = address
+        self.reader = self.writer = None
+
+    async def __aenter__(self):
+        self.reader, self.writer = await asyncio.open_connection(*self._address)
+        return self
+
+    async def __aexit__(self, *error):
+        self.writer.close()
+
+    def send(self, target, request_id, method=b"GET", body=b"", deadline_ms=5000):
+        """Sends a request without waiting for its answer."""
+        names = DEFAULT_HEADERS
+        self.writer.write(
+            b"%b %b HTTP/1.1\r\nHost: %b\r\n%b: %b\r\n%b: %d\r\n"
+            b"Content-Length: %d\r\n\r\n%b"
+            % (
+                method,
+                target,
+                HOST,
+                names.request_id,
+                request_id,
+                names.deadline_ms,
+                deadline_ms,
+                len(body),
+                body,
+            )
+        )
+
+    async def receive(self):
+        """Gives status, headers and body of the next answer."""
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+        if headers.get("transfer-encoding") == "chunked":
+            body = b""
+            while size := int((await self.reader.readline()).strip(), 16):
+                body += await self.reader.readexactly(size)
+                await self.reader.readexactly(2)
+            await self.reader.readexactly(2)
+        else:
+            body = await self.reader.readexactly(int(headers["content-length"]))
+        return int(lines[0].split()[1]), headers, body
+
+    async def call(self, target, request_id, **options):
+        """Sends a request and gives its answer."""
+        self.send(target, request_id, **options)
+        async with asyncio.timeout(8.0):
+            return await self.receive()
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,172 @@
+"""Queueing, refusing, retries and quarantine, without a network."""
+
+import random
+
+import pytest
+
+from figpick.admission import (
+    ENTRY_SHARE,
+    AdmissionQueue,
+    CrashJudge,
+    EntryThrottle,
+    Refusal,
+    RetryBudget,
+    Ticket,
+)
+
+
+def ticket(name, rank, is_inner=False, target_at=10.0, leave_at=10.0, route="r"):
+    return Ticket(name, rank, is_inner, route, target_at, leave_at)
+
+
+def full_queue(slots=17, now=0.0, route="r"):
+    queue = AdmissionQueue()
+    queue.set_slots(slots)
+    running = [ticket(n, 5, route=route) for n in range(queue.limit)]
+    assert [queue.offer(each, now) for each in running] == [None] * queue.limit
+    return queue, running
+
+
+def test_no_more_calls_run_than_there_are_slots():
+    """Guards against a request that the upstream cannot queue and never answers."""
+    queue, _ = full_queue(slots=17)
+    extra = ticket("extra", 1)
+    assert queue.offer(extra, 0.0) is extra
+    assert queue.running == queue.limit < 17
+
+
+def test_most_urgent_call_starts_first():
+    queue, running = full_queue()
+    for name, rank in (("low", 5), ("high", 1), ("middle", 3)):
+        queue.offer(ticket(name, rank), 0.0)
+    order = []
+    for each in running[:3]:
+        queue.finish(each, 0.1)
+        started, _ = queue.take_ready(0.1)
+        order.extend(each.call for each in started)
+    assert order == ["high", "middle", "low"]
+
+
+def test_call_that_cannot_be_in_time_is_refused_on_arrival():
+    queue, _ = full_queue()
+    for number in range(200):
+        queue.offer(ticket(number, 3, target_at=100.0, leave_at=100.0), 0.0)
+    outcome = queue.offer(ticket("late", 5, target_at=0.3), 0.0)
+    assert isinstance(outcome, Refusal)
+    assert outcome.retry_after_s > 0.3
+    urgent = ticket("urgent", 1, target_at=0.3)
+    assert queue.offer(urgent, 0.0) is urgent
+
+
+def test_waiting_call_leaves_when_its_time_is_over():
+    queue, _ = full_queue()
+    waiting = ticket("w", 1, leave_at=1.0)
+    queue.offer(waiting, 0.0)
+    assert queue.take_late(0.9) == []
+    assert queue.take_late(1.0) == [waiting]
+    assert queue.queued == 0
+
+
+def test_leaving_upstream_gives_back_what_waits():
+    queue, running = full_queue()
+    waiting = ticket("w", 1)
+    queue.offer(waiting, 0.0)
+    queue.set_slots(0)
+    assert queue.take_all() == [waiting]
+    assert isinstance(queue.offer(ticket("x", 1), 0.0), Refusal)
+    for each in running:
+        queue.finish(each, 0.5)
+    assert queue.running == 0
+
+
+def test_requests_of_clients_keep_a_share_beside_calls_of_running_requests():
+    """Guards against a kind of request that starves behind calls of others."""
+    queue = AdmissionQueue()
+    queue.set_slots(20)
+    served = {True: 0, False: 0}
+    running = []
+    for step in range(2000):
+        now = step * 0.01
+        for done in [each for each in running if each.until <= now]:
+            running.remove(done)
+            queue.finish(done.ticket, now)
+        for is_inner, rank in ((True, 4), (True, 4), (True, 4), (False, 5)):
+            each = ticket(None, rank, is_inner, now + 1.0, now + 1.0)
+            if queue.offer(each, now) is None:
+                running.append(_Running(each, now + 0.1))
+                served[is_inner] += 1
+        started, _ = queue.take_ready(now)
+        for each in started:
+            running.append(_Running(each, now + 0.1))
+            served[each.is_inner] += 1
+    possible = 20 * queue.limit / 0.1
+    assert served[False] >= 0.9 * ENTRY_SHARE * possible
+    assert served[True] > served[False]
+
+
+class _Running:
+    def __init__(self, ticket_, until):
+        self.ticket = ticket_
+        self.until = until
+
+
+def test_throttle_closes_on_delay_and_opens_again():
+    throttle = EntryThrottle(is_urgent=False)
+    for step in range(50):
+        throttle.observe(0.2)
+        throttle.admits(0.5, step * 0.1)
+    assert throttle.share < 0.2
+    for step in range(50, 100):
+        throttle.admits(0.5, step * 0.1)
+    assert throttle.share == 1.0
+
+
+def test_urgent_routes_are_throttled_later():
+    urgent, other = EntryThrottle(True), EntryThrottle(False)
+    for step in range(30):
+        for throttle in (urgent, other):
+            throttle.observe(0.1)
+            throttle.admits(0.5, step * 0.1)
+    assert urgent.share == 1.0
+    assert other.share < 0.5
+
+
+def test_retries_stay_within_the_ratio_in_every_window():
+    """Guards against retries that bury a slow service."""
+    budget = RetryBudget(ratio=0.2, window_s=10.0)
+    rng = random.Random(1)
+    times = []
+    for step in range(4000):
+        now = step * 0.01
+        budget.count_request(now)
+        if rng.random() < 0.8 and budget.take(now):
+            times.append(now)
+    for start in times:
+        within = sum(start <= at < start + 10.0 for at in times)
+        assert within <= 0.2 * 1000 / 5 + 1 + 4
+    assert len(times) > 100
+
+
+def test_request_that_ran_in_two_crashes_is_guilty():
+    judge = CrashJudge()
+    judge.accuse("i-1", ["bad", "a", "b", "c", "d"], 0.0)
+    assert not judge.is_guilty("bad", 0.0)
+    judge.accuse("i-2", ["bad", "e"], 5.0)
+    assert judge.is_guilty("bad", 5.0)
+    assert not judge.is_guilty("a", 5.0)
+    assert not judge.is_guilty("e", 5.0)
+
+
+def test_harmless_requests_in_two_busy_crashes_are_not_guilty():
+    judge = CrashJudge()
+    many = [f"f{number}" for number in range(40)]
+    judge.accuse("i-1", many, 0.0)
+    judge.accuse("i-2", many, 1.0)
+    assert not any(judge.is_guilty(each, 1.0) for each in many)
+
+
+@pytest.mark.parametrize("slots", [1, 2, 12, 142])
+def test_limit_is_within_the_slots(slots):
+    queue = AdmissionQueue()
+    queue.set_slots(slots)
+    assert 1 <= queue.limit <= slots
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,56 @@
+"""Choice of hosts and services."""
+
+from collections import Counter
+
+from figpick.placing import Load, SplitCounter, Target, choose
+
+
+def target(name, is_near=True, running=0, queued=0, limit=35, service_s=0.05):
+    each = Target(name, is_near)
+    each.load = Load(running, queued, limit)
+    each.service_s = service_s
+    return each
+
+
+def test_near_host_with_room_is_chosen():
+    near, far = target("near", running=10), target("far", is_near=False)
+    assert choose([far, near], 0.0) is near
+
+
+def test_calls_spill_over_when_the_near_host_is_full():
+    near = target("near", running=35, queued=60, service_s=0.1)
+    far = target("far", is_near=False, service_s=0.1)
+    assert choose([near, far], 0.0) is far
+
+
+def test_failing_host_is_avoided_and_tried_again():
+    bad, good = target("bad"), target("good", is_near=False)
+    for _ in range(5):
+        bad.failed()
+    assert choose([bad, good], 0.0) is good
+    for _ in range(40):
+        bad.served(0.05)
+    assert choose([bad, good], 0.0) is bad
+
+
+def test_cold_host_gets_less():
+    cold, warm = target("cold", service_s=0.1), target("warm", service_s=0.1)
+    cold.cold_until = 5.0
+    assert choose([cold, warm], 1.0) is warm
+
+
+def test_calls_sent_since_the_report_count():
+    """Guards against a burst that all goes to the host that looked free last."""
+    hosts = [target("a", limit=10), target("b", limit=10)]
+    taken = Counter()
+    for _ in range(40):
+        chosen = choose(hosts, 0.0)
+        chosen.sent += 1
+        taken[chosen.name] += 1
+    assert abs(taken["a"] - taken["b"]) <= 10
+
+
+def test_split_gives_exact_shares():
+    split = SplitCounter({"a": 90, "b": 10, "c": 0})
+    counts = Counter(split.next() for _ in range(200))
+    assert counts == {"a": 180, "b": 20}
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,201 @@
+"""The adapter: the platform's names and formats as the product's types."""
+
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+sys.path.append(str(Path(__file__).parents[1] / "platform"))
+
+from adapter import documents, reports, settings  # noqa: E402
+from figpick.configuration import check  # noqa: E402
+from figpick.exceptions import InvalidDocumentError  # noqa: E402
+
+COLUMNS = [
+    "name",
+    "host",
+    "pathPrefix",
+    "routeType",
+    "timeoutS",
+    "targetLatencyS",
+    "priority",
+    "trafficSplit",
+    "attempts",
+    "service",
+]
+SPLIT = [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]
+
+
+def document(**changes):
+    fields = {
+        "version": "r7",
+        "baseVersion": "r5",
+        "routes": {
+            "columns": COLUMNS,
+            "rows": [
+                ["r-1", "H1.example", "/a/", "idempotent", 0.8, 1.5, 2, SPLIT, 2, None],
+                ["r-2", "h2", "/b/", "non_idempotent", 1, 1.5, 0, None, 2, "s2"],
+                ["r-3", "h2", "/c/", "download", None, None, 0, None, 2, "s2"],
+            ],
+        },
+        "services": {
+            "columns": ["name", "healthPath", "maxConns", "protocol", "tls"],
+            "rows": [["s1", "/health", 952, "h1", False], ["s2", "/h", 5, "h1", False]],
+        },
+        "limits": {
+            "maxHeaderBytes": 100,
+            "maxBodyBytes": 200,
+            "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        },
+        **changes,
+    }
+    return msgspec.json.encode(fields)
+
+
+def test_document_becomes_a_configuration():
+    configuration = documents.read(document())
+    assert (configuration.version, configuration.base) == (7, 5)
+    first, second, third = configuration.routes
+    assert first.host == "h1.example"
+    assert first.split == (("s1", 90.0), ("s2", 10.0))
+    assert (first.timeout_s, first.target_s, first.is_idempotent) == (0.8, 1.5, True)
+    assert second.split == (("s2", 1.0),)
+    assert not second.is_idempotent
+    assert third.is_idempotent
+    assert third.timeout_s is None
+    assert configuration.limits.idle_timeout_s == 15.0
+    assert check(configuration) == []
+
+
+def test_first_document_builds_on_nothing():
+    assert documents.read(document(baseVersion=0)).base == 0
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        document()[:-20],
+        document(version=7),
+        document(version="x7"),
+        document(routes={"columns": COLUMNS, "rows": [["r-1"]]}),
+        document(routes={"columns": ["name"], "rows": [["r-1"]]}),
+        document(services=None),
+        b"[]",
+        b"\xff\xfe",
+    ],
+)
+def test_document_that_cannot_be_read_in_full_is_refused(body):
+    with pytest.raises(InvalidDocumentError):
+        documents.read(body)
+
+
+def test_resent_document_is_recognised_and_returned_as_sent():
+    body = document()
+    spaced = msgspec.json.format(body, indent=2)
+    first = documents.change_set(body, documents.read(body))
+    second = documents.change_set(spaced, documents.read(spaced))
+    assert first.digest == second.digest
+    assert documents.unpack(first.document) == body
+    assert documents.decode(first.document) == documents.read(body)
+
+
+HEARTBEAT = {
+    "service": "s1",
+    "address": "127.0.0.1:8301",
+    "zone": "z",
+    "version": "v1",
+    "slots": 142,
+    "state": "ready",
+    "coldLeftS": 0,
+    "sequence": 4,
+}
+
+
+def test_heartbeat_becomes_a_report():
+    body = msgspec.json.encode({**HEARTBEAT, "born": 1700000000000})
+    report = reports.read("i-1", body)
+    assert report.instance == "i-1"
+    assert report.address == ("127.0.0.1", 8301)
+    assert report.started_ms == 1700000000000
+    assert not report.is_draining
+    body = msgspec.json.encode({**HEARTBEAT, "state": "draining"})
+    assert reports.read("i-1", body).is_draining
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "asleep"},
+        {"state": 1},
+        {"slots": "many"},
+        {"slots": True},
+        {"sequence": 1.5},
+        {"address": "nowhere"},
+        {"address": 7},
+        {"service": None},
+        {"born": "1700000000000"},
+        {"born": 1.5},
+    ],
+)
+def test_heartbeat_of_another_writer_names_no_upstream(changes):
+    """Guards against a heartbeat that cannot be read and takes an upstream out."""
+    with pytest.raises(reports.UnreadableReportError):
+        reports.read("i-1", msgspec.json.encode({**HEARTBEAT, **changes}))
+
+
+@pytest.mark.parametrize("name", ["service", "address", "slots", "state", "sequence"])
+def test_heartbeat_without_a_field_names_no_upstream(name):
+    fields = {key: value for key, value in HEARTBEAT.items() if key != name}
+    with pytest.raises(reports.UnreadableReportError):
+        reports.read("i-1", msgspec.json.encode(fields))
+
+
+@pytest.mark.parametrize("body", [b"", b"\x00\xff", b"[1]", b'"x"', b"null"])
+def test_heartbeat_of_other_bytes_names_no_upstream(body):
+    with pytest.raises(reports.UnreadableReportError):
+        reports.read("i-1", body)
+
+
+SETTINGS = """
+[self]
+nodeName = "n1"
+zone = "z"
+region = "r"
+ip = "10.1.0.8"
+appAddr = "10.1.0.8:8301"
+service = "s1"
+bootstrap = true
+dataDir = "/data"
+[network]
+portRange = [7620, 7635]
+seeds = ["10.1.0.12:8306", "10.2.0.10:8306"]
+[network.listen]
+outbound = "10.1.0.8:8304"
+[terms.bounds]
+retryBudgetRatio = 0.2
+retryWindowS = 10
+graceS = 6
+"""
+
+
+def test_settings_become_those_of_a_node_and_of_control(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    fields = settings.load(str(path))
+    node = settings.node_settings(fields)
+    assert node.link_address == ("10.1.0.8", 7620)
+    assert node.control_addresses == (("10.1.0.12", 7620), ("10.2.0.10", 7620))
+    assert node.call_address == ("10.1.0.8", 8304)
+    control = settings.control_settings(fields)
+    assert control.may_form
+    assert control.seeds == node.control_addresses
+
+
+def test_settings_that_are_no_toml_are_refused(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text("[self")
+    with pytest.raises(InvalidDocumentError):
+        settings.load(str(path))
--- /dev/null
+++ b/tests/test_quorum_repair.py
@@ -0,0 +1,65 @@
+"""How the members of the quorum follow the hosts that are there."""
+
+from types import SimpleNamespace
+
+from figpick._consensus_messages import Membership
+from figpick.control._repair import SILENT_S, next_members
+
+VOTERS = {"a:1#x": "a:1", "b:1#x": "b:1", "c:1#x": "c:1"}
+
+
+def heard(*identities, at=100.0, match=50):
+    return {each: SimpleNamespace(heard_at=at, match=match) for each in identities}
+
+
+def step(members, candidates, progress, now=100.0):
+    return next_members(members, "a:1#x", candidates, progress, 50, now)
+
+
+def test_nothing_changes_while_all_members_answer():
+    members = Membership(VOTERS, {})
+    assert step(members, VOTERS, heard("b:1#x", "c:1#x")) is None
+
+
+def test_member_with_a_new_disk_is_replaced():
+    """Guards against a lost disk whose place counts for the quorum for ever."""
+    members = Membership(VOTERS, {})
+    candidates = {**VOTERS, "c:1#y": "c:1"}
+    del candidates["c:1#x"]
+    progress = heard("b:1#x", "c:1#x")
+    members = step(members, candidates, progress)
+    assert set(members.voters) == {"a:1#x", "b:1#x"}
+    members = step(members, candidates, progress)
+    assert set(members.learners) == {"c:1#y"}
+    assert step(members, candidates, progress) is None
+    progress = heard("b:1#x") | heard("c:1#y", match=10)
+    assert step(members, candidates, progress) is None
+    members = step(members, candidates, heard("b:1#x", "c:1#y"))
+    assert set(members.voters) == {"a:1#x", "b:1#x", "c:1#y"}
+    assert not members.learners
+
+
+def test_one_voter_changes_at_a_time():
+    members = Membership(VOTERS, {})
+    candidates = {"a:1#x": "a:1", "b:1#y": "b:1", "c:1#y": "c:1"}
+    after = step(members, candidates, heard("b:1#x", "c:1#x"))
+    assert len(set(after.voters) ^ set(members.voters)) == 1
+
+
+def test_silent_member_stays_while_only_three_vote():
+    """Guards against a partition that costs a copy of the log."""
+    members = Membership(VOTERS, {})
+    progress = heard("b:1#x") | heard("c:1#x", at=100.0 - 2 * SILENT_S)
+    assert step(members, VOTERS, progress) is None
+
+
+def test_silent_member_is_removed_once_its_successor_votes():
+    voters = {**VOTERS, "d:1#x": "d:1"}
+    members = Membership(voters, {})
+    candidates = dict(voters)
+    progress = heard("b:1#x", "d:1#x") | heard("c:1#x", at=100.0 - 2 * SILENT_S)
+    assert set(step(members, candidates, progress).voters) == {
+        "a:1#x",
+        "b:1#x",
+        "d:1#x",
+    }
--- /dev/null
+++ b/tests/test_two_nodes.py
@@ -0,0 +1,252 @@
+"""The way of a call over two nodes, with real connections in one loop."""
+
+import asyncio
+from functools import wraps
+
+import pytest
+
+from figpick.configuration import VersionConflictError
+from figpick.wire import DEFAULT_HEADERS
+
+from .fleet import SLOTS, Client, Fleet, encode, make_configuration, routes, until
+
+
+def in_loop(test):
+    """Runs a coroutine test."""
+
+    @wraps(test)
+    def run(*arguments, **named):
+        asyncio.run(test(*arguments, **named))
+
+    return run
+
+
+@in_loop
+async def test_request_crosses_two_nodes_and_returns_whole(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        entry = fleet.hosts[0].settings.call_address
+        body = bytes(range(256)) * 4000
+        async with Client(entry) as client:
+            status, headers, got = await client.call(
+                b"/parts/1", b"a1", method=b"POST", body=body
+            )
+            assert (status, got) == (200, body)
+            assert headers[DEFAULT_HEADERS.stamp.decode()] == "s"
+            assert headers[DEFAULT_HEADERS.request_id.decode()] == "a1"
+            status, _, got = await client.call(b"/entries/1", b"a2")
+            assert status == 200
+            status, _, _ = await client.call(b"/nowhere/1", b"a3")
+            assert status == 404
+
+
+@in_loop
+async def test_upstream_gets_instance_caller_and_rest_of_the_deadline(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        seen = []
+
+        async def behave(connection, request):
+            seen.append(request)
+            await fleet.hosts[1].service.answer(connection, request)
+
+        fleet.hosts[1].service.behave = fleet.hosts[2].service.behave = behave
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            await client.call(b"/parts/1", b"a1", deadline_ms=900)
+        request = seen[0]
+        assert request.header(DEFAULT_HEADERS.instance) in (b"i-1", b"i-2")
+        assert request.header(DEFAULT_HEADERS.caller) == b"entries"
+        assert 0 < int(request.header(DEFAULT_HEADERS.deadline_ms)) <= 900
+
+
+@in_loop
+async def test_pipelined_requests_run_together_and_answer_in_order(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        for host in fleet.hosts:
+            host.service.delay_s = 0.2
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            started = asyncio.get_running_loop().time()
+            for number in range(5):
+                client.send(b"/parts/1", b"p%d" % number, body=b"%d" % number)
+            bodies = [(await client.receive())[2] for _ in range(5)]
+            assert bodies == [b"0", b"1", b"2", b"3", b"4"]
+            assert asyncio.get_running_loop().time() - started < 0.8
+
+
+@in_loop
+async def test_no_more_requests_run_than_slots(tmp_path):
+    """Guards against an upstream that never answers what it cannot queue."""
+    async with Fleet(tmp_path, services=("entries",)) as fleet:
+        service = fleet.hosts[0].service
+        service.delay_s = 0.05
+        address = fleet.hosts[0].settings.call_address
+
+        async def one(number):
+            async with Client(address) as client:
+                return (await client.call(b"/entries/1", b"n%d" % number))[0]
+
+        statuses = await asyncio.gather(*(one(number) for number in range(60)))
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) > 30
+        assert service.most_running <= SLOTS
+        assert len(service.runs) == statuses.count(200)
+
+
+@in_loop
+async def test_broken_answer_is_asked_for_again_only_if_idempotent(tmp_path):
+    """Guards against a request that must run once and runs twice."""
+    async with Fleet(tmp_path) as fleet:
+        services = [host.service for host in fleet.hosts[1:]]
+
+        async def break_off(connection, request):
+            service = next(s for s in services if connection in s.connections)
+            service.note(request)
+            connection.transport.write(service.render(request, b"x" * 100)[:-50])
+            connection.transport.abort()
+
+        services[0].behave = services[1].behave = break_off
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            status, headers, _ = await client.call(
+                b"/parts/once/1", b"u1", method=b"POST"
+            )
+            assert status == 502
+            assert "retry-after" not in headers
+            await client.call(b"/parts/1", b"i1")
+        runs = services[0].runs + services[1].runs
+        assert runs.count("u1") == 1
+        assert 1 <= runs.count("i1") <= 2
+
+
+@in_loop
+async def test_refusal_of_an_upstream_is_tried_elsewhere_and_not_run(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        names = DEFAULT_HEADERS
+
+        async def shed(connection, request):
+            extra = b"%b: 1\r\n" % names.not_run
+            service = fleet.hosts[1].service
+            answer = service.render(request, b"", b"503 Service Unavailable", extra)
+            connection.transport.write(answer)
+
+        for host in fleet.hosts[1:]:
+            host.service.behave = shed
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            status, headers, _ = await client.call(
+                b"/parts/once/1", b"u1", method=b"POST"
+            )
+        assert status == 503
+        assert float(headers["retry-after"]) > 0
+
+
+@in_loop
+async def test_draining_upstream_gets_no_more_requests(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        leaving, staying = fleet.hosts[1], fleet.hosts[2]
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            for number in range(10):
+                assert (await client.call(b"/parts/1", b"a%d" % number))[0] == 200
+            leaving.node.take_report(leaving.service.report(is_draining=True))
+            before = len(leaving.service.runs)
+            for number in range(10):
+                assert (await client.call(b"/parts/1", b"b%d" % number))[0] == 200
+        assert len(leaving.service.runs) == before
+        assert len(staying.service.runs) >= 10
+
+
+@in_loop
+async def test_client_that_leaves_ends_the_work_for_it(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        for host in fleet.hosts:
+            host.service.delay_s = 1.5
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            client.send(b"/parts/1", b"a1")
+            await until(lambda: any(host.service.runs for host in fleet.hosts))
+        await until(lambda: sum(host.service.closed for host in fleet.hosts), 1.0)
+
+
+@in_loop
+async def test_lost_link_loses_no_answer(tmp_path):
+    """Guards against a signoff whose answer is lost with a connection."""
+    async with Fleet(tmp_path) as fleet:
+        for host in fleet.hosts:
+            host.service.delay_s = 0.5
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            client.send(b"/parts/once/1", b"u1", method=b"POST", body=b"sign")
+            await until(lambda: any(host.service.runs for host in fleet.hosts))
+            fleet.hosts[0].node.cut_links()
+            status, _, body = await client.receive()
+        assert (status, body) == (200, b"sign")
+        runs = [run for host in fleet.hosts for run in host.service.runs]
+        assert runs == ["u1"]
+
+
+@in_loop
+async def test_slow_upstream_is_answered_for_in_the_time_of_the_route(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        for host in fleet.hosts:
+            host.service.delay_s = 6.0
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            status, _, _ = await client.call(
+                b"/parts/once/1", b"u1", method=b"POST", deadline_ms=9000
+            )
+        assert status == 504
+        assert 2.0 <= loop.time() - started <= 2.5
+
+
+@in_loop
+async def test_large_answer_waits_for_a_slow_client(tmp_path):
+    """Guards against answers that fill the memory of a node."""
+    async with Fleet(tmp_path) as fleet:
+        size = 6 * 1024 * 1024
+
+        async def large(connection, request):
+            service = fleet.hosts[1].service
+            connection.transport.write(service.render(request, b"z" * size))
+
+        for host in fleet.hosts[1:]:
+            host.service.behave = large
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            client.send(b"/parts/1", b"a1")
+            await asyncio.sleep(0.3)
+            status, _, body = await client.receive()
+        assert (status, len(body)) == (200, size)
+
+
+@in_loop
+async def test_node_that_stops_finishes_what_runs(tmp_path):
+    """Guards against a shutdown that cuts a request in flight."""
+    async with Fleet(tmp_path) as fleet:
+        host = fleet.hosts[0]
+        for each in fleet.hosts:
+            each.service.delay_s = 1.0
+        async with Client(host.settings.call_address) as client:
+            client.send(b"/parts/1", b"a1")
+            await asyncio.sleep(0.1)
+            draining = asyncio.ensure_future(host.node.drain())
+            await asyncio.sleep(0.1)
+            assert not host.node.is_ready
+            status, headers, _ = await client.receive()
+            assert status == 200
+            assert headers["connection"] == "close"
+        await draining
+
+
+@in_loop
+async def test_configuration_is_in_force_everywhere(tmp_path):
+    async with Fleet(tmp_path, controls=3) as fleet:
+        changed = tuple(
+            route._replace(prefix=route.prefix.replace("/parts/", "/stock/"))
+            for route in routes()
+        )
+        await fleet.accept(make_configuration(4, 1, changed))
+        await until(
+            lambda: all(host.node.state()["version"] == 4 for host in fleet.hosts), 2.0
+        )
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            assert (await client.call(b"/parts/1", b"a1"))[0] == 404
+            assert (await client.call(b"/stock/1", b"a2"))[0] == 200
+        with pytest.raises(VersionConflictError):
+            await fleet.controls[1].put(encode(make_configuration(5, 1)))
+        again = encode(make_configuration(4, 1, changed))
+        assert await fleet.controls[2].put(again) == 4
+        assert (await fleet.controls[1].read()).version == 4
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,152 @@
+"""Requests of clients and answers of upstreams, as they come in pieces."""
+
+import pytest
+
+from figpick.wire import (
+    DEFAULT_HEADERS,
+    AnswerReader,
+    BrokenAnswerError,
+    RequestReader,
+    render_request,
+)
+
+ID = DEFAULT_HEADERS.request_id
+
+
+def read_requests(data, piece_bytes=None, header_bytes=1000, body_bytes=100):
+    requests = []
+    reader = RequestReader(requests.append, lambda: header_bytes, lambda: body_bytes)
+    step = piece_bytes or len(data)
+    for start in range(0, len(data), step):
+        reader.feed(data[start : start + step], now=1.0)
+    return requests
+
+
+@pytest.mark.parametrize("piece_bytes", [None, 1, 7])
+def test_pipelined_requests_are_read_in_order(piece_bytes):
+    data = (
+        b"GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        b"POST /b/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+        b"POST /c/3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"
+    )
+    requests = read_requests(data, piece_bytes)
+    assert [request.target for request in requests] == [b"/a/1", b"/b/2", b"/c/3"]
+    assert [b"".join(request.body) for request in requests] == [b"", b"abc", b"def"]
+    assert not any(request.refusal for request in requests)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 3\r\nContent-Length: 4\r\n",
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n",
+        b"Content-Length: +3\r\n",
+        b"Content-Length : 3\r\n",
+        b"X: a\nContent-Length: 3\r\n",
+    ],
+)
+def test_ambiguous_length_is_refused(head):
+    """Guards against a request that is hidden in the body of another."""
+    data = (
+        b"POST /a/ HTTP/1.1\r\nHost: h\r\n" + head + b"\r\nabcGET /b/ HTTP/1.1\r\n\r\n"
+    )
+    requests = read_requests(data)
+    assert [request.refusal for request in requests] == [400]
+
+
+def test_bad_chunk_size_is_refused():
+    data = (
+        b"POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"zz\r\nabc\r\n"
+    )
+    assert [request.refusal for request in read_requests(data)] == [400]
+
+
+def test_long_head_and_body_are_refused():
+    head = b"GET /a/ HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 2000 + b"\r\n\r\n"
+    assert [request.refusal for request in read_requests(head)] == [431]
+    body = b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n" + b"x" * 200
+    assert [request.refusal for request in read_requests(body)] == [413]
+
+
+def test_connection_headers_are_not_forwarded():
+    headers = [(b"Host", b"h"), (b"Connection", b"close"), (b"X-A", b"1")]
+    head = render_request(b"GET", b"/a/?q=1", headers, frozenset((b"x-b",)))
+    assert head == b"GET /a/?q=1 HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n"
+
+
+def reader(request_id=b"r1", is_head=False):
+    return AnswerReader(request_id, DEFAULT_HEADERS, is_head)
+
+
+def answer(body, request_id=b"r1", extra=b""):
+    head = b"HTTP/1.1 200 OK\r\n%b: %b\r\nContent-Length: %d\r\n%b\r\n"
+    return head % (ID, request_id, len(body), extra) + body
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 5, 1000])
+def test_answer_is_complete_with_its_last_byte(piece_bytes):
+    parser = reader()
+    data = answer(b"whole body")
+    for start in range(0, len(data), piece_bytes):
+        assert not parser.complete
+        parser.feed(data[start : start + piece_bytes])
+    assert parser.complete
+    assert parser.keeps_alive
+    assert parser.take_chunks() == b"whole body"
+
+
+def test_late_answer_to_an_earlier_request_is_skipped():
+    """Guards against a caller that gets the answer to another request."""
+    parser = reader(b"r2")
+    parser.feed(answer(b"old", b"r1") + answer(b"new", b"r2"))
+    assert parser.complete
+    assert parser.take_chunks() == b"new"
+    assert not parser.keeps_alive
+
+
+def test_second_answer_makes_the_connection_unusable():
+    parser = reader()
+    parser.feed(answer(b"one") + answer(b"two"))
+    assert parser.complete
+    assert parser.take_chunks() == b"one"
+    assert not parser.keeps_alive
+
+
+def test_bytes_that_are_no_answer_are_an_error():
+    with pytest.raises(BrokenAnswerError):
+        reader().feed(b"\x00\x01garbage\r\n\r\n")
+
+
+def test_answer_without_length_ends_with_its_connection():
+    parser = reader()
+    parser.feed(b"HTTP/1.1 200 OK\r\n%b: r1\r\n\r\npart" % ID)
+    assert not parser.complete
+    assert parser.end()
+
+
+def test_answer_that_is_cut_short_is_not_complete():
+    """Guards against a truncated body that looks whole."""
+    parser = reader()
+    parser.feed(answer(b"whole body")[:-3])
+    assert not parser.end()
+    chunked = reader()
+    chunked.feed(
+        b"HTTP/1.1 200 OK\r\n%b: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab" % ID
+    )
+    assert not chunked.end()
+
+
+def test_interim_answer_is_not_the_answer():
+    parser = reader()
+    parser.feed(b"HTTP/1.1 100 Continue\r\n\r\n" + answer(b"x"))
+    assert parser.status == 200
+    assert parser.complete
+
+
+def test_answer_to_head_has_no_body():
+    parser = reader(is_head=True)
+    parser.feed(b"HTTP/1.1 200 OK\r\n%b: r1\r\nContent-Length: 10\r\n\r\n" % ID)
+    assert parser.complete
