--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,7 +11,11 @@
 
 from bench.__main__ import RESULTS
 from bench.control_cost import HEAD_BYTES
-from figpick import _claim_records, _exchange, _gossip, _permits, _replica, _routing
+from figpick.claims import _claim_records
+from figpick.consensus import _replica
+from figpick.membership import _gossip
+from figpick.permits import _exchange, _permits
+from figpick.routing import _routing
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 
--- a/bench/checks.py
+++ b/bench/checks.py
@@ -7,7 +7,7 @@
 
 from bench.local import LocalGraph
 from bench.rows import Row
-from figpick._compose import prepare_process
+from figpick.roles._compose import prepare_process
 
 
 class Checker:
--- a/bench/client.py
+++ b/bench/client.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import StreamClosedError
 
-from figpick._connections import PARAMETERS, ConnectionPool
+from figpick.messaging._connections import PARAMETERS, ConnectionPool
 
 
 class Answer(NamedTuple):
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -13,10 +13,10 @@
 import msgspec
 
 from bench.client import HttpClient
-from figpick._auth import Authenticator
-from figpick._clock import Clock
-from figpick._errors import PeerError
-from figpick._transport import PeerClient
+from figpick.base._clock import Clock
+from figpick.base._errors import PeerError
+from figpick.messaging._auth import Authenticator
+from figpick.messaging._transport import PeerClient
 
 KEY = "a key for tests on loopback"
 READY_TIMEOUT_S = 30.0
--- a/bench/collect.py
+++ b/bench/collect.py
@@ -15,7 +15,7 @@
 def collect(lines, deployment):
     """Joins spans into whole requests.
 
-    :param lines: JSON lines of :class:`~figpick._recorder.Span`.
+    :param lines: JSON lines of :class:`~figpick.calls._recorder.Span`.
     :param deployment: name of the deployment that can replay them.
     :return: :class:`~bench.traces.Trace` without stated outcomes.
     """
--- a/bench/config.py
+++ b/bench/config.py
@@ -11,7 +11,7 @@
 from bench.cluster import Cluster, wait_for
 from bench.fleet import Fleet
 from bench.rows import Row
-from figpick._errors import PeerError
+from figpick.base._errors import PeerError
 
 CONTROLS = 3
 SIZES = (10, 50, 100, 200)
--- a/bench/control_cluster.py
+++ b/bench/control_cluster.py
@@ -16,9 +16,9 @@
 from bench.cluster import KEY, Cluster, free_address, wait_for
 from bench.rows import Row
 from bench.schedules import make_document
-from figpick._errors import PeerError, PeerRefusedError, PeerUnreachableError
-from figpick._formation import name_of
-from figpick._settings import split_address
+from figpick.base._errors import PeerError, PeerRefusedError, PeerUnreachableError
+from figpick.base._settings import split_address
+from figpick.consensus._formation import name_of
 
 READY_TIMEOUT_S = 15.0
 RESEND_S = 0.2
--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -18,7 +18,7 @@
 from bench.cluster import Cluster, ServiceSpec, wait_for
 from bench.fleet import Fleet
 from bench.rows import Row
-from figpick._errors import PeerError
+from figpick.base._errors import PeerError
 
 # The largest size and the mean over several real nodes make the slope exact
 # enough for 1,600 nodes.
@@ -97,7 +97,9 @@
     with tempfile.TemporaryDirectory(prefix="figpick-") as folder:
         os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
         os.environ["PYTHONPYCACHEPREFIX"] = folder
-        modules = "import figpick.__main__, figpick._compose, figpick._control"
+        modules = (
+            "import figpick.__main__, figpick.roles._compose, figpick.roles._control"
+        )
         subprocess.run([sys.executable, "-c", modules], check=True)
         try:
             yield
--- a/bench/costs.py
+++ b/bench/costs.py
@@ -15,21 +15,21 @@
 
 from bench.cluster import KEY, Cluster, ServiceSpec, free_address
 from bench.rows import Row
-from figpick._auth import Authenticator
-from figpick._claims import GRANTED, Claim, Holder
-from figpick._clock import Clock
-from figpick._division import Demand
-from figpick._events import EventStore
-from figpick._gossip import Gossip
-from figpick._headlines import Headline, Headlines
-from figpick._levels import Report
-from figpick._members import Member, Members
-from figpick._owner import UpstreamOwner
-from figpick._permits import PermitPool, Usage
-from figpick._plans import Moment
-from figpick._registry import Registry
-from figpick._rosters import POSITIONS, position_of
-from figpick._transport import PeerClient, PeerServer
+from figpick.base._clock import Clock
+from figpick.calls._plans import Moment
+from figpick.claims._claims import GRANTED, Claim, Holder
+from figpick.claims._rosters import POSITIONS, position_of
+from figpick.membership._events import EventStore
+from figpick.membership._gossip import Gossip
+from figpick.membership._headlines import Headline, Headlines
+from figpick.membership._members import Member, Members
+from figpick.messaging._auth import Authenticator
+from figpick.messaging._transport import PeerClient, PeerServer
+from figpick.permits._division import Demand
+from figpick.permits._levels import Report
+from figpick.permits._owner import UpstreamOwner
+from figpick.permits._permits import PermitPool, Usage
+from figpick.registry._registry import Registry
 
 TARGET_NODES = 1600
 TARGET_SERVICES = 40
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,7 +1,7 @@
 """Runs many figpick processes as objects inside a few worker processes.
 
 Several hundred real processes do not fit one machine. Each worker runs one
-event loop; each node in it is a whole :class:`figpick._compose.Process` with its
+event loop; each node in it is a whole :class:`figpick.roles._compose.Process` with its
 own listeners, connections and timers, but without an upstream and without calls.
 A worker is started as ``python -m bench.fleet`` and takes JSON commands, one a
 line, on its standard input.
@@ -16,8 +16,8 @@
 import msgspec
 
 from bench.cluster import KEY
-from figpick import _logs
-from figpick._compose import Process
+from figpick.base import _logs
+from figpick.roles._compose import Process
 
 WORKERS = 6
 CALL_PORT = 8100
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -19,7 +19,7 @@
 from bench.local import LocalGraph, LocalNode, document
 from bench.origin import Origin
 from bench.rows import Row
-from figpick._compose import prepare_process
+from figpick.roles._compose import prepare_process
 
 TARGET_RATE = 156
 WINDOWS = 6
--- a/bench/local.py
+++ b/bench/local.py
@@ -7,7 +7,7 @@
 
 from bench.client import HttpClient
 from bench.cluster import KEY, free_address
-from figpick._compose import Process
+from figpick.roles._compose import Process
 
 ANNOUNCE_PATH = "/.well-known/figpick/announce"
 ANNOUNCE_PERIOD_S = 0.5
@@ -36,7 +36,7 @@
 
     @property
     def node(self):
-        """The :class:`~figpick._node.Node`."""
+        """The :class:`~figpick.roles._node.Node`."""
         return self.process.node
 
     def start(self, documents, seeds):
--- a/bench/once.py
+++ b/bench/once.py
@@ -13,7 +13,7 @@
 from bench.cluster import Cluster, ServiceSpec
 from bench.forwarder import Forwarders
 from bench.rows import Row
-from figpick._keys import new_key
+from figpick.claims._keys import new_key
 
 SERVICE = "orders"
 SERVERS = 5
--- a/bench/poison.py
+++ b/bench/poison.py
@@ -10,7 +10,7 @@
 from bench.cluster import Cluster, ServiceSpec
 from bench.forwarder import Forwarders
 from bench.rows import Row
-from figpick._errors import PeerError
+from figpick.base._errors import PeerError
 
 SERVICE = "jobs"
 SERVERS = 4
--- a/bench/race.py
+++ b/bench/race.py
@@ -4,7 +4,7 @@
 
 from bench import control_cluster, schedules
 from bench.schedules import Variant
-from figpick._registry import Registry
+from figpick.registry._registry import Registry
 
 OPERATORS = 6
 
--- a/bench/repair.py
+++ b/bench/repair.py
@@ -4,8 +4,8 @@
 
 from bench import control_cluster, schedules
 from bench.schedules import Variant, make_document
-from figpick._consensus_messages import Membership
-from figpick._formation import name_of
+from figpick.consensus._consensus_messages import Membership
+from figpick.consensus._formation import name_of
 
 OPERATORS = 2
 STEP_S = 0.05
--- a/bench/restart.py
+++ b/bench/restart.py
@@ -5,7 +5,7 @@
 from bench import control_cluster, schedules
 from bench.rows import Row
 from bench.schedules import Variant
-from figpick._errors import PeerError
+from figpick.base._errors import PeerError
 
 OPERATORS = 2
 CHANGES = 500
--- a/bench/retries.py
+++ b/bench/retries.py
@@ -12,8 +12,8 @@
 from bench.cluster import Cluster, ServiceSpec
 from bench.forwarder import Forwarders
 from bench.rows import Row
-from figpick._documents import DEFAULT_RETRIES
-from figpick._keys import new_key
+from figpick.claims._keys import new_key
+from figpick.registry._documents import DEFAULT_RETRIES
 
 DEPTHS = (4, 8)
 SERVERS = 2
--- a/bench/schedules.py
+++ b/bench/schedules.py
@@ -14,12 +14,12 @@
 
 from bench.rows import Row
 from bench.simulation import World
-from figpick._consensus import Raft
-from figpick._consensus_messages import Membership
-from figpick._errors import ConflictError
-from figpick._formation import name_of
-from figpick._registry import Registry
-from figpick._replica import Replica
+from figpick.base._errors import ConflictError
+from figpick.consensus._consensus import Raft
+from figpick.consensus._consensus_messages import Membership
+from figpick.consensus._formation import name_of
+from figpick.consensus._replica import Replica
+from figpick.registry._registry import Registry
 
 NAMES = tuple(f"control-{number}" for number in range(1, 6))
 SIZES = (3, 3, 3, 5)
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from figpick._consensus_messages import (
+from figpick.consensus._consensus_messages import (
     NO_SNAPSHOT,
     Append,
     Stored,
@@ -16,10 +16,10 @@
     decode,
     encode,
 )
-from figpick._formation import name_of
-from figpick._registry import Registry
-from figpick._replica import Replica
-from figpick._storage import Storage
+from figpick.consensus._formation import name_of
+from figpick.consensus._replica import Replica
+from figpick.consensus._storage import Storage
+from figpick.registry._registry import Registry
 
 MIN_DELAY_S = 0.0002
 MAX_DELAY_S = 0.005
--- a/src/figpick/api.py
+++ b/src/figpick/api.py
@@ -11,11 +11,12 @@
     :param settings_path: JSON settings file.
     :raises InvalidDocumentError: when the settings have faults.
     """
-    from . import _footprint, _settings
+    from .base import _settings
+    from .roles import _footprint
 
     settings = _settings.load(settings_path)
     _footprint.reduce(settings)
-    from . import _compose
+    from .roles import _compose
 
     _compose.run(settings)
 
@@ -27,7 +28,7 @@
     :return: the checked document.
     :raises InvalidDocumentError: with every fault found.
     """
-    from . import _documents
+    from .registry import _documents
 
     return _documents.load(path)
 
@@ -114,6 +115,6 @@
 
 
 def _operator(address, key):
-    from ._operators import Operator
+    from .operators._operators import Operator
 
     return Operator(address, key)
--- a/src/figpick/_supervisor.py
+++ b/src/figpick/base/_supervisor.py
@@ -43,7 +43,7 @@
     restart limit, its ``run`` raises, and the parent restarts the whole group.
 
     :param name: name for logs and state.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, name, clock):
--- /dev/null
+++ b/src/figpick/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The request path with one hop: plans, attempts and answers."""
--- a/src/figpick/_announcements.py
+++ b/src/figpick/calls/_announcements.py
@@ -4,9 +4,9 @@
 
 from msgspec import Meta
 
-from . import _schema
-from ._errors import InvalidDocumentError
-from ._settings import Address, Name
+from ..base import _schema
+from ..base._errors import InvalidDocumentError
+from ..base._settings import Address, Name
 
 PATH = "/.well-known/figpick/announce"
 LEASE_S = 6.0
--- a/src/figpick/_attempts.py
+++ b/src/figpick/calls/_attempts.py
@@ -6,9 +6,9 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import StreamClosedError
 
+from ..base._errors import CallError
+from ..messaging._connections import PARAMETERS
 from . import _context
-from ._connections import PARAMETERS
-from ._errors import CallError
 from ._headers import closes, content_length
 
 
@@ -28,11 +28,11 @@
 class Attempt(HTTPMessageDelegate):
     """Sends a call on one connection and relays the answer to the caller.
 
-    :param plan: :class:`~figpick._plans.CallPlan`.
-    :param upstream: :class:`~figpick._upstreams.Upstream`.
-    :param connection: :class:`~figpick._connections.Connection`.
-    :param relay: :class:`~figpick._relays.AnswerRelay`.
-    :param silence: :class:`~figpick._silence.SilenceWatch`.
+    :param plan: :class:`~figpick.calls._plans.CallPlan`.
+    :param upstream: :class:`~figpick.routing._upstreams.Upstream`.
+    :param connection: :class:`~figpick.messaging._connections.Connection`.
+    :param relay: :class:`~figpick.calls._relays.AnswerRelay`.
+    :param silence: :class:`~figpick.routing._silence.SilenceWatch`.
     :param dispatch: told by ``suspect(attempt)`` and ``give_up(attempt)`` that the
         connection may be silent.
     """
@@ -73,7 +73,7 @@
         """Sends the request and relays the answer.
 
         :param headers: end-to-end headers of the request.
-        :param body: :class:`~figpick._bodies.RequestBody`.
+        :param body: :class:`~figpick.calls._bodies.RequestBody`.
         :param key: shared key that signs the context.
         :return: :class:`AttemptResult`.
         """
--- a/src/figpick/_bodies.py
+++ b/src/figpick/calls/_bodies.py
@@ -2,7 +2,7 @@
 
 from tornado.concurrent import Future, future_set_result_unless_cancelled
 
-from ._errors import BodyTooLargeError
+from ..base._errors import BodyTooLargeError
 
 # Bodies up to this size are read before the call is sent and can be sent again.
 REPLAY_BYTES = 64 * 1024
--- a/src/figpick/_calls.py
+++ b/src/figpick/calls/_calls.py
@@ -15,11 +15,7 @@
 )
 from tornado.iostream import StreamClosedError
 
-from ._bodies import BODY_METHODS, REPLAY_BYTES, RequestBody
-from ._claim_records import MAX_ANSWER_BYTES
-from ._connections import keep_nodelay
-from ._dispatch import Dispatch
-from ._errors import (
+from ..base._errors import (
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
     AbandonedError,
@@ -28,8 +24,12 @@
     DocumentMissingError,
     MalformedRequestError,
 )
+from ..base._logs import logger
+from ..claims._claim_records import MAX_ANSWER_BYTES
+from ..messaging._connections import keep_nodelay
+from ._bodies import BODY_METHODS, REPLAY_BYTES, RequestBody
+from ._dispatch import Dispatch
 from ._headers import content_length, forwarded_headers
-from ._logs import logger
 from ._plans import KEY_HEADER, Moment
 from ._relays import AnswerRelay
 
@@ -59,7 +59,7 @@
 class CallServer(HTTPServerConnectionDelegate):
     """Gives each request on the call address to a :class:`Call`.
 
-    :param node: :class:`~figpick._node.Node`.
+    :param node: :class:`~figpick.roles._node.Node`.
     """
 
     def __init__(self, node):
@@ -75,7 +75,7 @@
 class Call(HTTPMessageDelegate):
     """One call from its head to its answer.
 
-    :param node: :class:`~figpick._node.Node`.
+    :param node: :class:`~figpick.roles._node.Node`.
     :param caller: connection to the caller.
     """
 
--- a/src/figpick/_cancellations.py
+++ b/src/figpick/calls/_cancellations.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ._errors import PeerError
-from ._logs import logger
+from ..base._errors import PeerError
+from ..base._logs import logger
 
 # Callers that go away often do so together; one message carries all their calls.
 COALESCE_S = 0.005
@@ -15,9 +15,9 @@
 class Cancellations:
     """Sends and receives ``cancel`` messages.
 
-    :param executions: :class:`~figpick._executions.ExecutionTable`.
-    :param client: :class:`~figpick._transport.PeerClient`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param executions: :class:`~figpick.calls._executions.ExecutionTable`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param own_name: name of this node.
     """
 
@@ -32,7 +32,7 @@
     def send(self, member, execution_id):
         """Cancels an execution at the upstream beside a node.
 
-        :param member: :class:`~figpick._members.Member` record of that node.
+        :param member: :class:`~figpick.membership._members.Member` record of that node.
         """
         if member.name == self._own_name:
             self._executions.cancel(execution_id, self._clock.monotonic())
--- a/src/figpick/_dispatch.py
+++ b/src/figpick/calls/_dispatch.py
@@ -4,10 +4,10 @@
 
 from tornado.iostream import StreamClosedError
 
+from ..base._errors import BrokenAnswerError, CallError, NoUpstreamError
+from ..routing._upstream import Result
 from . import _context
 from ._attempts import Attempt
-from ._errors import BrokenAnswerError, CallError, NoUpstreamError
-from ._upstream import Result
 
 MAX_CONNECT_ATTEMPTS = 3
 # A kept connection may have become silent unnoticed. A call that cannot be sent again
@@ -18,11 +18,11 @@
 class Dispatch:
     """The attempts of one call.
 
-    :param node: :class:`~figpick._node.Node`.
-    :param plan: :class:`~figpick._plans.CallPlan`.
+    :param node: :class:`~figpick.roles._node.Node`.
+    :param plan: :class:`~figpick.calls._plans.CallPlan`.
     :param headers: end-to-end headers of the request.
-    :param body: :class:`~figpick._bodies.RequestBody`.
-    :param relay: :class:`~figpick._relays.AnswerRelay`.
+    :param body: :class:`~figpick.calls._bodies.RequestBody`.
+    :param relay: :class:`~figpick.calls._relays.AnswerRelay`.
     :param excluded: names of upstreams that must not be used.
     """
 
@@ -59,7 +59,7 @@
     def suspect(self, attempt):
         """Tries an idempotent call again, because its connection may be silent.
 
-        :param attempt: :class:`~figpick._attempts.Attempt`.
+        :param attempt: :class:`~figpick.calls._attempts.Attempt`.
         """
         running = self._rescue is not None and not self._rescue.done()
         if self._can_repeat() and not running:
@@ -69,7 +69,7 @@
     def give_up(self, attempt):
         """Ends an attempt whose connection is silent.
 
-        :param attempt: :class:`~figpick._attempts.Attempt`.
+        :param attempt: :class:`~figpick.calls._attempts.Attempt`.
         """
         rescuing = self._rescue is not None and not self._rescue.done()
         if self._relay.started or (rescuing and self._rescuer not in self._active):
--- a/src/figpick/_headers.py
+++ b/src/figpick/calls/_headers.py
@@ -2,7 +2,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from ._errors import HeadTooLargeError
+from ..base._errors import HeadTooLargeError
 
 MAX_HEAD_BYTES = 32 * 1024
 HOP_HEADERS = frozenset(
--- a/src/figpick/_plans.py
+++ b/src/figpick/calls/_plans.py
@@ -3,10 +3,10 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+from ..base._errors import BodyTooLargeError, DeadlineError, MalformedRequestError
+from ..registry._documents import Route, Service
 from . import _context
 from ._context import CallContext
-from ._documents import Route, Service
-from ._errors import BodyTooLargeError, DeadlineError, MalformedRequestError
 
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Figpick-Deadline-Ms"
@@ -56,7 +56,7 @@
 def make_plan(service, start_line, headers, parent, home, now):
     """Plans a call.
 
-    :param service: :class:`~figpick._documents.Service`.
+    :param service: :class:`~figpick.registry._documents.Service`.
     :param start_line: request line; the target starts with ``/``.
     :param headers: request headers.
     :param parent: verified :class:`CallContext`, or ``None``.
--- a/src/figpick/_recorder.py
+++ b/src/figpick/calls/_recorder.py
@@ -65,7 +65,7 @@
     def wants(self, plan):
         """Whether the root request of a call is recorded.
 
-        :param plan: :class:`~figpick._plans.CallPlan`.
+        :param plan: :class:`~figpick.calls._plans.CallPlan`.
         """
         return plan.context.hash_step < self._limit
 
@@ -91,9 +91,9 @@
 def make_span(plan, caller, started, ended, sizes, status):
     """Makes the span of a call that has ended.
 
-    :param plan: :class:`~figpick._plans.CallPlan`.
+    :param plan: :class:`~figpick.calls._plans.CallPlan`.
     :param caller: IP address of the caller.
-    :param started: :class:`~figpick._plans.Moment` of the start.
+    :param started: :class:`~figpick.calls._plans.Moment` of the start.
     :param ended: monotonic seconds of the end.
     :param sizes: bytes of the request body and of the answer body.
     :return: :class:`Span`.
--- a/src/figpick/_relays.py
+++ b/src/figpick/calls/_relays.py
@@ -27,7 +27,7 @@
 class AnswerRelay:
     """Passes one answer on to the caller, from one attempt or several in turn.
 
-    :param node: :class:`~figpick._node.Node`.
+    :param node: :class:`~figpick.roles._node.Node`.
     :param caller: connection to the caller.
     :param resumable: whether the request is an idempotent GET for the whole body.
     :param keep_bytes: size up to which the body of the answer is also kept.
@@ -85,7 +85,7 @@
     def begin(self, attempt, start_line, headers):
         """Takes the head of an answer.
 
-        :param attempt: :class:`~figpick._attempts.Attempt`.
+        :param attempt: :class:`~figpick.calls._attempts.Attempt`.
         :return: whether the answer of this attempt is passed on.
         :raises HeadTooLargeError: when the headers exceed their limit.
         """
--- /dev/null
+++ b/src/figpick/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that let a non-idempotent request run at most once."""
--- a/src/figpick/_candidates.py
+++ b/src/figpick/claims/_candidates.py
@@ -1,17 +1,17 @@
 """Follows which nodes can hold claims and proposes rosters from them."""
 
+from ..membership._members import FAILED, LEFT
 from . import _rosters
-from ._members import FAILED, LEFT
 from ._rosters import Candidate
 
 
 class RosterProposer:
     """Proposes rosters from the member view of a control process.
 
-    :param members: :class:`~figpick._members.Members`.
+    :param members: :class:`~figpick.membership._members.Members`.
     :param registry: function that gives the
-        :class:`~figpick._registry.Registry`.
-    :param clock: :class:`~figpick._clock.Clock`.
+        :class:`~figpick.registry._registry.Registry`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, members, registry, clock):
@@ -25,7 +25,7 @@
         """Proposes the rosters that should change.
 
         :param now: monotonic seconds.
-        :return: list of :class:`~figpick._rosters.Roster`.
+        :return: list of :class:`~figpick.claims._rosters.Roster`.
         """
         services = {}
         for member in self._members:
--- a/src/figpick/_claim_copies.py
+++ b/src/figpick/claims/_claim_copies.py
@@ -3,10 +3,10 @@
 import asyncio
 import random
 
+from ..base._errors import PeerError
+from ..base._logs import logger
+from ..calls._plans import Moment
 from ._claims import STALE
-from ._errors import PeerError
-from ._logs import logger
-from ._plans import Moment
 
 PERIOD_S = 0.1
 # Control confirms often enough that a holder survives a long control outage.
@@ -24,9 +24,9 @@
 class ClaimCopies:
     """Copies records from other holders and asks control for rosters.
 
-    :param claims: :class:`~figpick._claiming.Claims`.
-    :param clock: :class:`~figpick._clock.Clock`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param claims: :class:`~figpick.claims._claiming.Claims`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     :param control: peer addresses of the control processes.
     """
 
--- a/src/figpick/_claiming.py
+++ b/src/figpick/claims/_claiming.py
@@ -2,6 +2,17 @@
 
 import asyncio
 
+from ..base._errors import (
+    OUTCOME_NOT_RUN,
+    OUTCOME_RUNNING,
+    OUTCOME_UNKNOWN,
+    DuplicateError,
+    NoClaimQuorumError,
+    NoRosterError,
+    PeerError,
+)
+from ..base._logs import logger
+from ..calls._plans import Moment
 from . import _keys
 from ._claims import (
     BEHIND,
@@ -16,17 +27,6 @@
     Reply,
     decide,
 )
-from ._errors import (
-    OUTCOME_NOT_RUN,
-    OUTCOME_RUNNING,
-    OUTCOME_UNKNOWN,
-    DuplicateError,
-    NoClaimQuorumError,
-    NoRosterError,
-    PeerError,
-)
-from ._logs import logger
-from ._plans import Moment
 from ._rosters import Rosters, group_of, position_of
 
 CLAIM_TIMEOUT_S = 0.2
@@ -42,9 +42,9 @@
 class Claims:
     """Claims calls and answers other nodes as a holder.
 
-    :param clock: :class:`~figpick._clock.Clock`.
-    :param members: :class:`~figpick._members.Members`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
+    :param members: :class:`~figpick.membership._members.Members`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     """
 
     def __init__(self, clock, members, client):
@@ -65,7 +65,7 @@
     def adopt(self, roster, confirmed_at=None):
         """Puts a roster in force unless a newer one is.
 
-        :param roster: :class:`~figpick._rosters.Roster`.
+        :param roster: :class:`~figpick.claims._rosters.Roster`.
         :param confirmed_at: monotonic seconds when control was asked for it, or
             ``None`` when it comes from elsewhere.
         :return: whether it was newer.
@@ -87,7 +87,7 @@
     async def claim(self, plan):
         """Claims a call before it is sent.
 
-        :param plan: :class:`~figpick._plans.CallPlan`.
+        :param plan: :class:`~figpick.calls._plans.CallPlan`.
         :return: stored answer of an earlier execution, or ``None`` when the call
             may be sent.
         :raises DuplicateError: when it is running or may have run.
--- a/src/figpick/cli.py
+++ b/src/figpick/cli.py
@@ -1,5 +1,5 @@
 """Public entry of the command line."""
 
-from ._cli import main
+from .operators._cli import main
 
 __all__ = ["main"]
--- a/src/figpick/configuration/_model.py
+++ b/src/figpick/configuration/_model.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .._errors import Fault
+from ..base._errors import Fault
 
 # A target this far above the time limit of its route is a mistake of units.
 MAX_TARGET_EXCESS_S = 60.0
--- a/src/figpick/configuration/_registry.py
+++ b/src/figpick/configuration/_registry.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .._errors import ConflictError
+from ..base._errors import ConflictError
 
 
 class VersionConflictError(ConflictError):
--- /dev/null
+++ b/src/figpick/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log, its storage and its members."""
--- a/src/figpick/_consensus.py
+++ b/src/figpick/consensus/_consensus.py
@@ -7,6 +7,7 @@
 
 from functools import singledispatchmethod
 
+from ..base._errors import FigpickError, NoQuorumError
 from ._consensus_core import MAX_ELECTION_S, PRE_CANDIDATE
 from ._consensus_messages import (
     COMMAND,
@@ -20,7 +21,6 @@
     VoteReply,
 )
 from ._consensus_replication import Replication
-from ._errors import FigpickError, NoQuorumError
 
 FIRST_TERM = 1
 
@@ -33,7 +33,7 @@
     """One member of the quorum.
 
     :param own_id: identity of this process and its disk.
-    :param stored: :class:`~figpick._consensus_messages.Stored`.
+    :param stored: :class:`~figpick.consensus._consensus_messages.Stored`.
     :param random: source of random numbers, such as ``random.Random``.
     :param now: monotonic seconds.
     """
--- a/src/figpick/_consensus_core.py
+++ b/src/figpick/consensus/_consensus_core.py
@@ -39,7 +39,7 @@
     """State of one member of the quorum.
 
     :param own_id: identity of this process and its disk.
-    :param stored: :class:`~figpick._consensus_messages.Stored`.
+    :param stored: :class:`~figpick.consensus._consensus_messages.Stored`.
     :param random: source of random numbers, such as ``random.Random``.
     :param now: monotonic seconds.
     """
@@ -97,7 +97,7 @@
 
     @property
     def log(self):
-        """:class:`~figpick._consensus_log.Log`, for reading only."""
+        """:class:`~figpick.consensus._consensus_log.Log`, for reading only."""
         return self._log
 
     @property
--- a/src/figpick/_consensus_log.py
+++ b/src/figpick/consensus/_consensus_log.py
@@ -6,7 +6,7 @@
 class Log:
     """Entries after a snapshot.
 
-    :param snapshot: :class:`~figpick._consensus_messages.Snapshot`.
+    :param snapshot: :class:`~figpick.consensus._consensus_messages.Snapshot`.
     :param entries: the entries that follow it.
     """
 
--- a/src/figpick/_consensus_messages.py
+++ b/src/figpick/consensus/_consensus_messages.py
@@ -3,7 +3,7 @@
 from base64 import b64decode, b64encode
 from typing import NamedTuple
 
-from ._errors import PeerError
+from ..base._errors import PeerError
 
 # Raised when a release adds a field or message that its peers must know of.
 PROTOCOL_VERSION = 1
--- a/src/figpick/_consensus_replication.py
+++ b/src/figpick/consensus/_consensus_replication.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..base._errors import FigpickError
 from ._consensus_core import FOLLOWER
 from ._consensus_elections import Elections
 from ._consensus_messages import (
@@ -11,7 +12,6 @@
     InstallReply,
     Snapshot,
 )
-from ._errors import FigpickError
 
 HEARTBEAT_S = 0.15
 # Entries that are not answered are sent again after this time, and parts of a
--- a/src/figpick/_quorum.py
+++ b/src/figpick/consensus/_quorum.py
@@ -4,6 +4,10 @@
 import random
 from collections import Counter
 
+from ..base._errors import PeerError
+from ..base._files import Files
+from ..base._logs import logger
+from ..registry._registry import Registry
 from ._consensus_messages import (
     KINDS,
     MEMBERS,
@@ -15,11 +19,7 @@
     decode,
     encode,
 )
-from ._errors import PeerError
-from ._files import Files
 from ._formation import Formation, new_identity
-from ._logs import logger
-from ._registry import Registry
 from ._replica import Replica
 from ._storage import Storage
 
@@ -36,9 +36,9 @@
 class Quorum:
     """This process as a member of the quorum.
 
-    :param settings: :class:`~figpick._settings.Settings`.
-    :param clock: :class:`~figpick._clock.Clock`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param settings: :class:`~figpick.base._settings.Settings`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     """
 
     def __init__(self, settings, clock, client):
@@ -54,7 +54,7 @@
 
     @property
     def replica(self):
-        """:class:`~figpick._replica.Replica`, once started."""
+        """:class:`~figpick.consensus._replica.Replica`, once started."""
         return self._replica
 
     @property
@@ -174,7 +174,7 @@
     async def change_members(self, members):
         """Changes the membership by one step and waits until it is committed.
 
-        :param members: :class:`~figpick._consensus_messages.Membership`.
+        :param members: :class:`~figpick.consensus._consensus_messages.Membership`.
         """
         await self._request(self._replica.change_members, members)
 
--- a/src/figpick/_replica.py
+++ b/src/figpick/consensus/_replica.py
@@ -6,12 +6,12 @@
 
 from collections import deque
 
+from ..base._errors import FigpickError, NoQuorumError
+from ..base._logs import logger
+from ..registry._registry import UnknownCommandError
+from ..registry._registry_commands import put_command
 from ._consensus import Raft
 from ._consensus_messages import COMMAND, MEMBERS, NOOP, Snapshot
-from ._errors import FigpickError, NoQuorumError
-from ._logs import logger
-from ._registry import UnknownCommandError
-from ._registry_commands import put_command
 
 # The log is replaced by a snapshot after this many entries or bytes.
 COMPACT_ENTRIES = 1000
@@ -28,9 +28,9 @@
 class Replica:
     """Applies the log of the quorum to a registry.
 
-    :param storage: loaded :class:`~figpick._storage.Storage`.
-    :param stored: :class:`~figpick._consensus_messages.Stored` from it.
-    :param registry: empty :class:`~figpick._registry.Registry`.
+    :param storage: loaded :class:`~figpick.consensus._storage.Storage`.
+    :param stored: :class:`~figpick.consensus._consensus_messages.Stored` from it.
+    :param registry: empty :class:`~figpick.registry._registry.Registry`.
     :param random: source of random numbers.
     :param now: monotonic seconds.
     """
@@ -61,7 +61,7 @@
 
     @property
     def raft(self):
-        """:class:`~figpick._consensus.Raft`, for reading only."""
+        """:class:`~figpick.consensus._consensus.Raft`, for reading only."""
         return self._raft
 
     @property
@@ -115,7 +115,7 @@
     def form(self, members, now):
         """Starts a new quorum of which this process is a first member.
 
-        :param members: :class:`~figpick._consensus_messages.Membership`.
+        :param members: :class:`~figpick.consensus._consensus_messages.Membership`.
         """
         if self._failure is None:
             self._raft.form(members)
@@ -171,7 +171,7 @@
     def change_members(self, members, done, now):
         """Changes the membership by one step.
 
-        :param members: :class:`~figpick._consensus_messages.Membership`.
+        :param members: :class:`~figpick.consensus._consensus_messages.Membership`.
         :param done: called once the change is committed.
         """
         try:
--- a/src/figpick/_storage.py
+++ b/src/figpick/consensus/_storage.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ..base._errors import StorageError
 from ._consensus_messages import (
     NO_SNAPSHOT,
     Entry,
@@ -19,7 +20,6 @@
     Stored,
     VoteState,
 )
-from ._errors import StorageError
 
 LOG = "log"
 SNAPSHOT = "snapshot"
@@ -45,7 +45,7 @@
 class Storage:
     """Keeps the log, the vote and the snapshot of a process.
 
-    :param files: :class:`~figpick._files.Files`.
+    :param files: :class:`~figpick.base._files.Files`.
     :raises StorageError: when the folder is in use by another process.
     """
 
@@ -69,8 +69,8 @@
     def load(self):
         """Reads the durable state.
 
-        :return: :class:`~figpick._consensus_messages.Stored`, or ``None`` when
-            the folder is new.
+        :return: :class:`~figpick.consensus._consensus_messages.Stored`, or ``None``
+            when the folder is new.
         :raises StorageError: when a file is damaged.
         """
         snapshot = self._load_snapshot()
@@ -102,7 +102,7 @@
     def write(self, output):
         """Writes and syncs the records of an output.
 
-        :param output: :class:`~figpick._consensus_core.Output`.
+        :param output: :class:`~figpick.consensus._consensus_core.Output`.
         :raises StorageError: when a write or sync fails; what is on the disk is
             then unknown and nothing more may be written.
         """
--- a/src/figpick/control/_member.py
+++ b/src/figpick/control/_member.py
@@ -3,7 +3,11 @@
 import asyncio
 import random
 
-from .._consensus_messages import (
+from ..base._errors import FigpickError, NoQuorumError, StorageError
+from ..base._files import Files
+from ..base._logs import logger
+from ..configuration import ConfigurationRegistry
+from ..consensus._consensus_messages import (
     KINDS,
     MEMBERS,
     NO_SNAPSHOT,
@@ -14,13 +18,9 @@
     decode,
     encode,
 )
-from .._errors import FigpickError, NoQuorumError, StorageError
-from .._files import Files
-from .._formation import Formation, new_identity
-from .._logs import logger
-from .._replica import Replica
-from .._storage import Storage
-from ..configuration import ConfigurationRegistry
+from ..consensus._formation import Formation, new_identity
+from ..consensus._replica import Replica
+from ..consensus._storage import Storage
 from ._messages import IDENTIFY, QUORUM
 
 FORM_PERIOD_S = 0.1
@@ -41,7 +41,7 @@
     """This process as a member of the quorum.
 
     :param settings: :class:`~figpick.control.ControlSettings`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param send: called with an address as ``ip:port`` and a message.
     :param on_applied: called after entries may have been applied.
     """
@@ -63,7 +63,7 @@
 
     @property
     def replica(self):
-        """:class:`~figpick._replica.Replica`, ``None`` until the disk is readable."""
+        """The replica, ``None`` until the disk is readable."""
         return self._replica
 
     @property
--- a/src/figpick/control/_messages.py
+++ b/src/figpick/control/_messages.py
@@ -11,7 +11,7 @@
 * ``configuration``: its revision and its compressed document.
 * ``crash``: instance of an upstream that crashed, fingerprints of what it ran.
 * ``identify``: asks another control process who it is.
-* ``identity``: a dict; see :meth:`~figpick._formation.Formation.learn`.
+* ``identity``: a dict; see :meth:`~figpick.consensus._formation.Formation.learn`.
 * ``quorum``: kind and fields of a message of the replicated log.
 * ``ask``: number, kind and value of a request to the leader.
 * ``told``: number, error name or empty, and value of its answer.
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 
-from .._errors import ConflictError, FigpickError, NoQuorumError
-from .._logs import logger
-from .._supervisor import Supervisor
+from ..base._errors import ConflictError, FigpickError, NoQuorumError
+from ..base._logs import logger
+from ..base._supervisor import Supervisor
 from ..configuration import ChangeSet, VersionConflictError
 from ..directory import CONTROL, LEFT, Announcer, Directory, HostRecord
 from ..links import Dialer, Link, listen
@@ -37,7 +37,7 @@
     """One control process.
 
     :param settings: :class:`~figpick.control.ControlSettings`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, settings, clock):
--- a/src/figpick/control/_repair.py
+++ b/src/figpick/control/_repair.py
@@ -5,8 +5,8 @@
 replaces the old one at once, since that can never return.
 """
 
-from .._consensus_messages import Membership
-from .._formation import name_of
+from ..consensus._consensus_messages import Membership
+from ..consensus._formation import name_of
 
 # A member that is silent for this long is replaced when enough others are there. A
 # partition of some seconds must not cost a copy of the log.
@@ -20,7 +20,7 @@
 def next_members(members, own_id, candidates, progress, last_index, now):
     """Gives the next change of membership.
 
-    :param members: :class:`~figpick._consensus_messages.Membership` in force.
+    :param members: :class:`~figpick.consensus._consensus_messages.Membership` in force.
     :param own_id: identity of the leader, which decides.
     :param candidates: dict of identity to address of the control processes that
         announce themselves.
--- a/src/figpick/directory/_records.py
+++ b/src/figpick/directory/_records.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .._errors import PeerError
+from ..base._errors import PeerError
 
 NODE = "node"
 CONTROL = "control"
--- a/src/figpick/documents.py
+++ b/src/figpick/documents.py
@@ -1,6 +1,6 @@
 """Public access to service documents."""
 
-from ._documents import (
+from .registry._documents import (
     LimitsDocument,
     RouteDocument,
     ServiceDocument,
--- a/src/figpick/exceptions.py
+++ b/src/figpick/exceptions.py
@@ -1,6 +1,6 @@
 """Public errors of figpick."""
 
-from ._errors import (
+from .base._errors import (
     AuthenticationError,
     CallError,
     ConflictError,
--- a/src/figpick/links/_frames.py
+++ b/src/figpick/links/_frames.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from .._errors import PeerError
+from ..base._errors import PeerError
 
 LENGTH_BYTES = 4
 # Bodies are cut into parts of 64 KiB; a compressed configuration is larger.
--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .._logs import logger
+from ..base._logs import logger
 from ._frames import FrameError, FrameReader, encode_frame
 
 CONNECT_TIMEOUT_S = 1.0
@@ -26,7 +26,7 @@
 
     :param on_message: called with the link and the message.
     :param on_closed: called with the link once, after an established link ended.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, on_message, on_closed, clock):
@@ -120,7 +120,7 @@
     :param address: tuple of IP address and port.
     :param make_link: function that gives a new :class:`Link`.
     :param on_open: called with the link once it is connected.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, address, make_link, on_open, clock):
--- /dev/null
+++ b/src/figpick/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Member records, gossip and the fetching of documents."""
--- a/src/figpick/_digests.py
+++ b/src/figpick/membership/_digests.py
@@ -35,7 +35,7 @@
     def update(self, member):
         """Takes a changed record.
 
-        :param member: :class:`~figpick._members.Member`.
+        :param member: :class:`~figpick.membership._members.Member`.
         """
         change = self._hashes.pop(member.name, 0)
         if member.state not in ENDED:
--- a/src/figpick/_dissemination.py
+++ b/src/figpick/membership/_dissemination.py
@@ -4,11 +4,11 @@
 import random
 from collections import Counter
 
+from ..base._errors import PeerError
+from ..base._logs import logger
 from . import _members
-from ._errors import PeerError
 from ._events import Event
 from ._headlines import Headline
-from ._logs import logger
 
 FORWARD_DELAY_S = 0.02
 # Forwarding once to three peers misses 6% of the processes, and some of these
@@ -27,12 +27,12 @@
 class Dissemination:
     """Exchanges views each second and forwards news at once.
 
-    :param members: :class:`~figpick._members.Members`.
-    :param gossip: :class:`~figpick._gossip.Gossip`.
-    :param headlines: :class:`~figpick._headlines.Headlines`.
-    :param events: :class:`~figpick._events.EventStore`.
-    :param client: :class:`~figpick._transport.PeerClient`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param members: :class:`~figpick.membership._members.Members`.
+    :param gossip: :class:`~figpick.membership._gossip.Gossip`.
+    :param headlines: :class:`~figpick.membership._headlines.Headlines`.
+    :param events: :class:`~figpick.membership._events.EventStore`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, members, gossip, headlines, events, client, clock):
--- a/src/figpick/_fetching.py
+++ b/src/figpick/membership/_fetching.py
@@ -2,9 +2,14 @@
 
 import asyncio
 
-from ._errors import DocumentMissingError, FigpickError, PeerError, PeerRefusedError
+from ..base._errors import (
+    DocumentMissingError,
+    FigpickError,
+    PeerError,
+    PeerRefusedError,
+)
+from ..base._logs import logger
 from ._headlines import Headline
-from ._logs import logger
 
 CONFIRM_S = 1.0
 CONFIRM_PAUSE_S = 0.1
@@ -21,10 +26,10 @@
 class DocumentFetcher:
     """Keeps the documents of the services that this node calls or serves.
 
-    :param node: :class:`~figpick._node.Node`.
-    :param members: :class:`~figpick._members.Members`.
-    :param headlines: :class:`~figpick._headlines.Headlines`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param node: :class:`~figpick.roles._node.Node`.
+    :param members: :class:`~figpick.membership._members.Members`.
+    :param headlines: :class:`~figpick.membership._headlines.Headlines`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     :param control: peer addresses of the control processes.
     :param seeds: peer addresses to ask while no other member is known.
     :param services: services whose documents are needed from the start.
@@ -280,7 +285,7 @@
 class ControlDocuments:
     """Serves the documents of a control process.
 
-    :param control: :class:`~figpick._control.Control`.
+    :param control: :class:`~figpick.roles._control.Control`.
     """
 
     def __init__(self, control):
--- a/src/figpick/_gossip.py
+++ b/src/figpick/membership/_gossip.py
@@ -53,7 +53,7 @@
     """What a message changed.
 
     :param services: services with a newer document or roster.
-    :param events: new :class:`~figpick._events.Event` s.
+    :param events: new :class:`~figpick.membership._events.Event` s.
     """
 
     services: list
@@ -63,9 +63,9 @@
 class Gossip:
     """Compares the view of this process with those of others.
 
-    :param members: :class:`~figpick._members.Members`.
-    :param headlines: :class:`~figpick._headlines.Headlines`.
-    :param events: :class:`~figpick._events.EventStore`.
+    :param members: :class:`~figpick.membership._members.Members`.
+    :param headlines: :class:`~figpick.membership._headlines.Headlines`.
+    :param events: :class:`~figpick.membership._events.EventStore`.
     :param seeds: peer addresses to contact when no other member is known.
     :param random: source of random choices, such as ``random.Random``.
     """
--- a/src/figpick/_probing.py
+++ b/src/figpick/membership/_probing.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from ._errors import PeerError, PeerRefusedError
-from ._logs import logger
+from ..base._errors import PeerError, PeerRefusedError
+from ..base._logs import logger
 from ._members import ENDED
 
 HELPERS = 2
@@ -17,9 +17,9 @@
 class Prober:
     """Suspects members that answer neither this process nor two others.
 
-    :param members: :class:`~figpick._members.Members`.
-    :param client: :class:`~figpick._transport.PeerClient`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param members: :class:`~figpick.membership._members.Members`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param random: source of random choices.
     :param on_suspect: called with the name of each new suspect.
     """
--- /dev/null
+++ b/src/figpick/messaging/__init__.py
@@ -0,0 +1,1 @@
+"""Signed messages between processes over HTTP."""
--- a/src/figpick/_auth.py
+++ b/src/figpick/messaging/_auth.py
@@ -4,7 +4,7 @@
 from hashlib import sha256
 from hmac import compare_digest
 
-from ._errors import AuthenticationError
+from ..base._errors import AuthenticationError
 
 HEADER = "Figpick-Auth"
 WINDOW_S = 30.0
--- a/src/figpick/_connections.py
+++ b/src/figpick/messaging/_connections.py
@@ -9,7 +9,7 @@
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.iostream import IOStream, StreamClosedError
 
-from ._settings import split_address
+from ..base._settings import split_address
 
 CONNECT_TIMEOUT_S = 1.0
 # Devices between two hosts commonly forget connections that stay idle longer.
--- a/src/figpick/_transport.py
+++ b/src/figpick/messaging/_transport.py
@@ -15,9 +15,7 @@
 )
 from tornado.iostream import StreamClosedError
 
-from . import _auth
-from ._connections import PARAMETERS, ConnectionPool
-from ._errors import (
+from ..base._errors import (
     AuthenticationError,
     ConflictError,
     FigpickError,
@@ -26,8 +24,10 @@
     PeerRefusedError,
     PeerUnreachableError,
 )
-from ._logs import logger
-from ._settings import split_address
+from ..base._logs import logger
+from ..base._settings import split_address
+from . import _auth
+from ._connections import PARAMETERS, ConnectionPool
 
 PATH_PREFIX = "/peer/"
 DEFAULT_TIMEOUT_S = 1.0
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -1,7 +1,7 @@
 """Links of a node to the control processes: records, configurations, crashes."""
 
-from .._errors import PeerError
-from .._logs import logger
+from ..base._errors import PeerError
+from ..base._logs import logger
 from ..control._messages import (
     CONFIGURATION,
     CRASH,
@@ -23,7 +23,7 @@
     :param settings: :class:`~figpick.nodes.NodeSettings`.
     :param token: random number of this start.
     :param announcer: :class:`~figpick.directory.Announcer` of the own record.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param handlers: gets ``on_record(record)``, ``on_configuration(revision,
         document)`` and ``on_crash_report(instance, fingerprints)``.
     """
--- a/src/figpick/nodes/_counters.py
+++ b/src/figpick/nodes/_counters.py
@@ -8,7 +8,7 @@
 class CallCounters:
     """Numbers of calls by route and outcome.
 
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, clock):
--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 
-from .._logs import logger
+from ..base._logs import logger
 from ..configuration import Limits
 from ..wire import RequestReader, render_simple
 
@@ -239,7 +239,7 @@
     """Takes the connections of clients and of the own upstream.
 
     :param forwarder: :class:`~figpick.nodes._forwarding.Forwarder`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, forwarder, clock):
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -3,8 +3,8 @@
 import asyncio
 import random
 
-from .._logs import logger
 from ..admission import EntryThrottle, RetryBudget
+from ..base._logs import logger
 from ..configuration import RoutingTable
 from ..placing import Load, SplitCounter, choose
 from ..wire import render_request
@@ -65,7 +65,7 @@
     """The calls that this node took.
 
     :param settings: :class:`~figpick.nodes.NodeSettings`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param owner: :class:`~figpick.nodes._owner.Owner` of the own upstream.
     :param counters: :class:`~figpick.nodes._counters.CallCounters`.
     """
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -8,8 +8,8 @@
 from bisect import bisect_left, insort
 from hashlib import blake2b
 
-from .._logs import logger
 from ..admission import AdmissionQueue, Refusal, Ticket
+from ..base._logs import logger
 from ..directory import UpstreamView
 from ..wire import render_answer
 from ._messages import (
@@ -144,7 +144,7 @@
     """Runs calls at one upstream.
 
     :param settings: :class:`~figpick.nodes.NodeSettings`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param judge: :class:`~figpick.admission.CrashJudge`.
     :param on_changed: called when the state of the upstream changes.
     :param on_crash: called with the instance and the fingerprints that ran.
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .._logs import logger
+from ..base._logs import logger
 from ..links import Dialer, Link
 from ..placing import Load, Target
 from ._messages import ATTACH, HELLO, LOAD
@@ -73,7 +73,7 @@
     :param settings: :class:`~figpick.nodes.NodeSettings`.
     :param token: random number of this start.
     :param directory: :class:`~figpick.directory.Directory`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param on_message: called with the peer and each message.
     :param on_lost: called with the peer and the attempts whose outcome is unknown.
     :param on_usable: called with the service when a peer can take calls.
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -3,10 +3,10 @@
 import asyncio
 import random
 
-from .._errors import FigpickError, InvalidDocumentError
-from .._logs import logger
-from .._supervisor import Supervisor
 from ..admission import CrashJudge
+from ..base._errors import FigpickError, InvalidDocumentError
+from ..base._logs import logger
+from ..base._supervisor import Supervisor
 from ..directory import LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Link, listen
 from ._control_links import ControlLinks
@@ -33,7 +33,7 @@
     """One node.
 
     :param settings: :class:`~figpick.nodes.NodeSettings`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param decode: function from a compressed document to a
         :class:`~figpick.configuration.Configuration`.
     """
--- /dev/null
+++ b/src/figpick/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The command line and the requests of operators."""
--- a/src/figpick/_cli.py
+++ b/src/figpick/operators/_cli.py
@@ -43,7 +43,7 @@
 import msgspec
 from docopt import docopt
 
-from ._errors import (
+from ..base._errors import (
     FigpickError,
     InvalidDocumentError,
     PeerRefusedError,
@@ -111,18 +111,20 @@
 
 
 def _run_process(path):
-    from . import _footprint, _settings
+    from ..base import _settings
+    from ..roles import _footprint
 
     settings = _settings.load(path)
     _footprint.reduce(settings)
-    from . import _compose, _logs
+    from ..base import _logs
+    from ..roles import _compose
 
     _logs.start(settings.get("log_level", "info"), settings["name"])
     _compose.run(settings)
 
 
 def _load_document(arguments):
-    from . import _documents
+    from ..registry import _documents
 
     return _documents.load(arguments["FILE"])
 
--- a/src/figpick/_operators.py
+++ b/src/figpick/operators/_operators.py
@@ -3,10 +3,10 @@
 import asyncio
 import uuid
 
-from ._auth import Authenticator
-from ._clock import Clock
-from ._errors import PeerRefusedError, PeerUnreachableError
-from ._transport import PeerClient
+from ..base._clock import Clock
+from ..base._errors import PeerRefusedError, PeerUnreachableError
+from ..messaging._auth import Authenticator
+from ..messaging._transport import PeerClient
 
 TIMEOUT_S = 10.0
 # A new control process first receives the whole log.
--- /dev/null
+++ b/src/figpick/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits, levels and limits at the owner of an upstream."""
--- a/src/figpick/_exchange.py
+++ b/src/figpick/permits/_exchange.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
+from ..base._errors import PeerError
+from ..base._logs import logger
 from ._division import IMPORTANCES, Demand, highest
-from ._errors import PeerError
 from ._levels import PERIOD_S as LEVEL_PERIOD_S
-from ._logs import logger
 from ._owner import UpstreamOwner
 from ._permits import Grant
 
@@ -55,9 +55,9 @@
 class PermitExchange:
     """Owns the permits of the local upstream and renews those at others.
 
-    :param members: :class:`~figpick._members.Members`.
-    :param client: :class:`~figpick._transport.PeerClient`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param members: :class:`~figpick.membership._members.Members`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, members, client, clock):
@@ -84,7 +84,7 @@
         """Starts the exchanges that are due and updates the level; each 100 ms.
 
         :param upstream_sets: dict from service to
-            :class:`~figpick._upstreams.UpstreamSet`.
+            :class:`~figpick.routing._upstreams.UpstreamSet`.
         """
         now = self._clock.monotonic()
         self._sets = upstream_sets
@@ -100,7 +100,7 @@
     def ask(self, upstreams):
         """Asks for permits at once, because calls wait for them.
 
-        :param upstreams: :class:`~figpick._upstreams.UpstreamSet`.
+        :param upstreams: :class:`~figpick.routing._upstreams.UpstreamSet`.
         """
         for upstream in upstreams.used:
             demand = upstreams.demand(upstream)
@@ -115,7 +115,7 @@
     def give_back(self, upstreams, upstream):
         """Tells an owner at once of permits that are no longer used.
 
-        :param upstreams: :class:`~figpick._upstreams.UpstreamSet`.
+        :param upstreams: :class:`~figpick.routing._upstreams.UpstreamSet`.
         """
         permits = upstream.permits
         line = self._line(upstream)
--- a/src/figpick/_observations.py
+++ b/src/figpick/permits/_observations.py
@@ -76,7 +76,7 @@
     def start(self, plan, wait_s, now):
         """Notes a call that got a permit.
 
-        :param plan: :class:`~figpick._plans.CallPlan`.
+        :param plan: :class:`~figpick.calls._plans.CallPlan`.
         :param wait_s: seconds that it waited for the permit.
         :param now: monotonic seconds.
         """
@@ -95,7 +95,7 @@
     def end(self, plan, result, now):
         """Notes the end of a call.
 
-        :param result: :class:`~figpick._upstream.Result`.
+        :param result: :class:`~figpick.routing._upstream.Result`.
         :param now: monotonic seconds.
         """
         flights = self._flights[plan.context.execution_id]
@@ -123,7 +123,7 @@
 
         :param upstreams: number of upstreams among which the load is divided.
         :param now: monotonic seconds.
-        :return: :class:`~figpick._levels.Report`.
+        :return: :class:`~figpick.permits._levels.Report`.
         """
         counts = self._offered.counts
         offered = tuple(
--- a/src/figpick/_owner.py
+++ b/src/figpick/permits/_owner.py
@@ -49,7 +49,7 @@
     def restrict(self, limits):
         """Takes the limits of the document of the service.
 
-        :param limits: :class:`~figpick._documents.Limits`.
+        :param limits: :class:`~figpick.registry._documents.Limits`.
         """
         self._slots_limit = limits.slots
         self._connections_limit = limits.connections
@@ -77,7 +77,7 @@
     def acknowledge(self, caller, usage, now):
         """Takes the answer of a calling node to a push.
 
-        :param usage: encoded :class:`~figpick._permits.Usage`.
+        :param usage: encoded :class:`~figpick.permits._permits.Usage`.
         :param now: monotonic seconds.
         """
         self.pool.acknowledge(caller, decode_usage(usage), now)
@@ -175,6 +175,6 @@
 
 
 def decode_usage(fields):
-    """Decodes a :class:`~figpick._permits.Usage` from its JSON form."""
+    """Decodes a :class:`~figpick.permits._permits.Usage` from its JSON form."""
     *numbers, demand = fields
     return Usage(*numbers, Demand(tuple(demand[0]), demand[1], tuple(demand[2])))
--- /dev/null
+++ b/src/figpick/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Service documents and the answers to their changes."""
--- a/src/figpick/_documents.py
+++ b/src/figpick/registry/_documents.py
@@ -10,9 +10,9 @@
 
 from msgspec import Meta
 
-from . import _schema
-from ._errors import Fault, InvalidDocumentError
-from ._settings import Name
+from ..base import _schema
+from ..base._errors import Fault, InvalidDocumentError
+from ..base._settings import Name
 
 DEFAULT_DEADLINE_MS = 10_000
 DEFAULT_ATTEMPTS = 2
--- a/src/figpick/_registry.py
+++ b/src/figpick/registry/_registry.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from ..base._errors import ConflictError, FigpickError
 from . import _documents
 from ._answers import Answers
-from ._errors import ConflictError, FigpickError
 from ._registry_commands import PUT, ROSTER, check_roster, check_size, parse_change
 
 # Older records of a service are dropped; answers to changes are kept for good.
@@ -47,7 +47,7 @@
         """Gives the current entry of a service, or ``None``.
 
         :return: dict with ``document``, ``version`` and ``roster``, which is
-            ``None`` or a :class:`~figpick._rosters.Roster`.
+            ``None`` or a :class:`~figpick.claims._rosters.Roster`.
         """
         entry = self._documents.get(service)
         if entry is None:
--- a/src/figpick/_registry_commands.py
+++ b/src/figpick/registry/_registry_commands.py
@@ -5,9 +5,9 @@
 import msgspec
 from msgspec import Meta
 
-from . import _schema
-from ._errors import Fault, InvalidDocumentError
-from ._rosters import Roster
+from ..base import _schema
+from ..base._errors import Fault, InvalidDocumentError
+from ..claims._rosters import Roster
 
 PUT = "put"
 ROSTER = "roster"
@@ -54,7 +54,7 @@
 def check_roster(command):
     """Checks the fields of a roster.
 
-    :return: :class:`~figpick._rosters.Roster`.
+    :return: :class:`~figpick.claims._rosters.Roster`.
     :raises InvalidDocumentError: with the first fault found.
     """
     return _convert(command, Roster, "roster")
@@ -73,7 +73,7 @@
 def roster_command(proposal):
     """Makes the command of a roster proposal.
 
-    :param proposal: :class:`~figpick._rosters.Roster`.
+    :param proposal: :class:`~figpick.claims._rosters.Roster`.
     """
     return {"command": ROSTER, **check_roster(proposal)}
 
--- /dev/null
+++ b/src/figpick/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on retries, and quarantine of requests that crash upstreams."""
--- a/src/figpick/_quarantining.py
+++ b/src/figpick/retries/_quarantining.py
@@ -5,15 +5,15 @@
 
 from tornado.iostream import StreamClosedError
 
-from . import _context, _plans
-from ._errors import (
+from ..base._errors import (
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
     OverloadedError,
     PeerError,
     QuarantinedError,
 )
-from ._logs import logger
+from ..base._logs import logger
+from ..calls import _context, _plans
 from ._quarantine import Event, Quarantine, SuspectSlot
 
 KIND = "quarantine"
@@ -38,9 +38,9 @@
 class Suspicion:
     """Finds crashes and keeps the quarantine of a node.
 
-    :param clock: :class:`~figpick._clock.Clock`.
-    :param members: :class:`~figpick._members.Members`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
+    :param members: :class:`~figpick.membership._members.Members`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     """
 
     def __init__(self, clock, members, client):
@@ -57,7 +57,7 @@
     def check(self, plan, body, now):
         """Refuses a quarantined request.
 
-        :param body: :class:`~figpick._bodies.RequestBody`.
+        :param body: :class:`~figpick.calls._bodies.RequestBody`.
         :param now: monotonic seconds.
         :raises QuarantinedError: when it is quarantined.
         """
--- a/src/figpick/_retrying.py
+++ b/src/figpick/retries/_retrying.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from ._errors import (
+from ..base._errors import (
     DuplicateError,
     PeerError,
     RetryBoundError,
@@ -30,8 +30,8 @@
     """Decides on retries at a calling node and at the home of a root request.
 
     :param address: peer address of this node.
-    :param clock: :class:`~figpick._clock.Clock`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     """
 
     def __init__(self, address, clock, client):
@@ -47,7 +47,7 @@
     def open(self, plan):
         """Opens the account of a root request.
 
-        :param plan: :class:`~figpick._plans.CallPlan` of a root request.
+        :param plan: :class:`~figpick.calls._plans.CallPlan` of a root request.
         :return: the plan; a keyed resend gets the root id of the first attempt.
         """
         grants = max(0, plan.service.limits.retries - (plan.attempt - 1))
@@ -64,7 +64,7 @@
     def repeats(self, plan, body):
         """Whether an earlier attempt of a call may have run.
 
-        :param body: :class:`~figpick._bodies.RequestBody`.
+        :param body: :class:`~figpick.calls._bodies.RequestBody`.
         """
         if plan.resend or plan.attempt > 1:
             return True
@@ -74,7 +74,7 @@
     async def admit(self, plan, body):
         """Counts a call, and asks for a grant when it repeats an earlier one.
 
-        :param body: :class:`~figpick._bodies.RequestBody`.
+        :param body: :class:`~figpick.calls._bodies.RequestBody`.
         :return: names of upstreams that must not be used.
         :raises DuplicateError: when an identical non-idempotent call of the same
             execution may have run.
--- /dev/null
+++ b/src/figpick/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The roles of a process and how their parts are wired."""
--- a/src/figpick/_compose.py
+++ b/src/figpick/roles/_compose.py
@@ -8,26 +8,26 @@
 import sys
 from functools import partial
 
+from ..base._clock import Clock
+from ..base._errors import FigpickError
+from ..base._logs import logger
+from ..base._supervisor import Supervisor
+from ..calls._recorder import PERIOD_S as RECORD_PERIOD_S, Recorder
+from ..claims._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
+from ..membership._dissemination import Dissemination
+from ..membership._events import EventStore
+from ..membership._fetching import ControlDocuments, DocumentFetcher
+from ..membership._gossip import PERIOD_S as GOSSIP_PERIOD_S, Gossip
+from ..membership._headlines import Headlines
+from ..membership._members import LEFT, Member, Members
+from ..membership._probing import Prober
+from ..messaging._auth import Authenticator
+from ..messaging._transport import PeerClient, PeerServer
+from ..permits._exchange import PERIOD_S as EXCHANGE_PERIOD_S
+from ..retries._quarantining import KIND as QUARANTINE_KIND
 from . import _shutdown
-from ._auth import Authenticator
-from ._claim_copies import PERIOD_S as CLAIM_COPY_PERIOD_S, ClaimCopies
-from ._clock import Clock
-from ._dissemination import Dissemination
-from ._errors import FigpickError
-from ._events import EventStore
-from ._exchange import PERIOD_S as EXCHANGE_PERIOD_S
-from ._fetching import ControlDocuments, DocumentFetcher
-from ._gossip import PERIOD_S as GOSSIP_PERIOD_S, Gossip
-from ._headlines import Headlines
-from ._logs import logger
-from ._members import LEFT, Member, Members
 from ._node import Node
-from ._probing import Prober
-from ._quarantining import KIND as QUARANTINE_KIND
-from ._recorder import PERIOD_S as RECORD_PERIOD_S, Recorder
 from ._state import StateDump
-from ._supervisor import Supervisor
-from ._transport import PeerClient, PeerServer
 
 EXIT_FAILED = 1
 # The default first threshold of 700 starts several collections for each request.
@@ -39,7 +39,7 @@
 class Process:
     """One figpick process with its roles.
 
-    :param settings: :class:`~figpick._settings.Settings`.
+    :param settings: :class:`~figpick.base._settings.Settings`.
     """
 
     def __init__(self, settings):
@@ -176,7 +176,7 @@
 
     def _add_control(self):
         # A node does not load the modules of the replicated log.
-        from ._candidates import RosterProposer
+        from ..claims._candidates import RosterProposer
         from ._control import Control
 
         self._control = Control(self._settings, self.clock, self._client)
@@ -356,7 +356,7 @@
 
     The process exits with 1 when a part of it fails too often.
 
-    :param settings: :class:`~figpick._settings.Settings`.
+    :param settings: :class:`~figpick.base._settings.Settings`.
     """
     with asyncio.Runner(loop_factory=_loop_factory()) as runner:
         try:
--- a/src/figpick/_control.py
+++ b/src/figpick/roles/_control.py
@@ -3,17 +3,17 @@
 import asyncio
 from functools import partial
 
-from ._control_members import MembershipChanges
-from ._errors import (
+from ..base._errors import (
     FigpickError,
     NoQuorumError,
     PeerRefusedError,
     PeerUnreachableError,
 )
-from ._formation import name_of
-from ._logs import logger
-from ._quorum import Quorum
-from ._registry_commands import parse_service, put_command, roster_command
+from ..base._logs import logger
+from ..consensus._formation import name_of
+from ..consensus._quorum import Quorum
+from ..registry._registry_commands import parse_service, put_command, roster_command
+from ._control_members import MembershipChanges
 
 NOT_FOUND = 404
 NO_QUORUM = 503
@@ -29,9 +29,9 @@
 class Control:
     """Serves the replicated registry.
 
-    :param settings: :class:`~figpick._settings.Settings`.
-    :param clock: :class:`~figpick._clock.Clock`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param settings: :class:`~figpick.base._settings.Settings`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     """
 
     def __init__(self, settings, clock, client):
@@ -49,7 +49,7 @@
 
     @property
     def registry(self):
-        """:class:`~figpick._registry.Registry`, for reading only."""
+        """:class:`~figpick.registry._registry.Registry`, for reading only."""
         return self._registry
 
     @property
@@ -75,7 +75,7 @@
     def add_handlers(self, server):
         """Sets the handlers of the messages of this role.
 
-        :param server: :class:`~figpick._transport.PeerServer`.
+        :param server: :class:`~figpick.messaging._transport.PeerServer`.
         """
         for kind in ("vote", "append", "snapshot"):
             server.handle(kind, partial(self._quorum.receive, kind))
@@ -89,7 +89,7 @@
     def add_tasks(self, supervisor):
         """Adds the tasks of this role.
 
-        :param supervisor: :class:`~figpick._supervisor.Supervisor`.
+        :param supervisor: :class:`~figpick.base._supervisor.Supervisor`.
         """
         supervisor.add("quorum", self._quorum.run)
         supervisor.add("formation", self._quorum.form)
--- a/src/figpick/_control_members.py
+++ b/src/figpick/roles/_control_members.py
@@ -5,18 +5,18 @@
 
 import msgspec
 
-from ._consensus import MembershipError
-from ._consensus_messages import Membership
-from ._errors import (
+from ..base._errors import (
     Fault,
     InvalidDocumentError,
     NoQuorumError,
     PeerRefusedError,
     PeerUnreachableError,
 )
-from ._formation import name_of
-from ._logs import logger
-from ._settings import Address, Name
+from ..base._logs import logger
+from ..base._settings import Address, Name
+from ..consensus._consensus import MembershipError
+from ..consensus._consensus_messages import Membership
+from ..consensus._formation import name_of
 
 CONFLICT = 409
 NOT_FOUND = 404
@@ -45,9 +45,9 @@
 class MembershipChanges:
     """Changes the membership step by step; runs on the leader.
 
-    :param quorum: :class:`~figpick._quorum.Quorum`.
-    :param clock: :class:`~figpick._clock.Clock`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param quorum: :class:`~figpick.consensus._quorum.Quorum`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     """
 
     timeout_s = CATCH_UP_TIMEOUT_S + 2 * CHANGE_TIMEOUT_S
--- a/src/figpick/_footprint.py
+++ b/src/figpick/roles/_footprint.py
@@ -25,7 +25,7 @@
     A control process hashes large snapshots and the export of metrics may use
     HTTPS, so both keep OpenSSL.
 
-    :param settings: :class:`~figpick._settings.Settings`.
+    :param settings: :class:`~figpick.base._settings.Settings`.
     :return: whether libraries are left out.
     """
     if settings["roles"] != ["node"] or "metrics" in settings:
--- a/src/figpick/_metrics.py
+++ b/src/figpick/roles/_metrics.py
@@ -13,7 +13,7 @@
 from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
 from opentelemetry.sdk.resources import Resource
 
-from ._errors import FigpickError
+from ..base._errors import FigpickError
 
 DEFAULT_INTERVAL_S = 30
 SHUTDOWN_MS = 1000
@@ -32,7 +32,7 @@
 
     The functions are called on the thread of the exporter.
 
-    :param settings: :class:`~figpick._settings.Settings` with ``metrics``.
+    :param settings: :class:`~figpick.base._settings.Settings` with ``metrics``.
     :param reader: metric reader that exports.
     """
 
@@ -63,7 +63,7 @@
     def add_node(self, node):
         """Adds the instruments of the node role.
 
-        :param node: :class:`~figpick._node.Node`.
+        :param node: :class:`~figpick.roles._node.Node`.
         """
         self.add_counters("calls", CALL_COUNTERS, node.counters.dump)
         self._meter.create_observable_counter(
@@ -82,7 +82,7 @@
     def add_members(self, members):
         """Adds the number of members by state.
 
-        :param members: :class:`~figpick._members.Members`.
+        :param members: :class:`~figpick.membership._members.Members`.
         """
 
         def count(_):
@@ -93,7 +93,7 @@
     def add_control(self, control):
         """Adds the instruments of the control role.
 
-        :param control: :class:`~figpick._control.Control`.
+        :param control: :class:`~figpick.roles._control.Control`.
         """
         for name in ("term", "index", "commit"):
             self._meter.create_observable_gauge(
@@ -109,7 +109,7 @@
 def make_reader(settings):
     """Makes the reader that exports over OTLP and HTTP.
 
-    :param settings: :class:`~figpick._settings.MetricsSettings`.
+    :param settings: :class:`~figpick.base._settings.MetricsSettings`.
     :raises MetricsError: when the exporter is not installed.
     """
     try:
--- a/src/figpick/_node.py
+++ b/src/figpick/roles/_node.py
@@ -2,29 +2,29 @@
 
 from functools import partial
 
-from . import _announcements, _context, _plans
-from ._calls import CallListener, CallServer
-from ._cancellations import Cancellations
-from ._claiming import Claims
-from ._connections import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFER_BYTES
-from ._counters import Counters
-from ._documents import Service
-from ._errors import (
+from ..base._errors import (
     DrainingError,
     UnknownServiceError,
 )
-from ._exchange import PermitExchange
-from ._executions import ExecutionTable
-from ._logs import logger
-from ._members import DRAINING, LEFT, READY, TAKES_CALLS
-from ._plans import Moment
-from ._quarantining import Suspicion
-from ._reach import Reach
-from ._recorder import make_span
-from ._retrying import Retries
-from ._settings import split_address
-from ._silence import SilenceWatch
-from ._upstreams import UpstreamSet
+from ..base._logs import logger
+from ..base._settings import split_address
+from ..calls import _announcements, _context, _plans
+from ..calls._calls import CallListener, CallServer
+from ..calls._cancellations import Cancellations
+from ..calls._executions import ExecutionTable
+from ..calls._plans import Moment
+from ..calls._recorder import make_span
+from ..claims._claiming import Claims
+from ..membership._members import DRAINING, LEFT, READY, TAKES_CALLS
+from ..messaging._connections import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFER_BYTES
+from ..permits._exchange import PermitExchange
+from ..registry._documents import Service
+from ..retries._quarantining import Suspicion
+from ..retries._retrying import Retries
+from ..routing._reach import Reach
+from ..routing._silence import SilenceWatch
+from ..routing._upstreams import UpstreamSet
+from ._counters import Counters
 
 # Heads over the limit of a call still need to be read to be refused with 431.
 MAX_HEADER_BYTES = 128 * 1024
@@ -35,11 +35,11 @@
 class Node:
     """Takes calls and sends them to upstreams.
 
-    :param settings: :class:`~figpick._settings.Settings`.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param settings: :class:`~figpick.base._settings.Settings`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     :param key: shared key, bytes.
-    :param members: :class:`~figpick._members.Members`.
-    :param client: :class:`~figpick._transport.PeerClient`.
+    :param members: :class:`~figpick.membership._members.Members`.
+    :param client: :class:`~figpick.messaging._transport.PeerClient`.
     """
 
     def __init__(self, settings, clock, key, members, client):
@@ -163,7 +163,7 @@
     def plan(self, start_line, headers):
         """Plans a call from its head.
 
-        :return: :class:`~figpick._plans.CallPlan`.
+        :return: :class:`~figpick.calls._plans.CallPlan`.
         :raises CallError: when the call cannot be planned.
         """
         self.counters.calls += 1
@@ -182,7 +182,7 @@
     def admit(self, plan, body, now):
         """Decides whether a call may wait for a permit.
 
-        :param body: :class:`~figpick._bodies.RequestBody`.
+        :param body: :class:`~figpick.calls._bodies.RequestBody`.
         :param now: monotonic seconds.
         :raises CallError: when it is refused.
         """
@@ -217,7 +217,7 @@
     def adopt_roster(self, service, epoch, positions, **times):
         """Puts a roster in force unless a newer one is.
 
-        :param times: the other fields of :class:`~figpick._rosters.Roster`.
+        :param times: the other fields of :class:`~figpick.claims._rosters.Roster`.
         :return: whether it was newer.
         """
         fields = {"service": service, "epoch": epoch, "positions": positions}
@@ -267,7 +267,7 @@
         """Records a call that has ended.
 
         :param caller: IP address of the caller.
-        :param started: :class:`~figpick._plans.Moment` of the start.
+        :param started: :class:`~figpick.calls._plans.Moment` of the start.
         :param sizes: bytes of the request body and of the answer body.
         :param status: HTTP status of a whole answer, 0 without one.
         """
--- a/src/figpick/_shutdown.py
+++ b/src/figpick/roles/_shutdown.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ._logs import logger
+from ..base._logs import logger
 
 # Calling nodes may send to the upstream until they know that it is draining.
 SPREAD_S = 2.0
@@ -15,9 +15,9 @@
 async def drain(node, spread, clock):
     """Drains a node and its upstream.
 
-    :param node: :class:`~figpick._node.Node`.
+    :param node: :class:`~figpick.roles._node.Node`.
     :param spread: coroutine function that sends changed member records to peers.
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
     node.begin_draining()
     await spread()
--- a/src/figpick/_state.py
+++ b/src/figpick/roles/_state.py
@@ -1,6 +1,6 @@
 """The state dump of a process, by part."""
 
-from ._errors import PeerRefusedError
+from ..base._errors import PeerRefusedError
 
 NOT_FOUND = 404
 
--- /dev/null
+++ b/src/figpick/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice among upstreams and watching of their connections."""
--- a/src/figpick/_reach.py
+++ b/src/figpick/routing/_reach.py
@@ -5,8 +5,8 @@
 of this process to it fail and no call to its upstream succeeds either.
 """
 
-from ._logs import logger
-from ._members import FAILED, LEFT, UNANSWERED
+from ..base._logs import logger
+from ..membership._members import FAILED, LEFT, UNANSWERED
 
 # Calls that succeeded within this time show that an upstream is there.
 CALLS_S = 5.0
@@ -17,7 +17,7 @@
 class Reach:
     """Follows the calls to upstreams whose nodes do not answer.
 
-    :param members: :class:`~figpick._members.Members`.
+    :param members: :class:`~figpick.membership._members.Members`.
     """
 
     def __init__(self, members):
@@ -27,8 +27,9 @@
     def routed(self, member, upstreams, now):
         """Gives the record by which calls are routed.
 
-        :param member: changed or known :class:`~figpick._members.Member`.
-        :param upstreams: :class:`~figpick._upstreams.UpstreamSet` of its service.
+        :param member: changed or known :class:`~figpick.membership._members.Member`.
+        :param upstreams: its service's
+            :class:`~figpick.routing._upstreams.UpstreamSet`.
         :param now: monotonic seconds.
         :return: the record itself, the record that the upstream had before, or
             the record as failed.
@@ -45,7 +46,7 @@
     def review(self, upstream_sets, now):
         """Drops the upstreams that neither answer nor have a node that does.
 
-        :param upstream_sets: :class:`~figpick._upstreams.UpstreamSet` s.
+        :param upstream_sets: :class:`~figpick.routing._upstreams.UpstreamSet` s.
         :param now: monotonic seconds.
         """
         for upstreams in upstream_sets:
--- a/src/figpick/_silence.py
+++ b/src/figpick/routing/_silence.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import StreamClosedError
 
-from ._connections import PARAMETERS
+from ..messaging._connections import PARAMETERS
 from ._progress import Flight, Flights, Latencies, Verdict
 
 SWEEP_PERIOD_S = 0.02
@@ -17,7 +17,7 @@
 class SilenceWatch:
     """Finds silent connections among the attempts in flight of one node.
 
-    :param clock: :class:`~figpick._clock.Clock`.
+    :param clock: :class:`~figpick.base._clock.Clock`.
     """
 
     def __init__(self, clock):
@@ -30,10 +30,10 @@
     def start(self, plan, upstream, connection, listener):
         """Watches an attempt that is sent now.
 
-        :param upstream: :class:`~figpick._upstreams.Upstream`.
-        :param connection: :class:`~figpick._connections.Connection`.
+        :param upstream: :class:`~figpick.routing._upstreams.Upstream`.
+        :param connection: :class:`~figpick.messaging._connections.Connection`.
         :param listener: object with ``on_suspect()`` and ``on_give_up()``.
-        :return: :class:`~figpick._progress.Flight`.
+        :return: :class:`~figpick.routing._progress.Flight`.
         """
         route = (plan.service.name, plan.route.route_id)
         now = self._clock.monotonic()
--- a/src/figpick/_upstream.py
+++ b/src/figpick/routing/_upstream.py
@@ -2,12 +2,12 @@
 
 from typing import NamedTuple
 
+from ..membership._members import COLD
+from ..messaging._connections import ConnectionPool
+from ..permits._levels import REPORT_LIFETIME_S
+from ..permits._observations import CallStatistics
+from ..permits._permits import PermitCache
 from . import _routing
-from ._connections import ConnectionPool
-from ._levels import REPORT_LIFETIME_S
-from ._members import COLD
-from ._observations import CallStatistics
-from ._permits import PermitCache
 
 # 503 is not among them: an upstream that sheds load is lowered by its limit.
 FAULTS = frozenset((500, 502, 504))
--- a/src/figpick/_upstreams.py
+++ b/src/figpick/routing/_upstreams.py
@@ -4,12 +4,12 @@
 import itertools
 import random
 
+from ..base._errors import DeadlineError, NoUpstreamError, OverloadedError
+from ..membership._members import DRAINING, TAKES_CALLS
+from ..permits._division import IMPORTANCES, Demand
+from ..permits._observations import OfferedLoad, UsualTimes
+from ..permits._queues import WaitQueue
 from . import _routing
-from ._division import IMPORTANCES, Demand
-from ._errors import DeadlineError, NoUpstreamError, OverloadedError
-from ._members import DRAINING, TAKES_CALLS
-from ._observations import OfferedLoad, UsualTimes
-from ._queues import WaitQueue
 from ._upstream import Result, Upstream
 
 # Services that were not called for this long are forgotten by their owners.
@@ -43,7 +43,7 @@
 class UpstreamSet:
     """All upstreams of one service, with the calls that wait for a permit.
 
-    :param service: :class:`~figpick._documents.Service`.
+    :param service: :class:`~figpick.registry._documents.Service`.
     :param own: :class:`Member` record of this node, or ``None``.
     :param now: monotonic seconds.
     :param when_short: function called with the set when a call must wait.
@@ -148,7 +148,7 @@
     def admit(self, plan, now):
         """Decides whether a call may wait for a permit.
 
-        :param plan: :class:`~figpick._plans.CallPlan`.
+        :param plan: :class:`~figpick.calls._plans.CallPlan`.
         :param now: monotonic seconds.
         :raises OverloadedError: when its priority is below the level.
         :raises DeadlineError: when the service usually takes longer than is left.
@@ -174,7 +174,7 @@
     def demand(self, upstream):
         """Gives the permits that calls here can use at an upstream.
 
-        :return: :class:`~figpick._permits.Demand`.
+        :return: :class:`~figpick.permits._permits.Demand`.
         """
         waiting = self._waiting_for(upstream)
         if upstream.permits.contended:
@@ -223,7 +223,7 @@
     async def acquire(self, plan, now, excluded=()):
         """Takes a permit, waiting for one within the queue time of the service.
 
-        :param plan: :class:`~figpick._plans.CallPlan`.
+        :param plan: :class:`~figpick.calls._plans.CallPlan`.
         :param now: monotonic seconds.
         :param excluded: names of upstreams that must not be used.
         :return: :class:`Upstream` with one permit taken.
@@ -246,7 +246,7 @@
 
         :param result: :class:`Result`.
         :param now: monotonic seconds.
-        :param plan: :class:`~figpick._plans.CallPlan` that the permit was for.
+        :param plan: :class:`~figpick.calls._plans.CallPlan` that the permit was for.
         """
         upstream.permits.give_back(plan.context.importance)
         upstream.statistics.end(plan, result, now)
--- a/src/figpick/settings.py
+++ b/src/figpick/settings.py
@@ -1,5 +1,5 @@
 """Public access to process settings."""
 
-from ._settings import ControlMember, MetricsSettings, Settings, load
+from .base._settings import ControlMember, MetricsSettings, Settings, load
 
 __all__ = ["ControlMember", "MetricsSettings", "Settings", "load"]
--- a/src/figpick/wire/_answers.py
+++ b/src/figpick/wire/_answers.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from .._errors import FigpickError
+from ..base._errors import FigpickError
 
 MAX_HEAD_BYTES = 64 * 1024
 
--- a/tests/claim_schedules.py
+++ b/tests/claim_schedules.py
@@ -2,9 +2,9 @@
 
 import random
 
-from figpick._claims import GRANTED, Claim, Holder, decide
-from figpick._plans import Moment
-from figpick._rosters import GROUP_SIZE, group_of
+from figpick.calls._plans import Moment
+from figpick.claims._claims import GRANTED, Claim, Holder, decide
+from figpick.claims._rosters import GROUP_SIZE, group_of
 
 NAMES = "abcde"
 SERVICE = "parts"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from figpick._clock import Clock
+from figpick.base._clock import Clock
 from figpick.configuration import (
     ChangeSet,
     Configuration,
--- a/tests/paths.py
+++ b/tests/paths.py
@@ -6,7 +6,7 @@
 from bench.faultproxy import FaultProxy
 from bench.local import LocalGraph, LocalNode, document
 from bench.origin import Origin
-from figpick._errors import RetryBoundError
+from figpick.base._errors import RetryBoundError
 
 
 @asynccontextmanager
--- a/tests/test_auth.py
+++ b/tests/test_auth.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from figpick._auth import WINDOW_S, Authenticator
-from figpick._errors import AuthenticationError
+from figpick.base._errors import AuthenticationError
+from figpick.messaging._auth import WINDOW_S, Authenticator
 
 OLD, NEW = "an old key of enough length", "a new key of enough length"
 MESSAGE = ("POST", "/peer/gossip", b"{}")
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -5,7 +5,7 @@
 from bench.cluster import free_address
 from bench.local import LocalGraph, LocalNode, document
 from bench.origin import Origin
-from figpick._context import HEADER
+from figpick.calls._context import HEADER
 
 
 async def until(condition, timeout_s=3.0):
--- a/tests/test_change_sets.py
+++ b/tests/test_change_sets.py
@@ -4,10 +4,7 @@
 
 import pytest
 
-from figpick._consensus_messages import NO_SNAPSHOT, Membership, Stored, VoteState
-from figpick._files import Files
-from figpick._replica import Replica
-from figpick._storage import Storage
+from figpick.base._files import Files
 from figpick.configuration import (
     ChangeSet,
     Configuration,
@@ -19,6 +16,14 @@
     VersionConflictError,
     check,
 )
+from figpick.consensus._consensus_messages import (
+    NO_SNAPSHOT,
+    Membership,
+    Stored,
+    VoteState,
+)
+from figpick.consensus._replica import Replica
+from figpick.consensus._storage import Storage
 
 SERVICES = {"a": ServiceTerms("a", "/health", 10)}
 GOOD = Route("r1", "h.example", "/p/", True, 1.0, 0.5, 0, 2, (("a", 1.0),))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,9 +4,10 @@
 
 from hypothesis import given, settings, strategies as st
 
-from figpick import _keys
-from figpick._claim_records import RETENTION_S
-from figpick._claims import (
+from figpick.calls._plans import Moment
+from figpick.claims import _keys
+from figpick.claims._claim_records import RETENTION_S
+from figpick.claims._claims import (
     FINISHED,
     GRANTED,
     NONE,
@@ -18,7 +19,6 @@
     Reply,
     decide,
 )
-from figpick._plans import Moment
 from tests.claim_schedules import Schedule
 
 SCHEDULES = 400
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -7,8 +7,9 @@
 from bench import partition, race, repair, restart, schedules
 from bench.schedules import Variant, make_document, run_one
 from bench.simulation import World
-from figpick._consensus import MembershipError, Raft
-from figpick._consensus_messages import (
+from figpick.base._errors import NoQuorumError
+from figpick.consensus._consensus import MembershipError, Raft
+from figpick.consensus._consensus_messages import (
     NO_SNAPSHOT,
     Append,
     AppendReply,
@@ -20,8 +21,7 @@
     decode,
     encode,
 )
-from figpick._errors import NoQuorumError
-from figpick._formation import Formation
+from figpick.consensus._formation import Formation
 
 SEEDS = range(1, 13)
 MODULES = (partition, race, repair, restart)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -8,11 +8,11 @@
 from bench.cluster import KEY, free_address
 from bench.control_cluster import ControlCluster
 from bench.schedules import make_document
-from figpick import _cli
-from figpick._consensus_core import Output
-from figpick._consensus_messages import Entry
-from figpick._files import Files
-from figpick._storage import Storage
+from figpick.base._files import Files
+from figpick.consensus._consensus_core import Output
+from figpick.consensus._consensus_messages import Entry
+from figpick.consensus._storage import Storage
+from figpick.operators import _cli
 
 
 def run_command(capsys, *arguments):
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -5,15 +5,19 @@
 
 import pytest
 
-from figpick._clock import Clock
-from figpick._dissemination import Dissemination
-from figpick._documents import Service
-from figpick._errors import DocumentMissingError, PeerRefusedError, PeerUnreachableError
-from figpick._events import EventStore
-from figpick._fetching import DocumentFetcher
-from figpick._gossip import Gossip
-from figpick._headlines import Headline, Headlines
-from figpick._members import Members
+from figpick.base._clock import Clock
+from figpick.base._errors import (
+    DocumentMissingError,
+    PeerRefusedError,
+    PeerUnreachableError,
+)
+from figpick.membership._dissemination import Dissemination
+from figpick.membership._events import EventStore
+from figpick.membership._fetching import DocumentFetcher
+from figpick.membership._gossip import Gossip
+from figpick.membership._headlines import Headline, Headlines
+from figpick.membership._members import Members
+from figpick.registry._documents import Service
 
 from .test_members import record
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -5,7 +5,7 @@
 from bench.cluster import free_address
 from bench.local import LocalGraph, LocalNode, document
 from bench.origin import Origin
-from figpick._members import LEFT
+from figpick.membership._members import LEFT
 from tests.paths import call
 
 SPREAD_S = 3.0
--- a/tests/test_first_grant.py
+++ b/tests/test_first_grant.py
@@ -5,10 +5,10 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from figpick._documents import Service
-from figpick._permits import Grant
-from figpick._plans import Moment, make_plan
-from figpick._upstreams import UpstreamSet
+from figpick.calls._plans import Moment, make_plan
+from figpick.permits._permits import Grant
+from figpick.registry._documents import Service
+from figpick.routing._upstreams import UpstreamSet
 
 from .test_members import record
 
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -7,12 +7,12 @@
 
 PROBE = """
 import sys
-from figpick import _footprint
+from figpick.roles import _footprint
 settings = {"roles": sys.argv[1].split(",")}
 if len(sys.argv) > 2:
     settings["metrics"] = {"endpoint": "https://127.0.0.1:1"}
 _footprint.reduce(settings)
-import figpick._compose
+import figpick.roles._compose
 import uvloop
 loop = uvloop.new_event_loop()
 loop.run_until_complete(__import__("asyncio").sleep(0))
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from figpick._events import Event, EventStore
-from figpick._gossip import Gossip
-from figpick._headlines import Headline, Headlines
-from figpick._members import FAILED_AFTER_S, LEFT, READY, Members
+from figpick.membership._events import Event, EventStore
+from figpick.membership._gossip import Gossip
+from figpick.membership._headlines import Headline, Headlines
+from figpick.membership._members import FAILED_AFTER_S, LEFT, READY, Members
 
 from .test_members import record
 
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from figpick._levels import (
+from figpick.permits._levels import (
     BINS,
     LevelController,
     Report,
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,8 +2,8 @@
 
 from zlib import crc32
 
-from figpick import _members
-from figpick._members import (
+from figpick.membership import _members
+from figpick.membership._members import (
     DRAINING,
     FAILED,
     FAILED_AFTER_S,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -12,9 +12,9 @@
 )
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
-from figpick._compose import Process
-from figpick._members import Members
-from figpick._metrics import Metrics, make_reader
+from figpick.membership._members import Members
+from figpick.roles._compose import Process
+from figpick.roles._metrics import Metrics, make_reader
 
 from .test_members import record
 
@@ -96,7 +96,7 @@
 def test_process_without_metrics_loads_no_exporter():
     """Guards against 15 MB in each node that exports nothing."""
     probe = (
-        "import sys, figpick._compose;"
+        "import sys, figpick.roles._compose;"
         "print(any(name.startswith('opentelemetry') for name in sys.modules))"
     )
     command = [sys.executable, "-c", probe]
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -90,7 +90,8 @@
         }
         path.write_bytes(msgspec.json.encode(settings))
         code = (
-            "import sys; from figpick import _cli, _node;"
+            "import sys; from figpick.operators import _cli;"
+            "from figpick.roles import _node;"
             "_node.Node.renew_permits = None; _cli.main(['run', sys.argv[1]])"
         )
         process = await asyncio.create_subprocess_exec(
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -4,8 +4,8 @@
 
 from hypothesis import given, settings, strategies as st
 
-from figpick._division import Demand, divide
-from figpick._permits import LEASE_S, Grant, PermitCache, PermitPool
+from figpick.permits._division import Demand, divide
+from figpick.permits._permits import LEASE_S, Grant, PermitCache, PermitPool
 
 demands = st.dictionaries(
     st.sampled_from("abcdef"),
--- a/tests/test_progress.py
+++ b/tests/test_progress.py
@@ -1,6 +1,6 @@
 """Which waiting calls count as sent on a silent connection."""
 
-from figpick._progress import Flight, Flights, Latencies, Verdict
+from figpick.routing._progress import Flight, Flights, Latencies, Verdict
 
 ROUTE = ("parts", "r1")
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from figpick._quarantine import (
+from figpick.retries._quarantine import (
     CRASH_S,
     HOLD_S,
     QUARANTINE_S,
--- a/tests/test_quarantining.py
+++ b/tests/test_quarantining.py
@@ -6,9 +6,9 @@
 import pytest
 from tornado.iostream import StreamClosedError
 
-from figpick._errors import QuarantinedError
-from figpick._quarantine import QUARANTINED, SUSPECTED, Event
-from figpick._quarantining import Suspicion
+from figpick.base._errors import QuarantinedError
+from figpick.retries._quarantine import QUARANTINED, SUSPECTED, Event
+from figpick.retries._quarantining import Suspicion
 
 PLAN = SimpleNamespace(
     service=SimpleNamespace(name="jobs"), method="GET", target="/x", key="", deadline=99
--- a/tests/test_quorum_repair.py
+++ b/tests/test_quorum_repair.py
@@ -2,7 +2,7 @@
 
 from types import SimpleNamespace
 
-from figpick._consensus_messages import Membership
+from figpick.consensus._consensus_messages import Membership
 from figpick.control._repair import SILENT_S, next_members
 
 VOTERS = {"a:1#x": "a:1", "b:1#x": "b:1", "c:1#x": "c:1"}
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -3,13 +3,13 @@
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from figpick import _context
-from figpick._compose import Process
-from figpick._documents import Service
-from figpick._errors import DocumentMissingError, UnknownServiceError
-from figpick._members import FAILED, LEFT, Members
-from figpick._reach import CALLS_S, Reach
-from figpick._upstreams import Result, UpstreamSet
+from figpick.base._errors import DocumentMissingError, UnknownServiceError
+from figpick.calls import _context
+from figpick.membership._members import FAILED, LEFT, Members
+from figpick.registry._documents import Service
+from figpick.roles._compose import Process
+from figpick.routing._reach import CALLS_S, Reach
+from figpick.routing._upstreams import Result, UpstreamSet
 
 from .test_members import record
 from .test_metrics import SETTINGS
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -6,9 +6,9 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from bench import collect
-from figpick._documents import Service
-from figpick._plans import Moment, make_plan
-from figpick._recorder import Recorder, make_span
+from figpick.calls._plans import Moment, make_plan
+from figpick.calls._recorder import Recorder, make_span
+from figpick.registry._documents import Service
 
 NOW = Moment(10.0, 1000.0)
 SERVICE = Service({"service": "parts", "routes": []}, 1)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -3,8 +3,8 @@
 import pytest
 
 from bench.schedules import make_document
-from figpick._errors import ConflictError, InvalidDocumentError
-from figpick._registry import Registry
+from figpick.base._errors import ConflictError, InvalidDocumentError
+from figpick.registry._registry import Registry
 
 
 def command(change, base, service="parts"):
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from figpick._rosters import (
+from figpick.claims._rosters import (
     GROUP_SIZE,
     POSITIONS,
     REPLACE_AFTER_S,
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -4,16 +4,16 @@
 
 import pytest
 
-from figpick._consensus_core import Output
-from figpick._consensus_messages import (
+from figpick.base._errors import StorageError
+from figpick.base._files import Files
+from figpick.consensus._consensus_core import Output
+from figpick.consensus._consensus_messages import (
     NO_MEMBERS,
     Entry,
     Snapshot,
     VoteState,
 )
-from figpick._errors import StorageError
-from figpick._files import Files
-from figpick._storage import Storage
+from figpick.consensus._storage import Storage
 
 
 def output(*entries, state=None):
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from figpick import _supervisor
-from figpick._clock import Clock
-from figpick._supervisor import RestartLimitError, Supervisor
+from figpick.base import _supervisor
+from figpick.base._clock import Clock
+from figpick.base._supervisor import RestartLimitError, Supervisor
 
 
 def run(supervisor, seconds=2.0):
