Admit requests by the pressure at the deepest service

Change: owners report the work that is offered for each slot left to a rank; the entry moves the admitted share by a damped power of it. Calls of running requests carry the key of the request, by which the queue and the throttle order them, so that whole requests succeed. Their target is the time of the request that waits. No second attempt under pressure.

--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -4,13 +4,24 @@
 calls with the lowest rank number run first; a call that cannot finish within its
 target behind those that go before it is refused when it arrives, so that it costs
 nothing and its caller can go elsewhere at once.
+
+Calls of running requests with one rank are ordered by the key of the request at the
+entry (as in DAGOR, SoCC 2018): of many requests that each need several calls some
+then get all of them, where any other order lets most of them miss one.
 """
 
-from collections import deque
+from heapq import heappop, heappush
+from math import exp
 from typing import NamedTuple
 
 # Upstreams slow down when nearly full, and connects or health checks may hold a slot.
-LIMIT_SHARE = 0.94
+LIMIT_SHARE = 0.95
+# Use of the slots by calls of running requests above which fewer are to be admitted.
+TARGET_USE = 0.95
+# Time over which the offered work is averaged: longer than the gaps between calls,
+# shorter than the time of a request.
+OFFER_WINDOW_S = 0.3
+MIN_ROOM = 0.05
 # Calls of running requests may not take every slot: requests that start here keep
 # this share of the slots while they wait.
 ENTRY_SHARE = 0.2
@@ -47,6 +58,7 @@
     :param route: name of the route, for its usual service time.
     :param target_at: monotonic seconds by which its answer is worth most.
     :param leave_at: monotonic seconds after which it must not start.
+    :param key: number that orders calls of running requests with one rank.
     """
 
     __slots__ = (
@@ -56,19 +68,21 @@
         "route",
         "target_at",
         "leave_at",
+        "key",
         "queued_at",
         "started_at",
         "is_queued",
         "expected_s",
     )
 
-    def __init__(self, call, rank, is_inner, route, target_at, leave_at):
+    def __init__(self, call, rank, is_inner, route, target_at, leave_at, key=0.0):
         self.call = call
         self.rank = rank
         self.is_inner = is_inner
         self.route = route
         self.target_at = target_at
         self.leave_at = leave_at
+        self.key = key
         self.queued_at = 0.0
         self.started_at = None
         self.is_queued = False
@@ -90,7 +104,8 @@
         self._work_s = {}
         self._entry_work_s = 0.0
         self._service_s = {}
-        self._delay_s = 0.0
+        self._offered = {}
+        self._number = 0
 
     def __repr__(self):
         return f"<AdmissionQueue {self._running}+{self._queued} of {self._limit}>"
@@ -110,11 +125,6 @@
         """Number of calls that wait."""
         return self._queued
 
-    @property
-    def delay_s(self):
-        """Smoothed seconds that calls of running requests waited lately."""
-        return self._delay_s
-
     def set_slots(self, slots):
         """Sets the number of slots that the upstream announced, 0 for none."""
         self._limit = max(1, int(slots * LIMIT_SHARE)) if slots > 0 else 0
@@ -123,6 +133,30 @@
         """Usual seconds that a call on a route holds a slot."""
         return self._service_s.get(route, DEFAULT_SERVICE_S)
 
+    def pressure(self, rank, now):
+        """Work of a rank that is offered for each slot that it may use.
+
+        Above 1 more calls come than can run; what more urgent calls use, and the
+        share of requests that start here, is not there for them.
+
+        :param rank: rank of calls of running requests.
+        :param now: monotonic seconds.
+        """
+        if not self._limit:
+            return 0.0
+        room = TARGET_USE
+        own = entries = 0.0
+        for (each, is_inner), offer in self._offered.items():
+            use = offer.rate(now) / self._limit
+            if not is_inner:
+                entries += use
+            elif each == rank:
+                own = use
+            elif each < rank:
+                room -= use
+        room -= min(ENTRY_SHARE, entries)
+        return own / max(room, MIN_ROOM)
+
     def expected_wait_s(self, rank, is_inner):
         """Seconds until a new call of a rank is expected to start.
 
@@ -150,6 +184,7 @@
             return Refusal(NO_UPSTREAM, MIN_RETRY_AFTER_S)
         ticket.expected_s = self.expected_service_s(ticket.route)
         ticket.queued_at = now
+        self._note_offer(ticket, now)
         if self._running < self._limit and not self._queued:
             self._start(ticket, now)
             return None
@@ -159,7 +194,10 @@
         left_s = min(ticket.target_at, ticket.leave_at) - now
         if wait_s + ticket.expected_s > PLANNED_SHARE * left_s:
             return Refusal(FULL, max(wait_s, MIN_RETRY_AFTER_S))
-        self._waiting.setdefault(ticket.rank, deque()).append(ticket)
+        self._number += 1
+        key = ticket.key if ticket.is_inner else self._number
+        waiting = self._waiting.setdefault(ticket.rank, [])
+        heappush(waiting, (key, self._number, ticket))
         self._work_s[ticket.rank] = (
             self._work_s.get(ticket.rank, 0.0) + ticket.expected_s
         )
@@ -220,7 +258,7 @@
         late = [
             ticket
             for waiting in self._waiting.values()
-            for ticket in waiting
+            for _, _, ticket in waiting
             if ticket.is_queued and now >= ticket.leave_at
         ]
         for ticket in late:
@@ -232,7 +270,7 @@
         queued = [
             ticket
             for waiting in self._waiting.values()
-            for ticket in waiting
+            for _, _, ticket in waiting
             if ticket.is_queued
         ]
         for ticket in queued:
@@ -240,31 +278,32 @@
         return queued
 
     def _next(self):
-        ranks = sorted(rank for rank, waiting in self._waiting.items() if waiting)
         first = None
-        for rank in ranks:
-            waiting = self._waiting[rank]
-            while waiting and not waiting[0].is_queued:
-                waiting.popleft()
-            if not waiting:
+        for rank in sorted(self._waiting):
+            ticket = self._first(self._waiting[rank])
+            if ticket is None:
                 continue
             if first is None:
-                first = waiting[0]
-            reserved = self._running_entries < ENTRY_SHARE * self._limit
-            if not waiting[0].is_inner and (reserved or first is waiting[0]):
-                return waiting[0]
+                first = ticket
+            is_reserved = self._running_entries < ENTRY_SHARE * self._limit
+            if not ticket.is_inner and (is_reserved or first is ticket):
+                return ticket
         return first
 
+    def _first(self, waiting):
+        while waiting:
+            if waiting[0][2].is_queued:
+                return waiting[0][2]
+            heappop(waiting)
+        return None
+
     def _forget(self, ticket):
         ticket.is_queued = False
         self._queued -= 1
         self._work_s[ticket.rank] -= ticket.expected_s
         if not ticket.is_inner:
             self._entry_work_s -= ticket.expected_s
-        waiting = self._waiting[ticket.rank]
-        while waiting and not waiting[0].is_queued:
-            waiting.popleft()
-        if not waiting:
+        if self._first(self._waiting[ticket.rank]) is None:
             self._work_s[ticket.rank] = 0.0
 
     def _start(self, ticket, now):
@@ -272,6 +311,27 @@
         self._running += 1
         if not ticket.is_inner:
             self._running_entries += 1
-            return
-        waited_s = now - ticket.queued_at
-        self._delay_s += SERVICE_WEIGHT * (waited_s - self._delay_s)
+
+    def _note_offer(self, ticket, now):
+        kind = ticket.rank, ticket.is_inner
+        offer = self._offered.get(kind)
+        if offer is None:
+            offer = self._offered[kind] = _Offer()
+        offer.add(ticket.expected_s, now)
+
+
+class _Offer:
+    """Seconds of work that are offered a second, averaged over a short time."""
+
+    __slots__ = ("_rate", "_at")
+
+    def __init__(self):
+        self._rate = 0.0
+        self._at = 0.0
+
+    def add(self, work_s, now):
+        self._rate = self.rate(now) + work_s / OFFER_WINDOW_S
+        self._at = now
+
+    def rate(self, now):
+        return self._rate * exp((self._at - now) / OFFER_WINDOW_S)
--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -49,6 +49,7 @@
         "answer_by",
         "target_at",
         "rank",
+        "key",
         "is_inner",
         "is_repeat",
         "parent",
@@ -76,6 +77,7 @@
         self.answer_by = now
         self.target_at = now
         self.rank = 0
+        self.key = 0.0
         self.is_inner = False
         self.is_repeat = False
         self.parent = None
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from zlib import crc32
 
 from ..admission import EntryThrottle, RetryBudget
 from ..base._logs import logger
@@ -55,8 +56,10 @@
 MIN_RETRY_AFTER_S = 0.2
 # Clients follow a longer pause only in part.
 MAX_RETRY_SHARE = 1 / 3
-# Delay that a refused call reports to the request that made it.
-REFUSED_DELAY_S = 0.5
+# A second attempt while services below are short of room only adds to the load.
+HEDGE_PRESSURE = 0.8
+PRESSURE_WEIGHT = 0.2
+KEY_RANGE = 1 << 32
 
 log = logger("calls")
 
@@ -90,6 +93,7 @@
         self._routes = RoutingTable()
         self._splits = {}
         self._throttles = {}
+        self._pressures = {}
         self._budgets = {}
         self._attempts = {}
         self._waiting = {}
@@ -200,7 +204,7 @@
         if kind == ANSWER:
             self._on_answer(attempt, message)
         elif kind == NOT_RUN:
-            self._on_not_run(attempt, message[2], message[3] / 1000, message[4])
+            self._on_not_run(attempt, *message[2:])
         elif kind == FAILED:
             self._on_failed(attempt, message[2], message[3])
         elif kind == PART:
@@ -228,6 +232,7 @@
 
     def _find_origin(self, call):
         route = call.route
+        call.key = crc32(call.request_id) / KEY_RANGE
         parent = self._owner.find_parent(call.deadline)
         self._origins.observe(route.name, parent.call.route if parent else None)
         if not self._origins.is_inner(route.name, parent is not None):
@@ -237,16 +242,19 @@
             parent = self._owner.oldest_running(self._origins.parents(route.name))
         call.is_inner = True
         call.parent = parent
+        # Its own target says little: the request that waits needs the answer.
+        call.target_at = call.answer_by
         if parent is None:
             call.rank = 2 * route.priority
         else:
             # A call is worth the request that waits for it.
             call.rank = parent.call.rank // 2 * 2
+            call.key = parent.call.key
             call.is_repeat = parent.call.is_repeat
 
     def _admits(self, call, now):
         throttle = self._throttles.get(call.route.name)
-        return throttle is None or throttle.admits(self._random.random(), now)
+        return throttle is None or throttle.admits(call.key, now)
 
     def _refuse_early(self, call, status, text, retry_after_s):
         call.is_done = True
@@ -339,6 +347,7 @@
         message = CallMessage(
             instance=peer.instance,
             rank=call.rank,
+            key=call.key,
             is_inner=call.is_inner,
             is_idempotent=call.route.is_idempotent,
             is_repeat=call.is_repeat or call.sent > 0,
@@ -369,7 +378,8 @@
         target = attempt.peer.target
         if call.is_done or attempt.number not in call.attempts or attempt.is_streaming:
             return
-        if target.load.queued or call.route.attempts < 2:
+        pressure = self._pressures.get(call.route.name, 0.0)
+        if target.load.queued or pressure > HEDGE_PRESSURE:
             return
         now = self._clock.monotonic()
         others = [
@@ -395,14 +405,14 @@
         attempt.peer.attempts.pop(attempt.number, None)
 
     def _on_answer(self, attempt, message):
-        _, _, status, head, length, body, is_last, load, delay_ms, served_ms = message
+        _, _, status, head, length, body, is_last, load, pressure, served_ms = message
         call = attempt.call
         target = attempt.peer.target
         target.report(Load(*load))
         if is_last:
             target.served(served_ms / 1000)
             self._forget(attempt)
-        self._report_delay(call, delay_ms / 1000)
+        self._report_pressure(call, pressure)
         if call.is_done:
             return
         for other in list(call.attempts.values()):
@@ -446,21 +456,26 @@
         call.reply.abort()
         self._close(call)
 
-    def _report_delay(self, call, delay_s):
+    def _report_pressure(self, call, pressure):
+        self._note_pressure(call.route, pressure)
         if call.parent is not None:
-            call.parent.delay_s = max(call.parent.delay_s, delay_s)
+            call.parent.add_child(pressure)
         elif not call.is_inner:
             name = call.route.name
             throttle = self._throttles.get(name)
             if throttle is None:
-                throttle = EntryThrottle(call.route.priority == 0)
-                self._throttles[name] = throttle
-            throttle.observe(delay_s)
+                throttle = self._throttles[name] = EntryThrottle()
+            throttle.observe(pressure)
+
+    def _note_pressure(self, route, pressure):
+        known = self._pressures.get(route.name, 0.0)
+        self._pressures[route.name] = known + PRESSURE_WEIGHT * (pressure - known)
 
-    def _on_not_run(self, attempt, reason, retry_after_s, load):
+    def _on_not_run(self, attempt, reason, retry_after_ms, load, pressure):
         call = attempt.call
         self._forget(attempt)
         attempt.peer.target.report(Load(*load))
+        self._note_pressure(call.route, pressure)
         if call.is_done or call.attempts:
             return
         now = self._clock.monotonic()
@@ -475,7 +490,9 @@
         if may_go_on:
             self._place(call)
         else:
-            self._end_not_run(call, reason, retry_after_s)
+            if call.parent is not None:
+                call.parent.add_child(pressure)
+            self._end_not_run(call, reason, retry_after_ms / 1000)
 
     def _on_failed(self, attempt, reason, load):
         call = attempt.call
@@ -506,8 +523,6 @@
         self._close(call)
 
     def _end_not_run(self, call, reason, retry_after_s):
-        if call.parent is not None:
-            call.parent.delay_s = max(call.parent.delay_s, REFUSED_DELAY_S)
         if call.may_have_run:
             self._counters.count(call, "failed")
             call.refuse(STATUS_FAILED, "an earlier attempt may have run")
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -8,12 +8,12 @@
 * ``body``: number, bytes, whether they are the last.
 * ``cancel``: number, whether a running call is to be broken off.
 * ``answer``: number, status, head, length or -1, bytes, whether they are the last,
-  load, delay in ms, service time in ms.
+  load, pressure, service time in ms.
 * ``part``: number, bytes, whether they are the last.
 * ``broken``: number; the rest of an answer will not come.
 * ``failed``: number, reason, load. The call may have run.
-* ``not-run``: number, reason, ms until a slot is expected, load. The call did not
-  run and never will.
+* ``not-run``: number, reason, ms until a slot is expected, load, pressure. The call
+  did not run and never will.
 * ``credit``: number, bytes that were passed on to the client.
 * ``load``: load of the owner and its instance, sent when its upstream changes.
 * ``attach``: numbers of the calls whose answers are still awaited on a new link.
@@ -60,6 +60,7 @@
 
     :param instance: instance that must run it.
     :param rank: the lowest number runs first.
+    :param key: number in [0, 1) of the request at the entry.
     :param is_inner: whether a running request needs the answer.
     :param is_idempotent: whether it may run again.
     :param is_repeat: whether it, or the request that caused it, was sent before.
@@ -77,6 +78,7 @@
 
     instance: str
     rank: int
+    key: float
     is_inner: bool
     is_idempotent: bool
     is_repeat: bool
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -96,7 +96,8 @@
         "unread",
         "is_paused",
         "timer",
-        "delay_s",
+        "child_pressure",
+        "child_count",
         "sent_at",
         "server_deadline",
     )
@@ -115,6 +116,7 @@
             call.route,
             now + call.target_ms / 1000,
             self.deadline - LEAVE_MARGIN_S,
+            call.key,
         )
         self.connection = None
         self.parts = [call.body] if call.body else []
@@ -124,13 +126,24 @@
         self.unread = 0
         self.is_paused = False
         self.timer = None
-        self.delay_s = 0.0
+        self.child_pressure = 0.0
+        self.child_count = 0
         self.sent_at = None
         self.server_deadline = None
 
     def __repr__(self):
         return f"<Execution {self.number} {self.call.route}>"
 
+    @property
+    def pressure(self):
+        """Mean pressure that the calls of this request met."""
+        return self.child_pressure / self.child_count if self.child_count else 0.0
+
+    def add_child(self, pressure):
+        """Notes the pressure that a call of this request met."""
+        self.child_pressure += pressure
+        self.child_count += 1
+
     def on_answer(self, reader):
         """Takes a piece of the upstream's answer."""
         self.owner.on_answer(self, reader)
@@ -222,7 +235,7 @@
     def _result(self, key):
         _, number = key
         if key not in self._finished:
-            return (NOT_RUN, number, REASON_LINK, 0, self.load())
+            return (NOT_RUN, number, REASON_LINK, 0, self.load(), 0.0)
         message = self._finished[key]
         return message or (FAILED, number, REASON_LINK, self.load())
 
@@ -251,12 +264,13 @@
         now = self._clock.monotonic()
         reason = self._refusal_reason(call, now)
         if reason is not None:
-            self._send_not_run(link, number, reason, 0.0)
+            self._send_not_run(link, number, reason, 0.0, call)
             return
         execution = Execution(self, link, peer, number, call, now)
         outcome = self._queue.offer(execution.ticket, now)
         if isinstance(outcome, Refusal):
-            self._send_not_run(link, number, outcome.reason, outcome.retry_after_s)
+            retry_after_s = outcome.retry_after_s
+            self._send_not_run(link, number, outcome.reason, retry_after_s, call)
             return
         self._executions[peer, number] = execution
         if outcome is None:
@@ -472,7 +486,7 @@
             body,
             True,
             self.load(),
-            int(max(execution.delay_s, self._queue.delay_s) * 1000),
+            self._pressure(execution.call, now, execution.pressure),
             served_ms,
         )
         self._release(execution, reader, now)
@@ -524,7 +538,7 @@
                 body,
                 False,
                 self.load(),
-                int(execution.delay_s * 1000),
+                execution.pressure,
                 0,
             )
         )
@@ -558,7 +572,9 @@
         self._finish(execution, (FAILED, execution.number, reason, self.load()))
 
     def _refuse_started(self, execution, reason):
-        self._finish(execution, (NOT_RUN, execution.number, reason, 0, self.load()))
+        pressure = self._pressure(execution.call, self._clock.monotonic())
+        message = (NOT_RUN, execution.number, reason, 0, self.load(), pressure)
+        self._finish(execution, message)
 
     def _finish(self, execution, message=None, served=False):
         """Ends a call: frees its slot, its connection and its memory."""
@@ -621,8 +637,15 @@
                 self._queue.withdraw(execution.ticket)
                 self._finish(execution)
 
-    def _send_not_run(self, link, number, reason, retry_after_s):
-        link.send((NOT_RUN, number, reason, int(retry_after_s * 1000), self.load()))
+    def _send_not_run(self, link, number, reason, retry_after_s, call):
+        pressure = self._pressure(call, self._clock.monotonic())
+        retry_after_ms = int(retry_after_s * 1000)
+        link.send((NOT_RUN, number, reason, retry_after_ms, self.load(), pressure))
+
+    def _pressure(self, call, now, below=0.0):
+        # Requests that start here are refused here, at no cost to services above.
+        own = self._queue.pressure(call.rank, now) if call.is_inner else 0.0
+        return round(max(own, below), 3)
 
     def _tell_load(self):
         message = (LOAD, self.load(), self.view.instance)
