Tell calls of running requests by their ids where upstreams derive them

With a hundred requests running, the deadline names the wrong parent, so rank and pressure went astray. The logs show that upstreams derive the id of a call from that of its request. Change: the id decides where it matches a running request; the deadline is the fallback. The expected wait of a call counts only those that its key puts before it. Metrics in the exposition format, a summary line each 5 s, figpick explain.

--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -157,21 +157,27 @@
         room -= min(ENTRY_SHARE, entries)
         return own / max(room, MIN_ROOM)
 
-    def expected_wait_s(self, rank, is_inner):
-        """Seconds until a new call of a rank is expected to start.
+    def expected_wait_s(self, ticket):
+        """Seconds until a new call is expected to start.
 
-        :param is_inner: whether a running request needs the answer.
+        :param ticket: the :class:`Ticket`, which is not queued yet.
         """
         if self._running < self._limit and not self._queued:
             return 0.0
         if not self._limit:
             return float("inf")
-        ahead_s = sum(work for each, work in self._work_s.items() if each <= rank)
-        wait_s = ahead_s / self._limit
-        if not is_inner:
-            own_share_s = self._entry_work_s / (ENTRY_SHARE * self._limit)
-            wait_s = min(wait_s, own_share_s)
-        return wait_s
+        rank = ticket.rank
+        ahead_s = sum(work for each, work in self._work_s.items() if each < rank)
+        if ticket.is_inner:
+            ahead_s += sum(
+                other.expected_s
+                for key, _, other in self._waiting.get(rank, ())
+                if key <= ticket.key and other.is_queued
+            )
+            return ahead_s / self._limit
+        ahead_s += self._work_s.get(rank, 0.0)
+        own_share_s = self._entry_work_s / (ENTRY_SHARE * self._limit)
+        return min(ahead_s / self._limit, own_share_s)
 
     def offer(self, ticket, now):
         """Takes a call.
@@ -188,7 +194,7 @@
         if self._running < self._limit and not self._queued:
             self._start(ticket, now)
             return None
-        wait_s = self.expected_wait_s(ticket.rank, ticket.is_inner)
+        wait_s = self.expected_wait_s(ticket)
         if self._queued >= MAX_QUEUED:
             return Refusal(FULL, max(wait_s, MIN_RETRY_AFTER_S))
         left_s = min(ticket.target_at, ticket.leave_at) - now
--- /dev/null
+++ b/src/figpick/control/_metrics.py
@@ -0,0 +1,25 @@
+"""What a control process counts, as metrics."""
+
+from ..base._exposition import Exposition
+
+
+def control_metrics(name, process):
+    """Gives the metrics of a control process.
+
+    :param process: :class:`~figpick.control.ControlProcess`.
+    """
+    metrics = Exposition(name)
+    metrics.add_gauge("figpick_control", ("what",), lambda: _values(process))
+    return metrics
+
+
+def _values(process):
+    member = process.member
+    replica = member.replica
+    return {
+        ("is_leader",): int(member.is_leader),
+        ("log_index",): replica.applied if replica else 0,
+        ("log_term",): replica.raft.term if replica else 0,
+        ("revision",): member.registry.revision,
+        ("hosts",): process.host_count,
+    }
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -62,6 +62,7 @@
         self._asked_number = 0
         self._told_revision = 0
         self._tasks = set()
+        self._metrics = None
         self._server = None
         self._supervisor = Supervisor("control", clock)
         self._supervisor.add("quorum", self._member.run)
@@ -90,6 +91,20 @@
             "hosts": [list(record) for record in self._directory],
         }
 
+    @property
+    def host_count(self):
+        """Number of processes that are known."""
+        return len(self._directory)
+
+    def metrics_text(self):
+        """Metrics in the Prometheus exposition format, as bytes."""
+        if self._metrics is None:
+            # The libraries take 5 MB, which a process without a reader need not pay.
+            from ._metrics import control_metrics
+
+            self._metrics = control_metrics(self._settings.name, self)
+        return self._metrics.render()
+
     async def run(self):
         """Serves until cancelled."""
         self._server = await listen(self._settings.link_address, self._make_accepted)
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -33,6 +33,7 @@
     CallMessage,
 )
 from ._origins import Origins
+from ._owner import ID_SEPARATOR
 
 # A client that names no deadline is kept waiting this long at most.
 DEFAULT_DEADLINE_S = 30.0
@@ -113,6 +114,14 @@
         """:class:`~figpick.configuration.Configuration` in force, or ``None``."""
         return self._configuration
 
+    def shares(self):
+        """Share of the requests that are admitted, by route, where it is below 1."""
+        return {
+            name: round(throttle.share, 3)
+            for name, throttle in self._throttles.items()
+            if throttle.share < 1.0
+        }
+
     def use_peers(self, peers):
         """Sets the :class:`~figpick.nodes._peers.Peers` to hand calls to."""
         self._peers = peers
@@ -233,9 +242,13 @@
     def _find_origin(self, call):
         route = call.route
         call.key = crc32(call.request_id) / KEY_RANGE
-        parent = self._owner.find_parent(call.deadline)
+        parent = self._owner.find_parent(call.request_id, call.deadline)
         self._origins.observe(route.name, parent.call.route if parent else None)
-        if not self._origins.is_inner(route.name, parent is not None):
+        if self._owner.ids_tell_parents:
+            is_inner = parent is not None or ID_SEPARATOR in call.request_id
+        else:
+            is_inner = self._origins.is_inner(route.name, parent is not None)
+        if not is_inner:
             call.rank = 2 * route.priority + 1
             return
         if parent is None:
@@ -542,6 +555,8 @@
                 "waited_s": round(self._clock.monotonic() - call.started_at, 3),
                 "retry_after_s": round(retry_after_s, 2),
                 "version": self._configuration.version,
+                "pressure": round(self._pressures.get(call.route.name, 0.0), 2),
+                "parent": _parent_id(call),
             },
         )
         self._close(call)
@@ -568,6 +583,7 @@
                 "route": call.route.name,
                 "hosts": [attempt.peer.name for attempt in attempts],
                 "links": [attempt.peer.link is not None for attempt in attempts],
+                "parent": _parent_id(call),
                 "waited_s": round(self._clock.monotonic() - call.started_at, 3),
             },
         )
@@ -611,6 +627,11 @@
                 "after_s": round(now - attempt.sent_at, 3),
                 "load": list(load) if load else None,
                 "sent": call.sent,
+                "parent": _parent_id(call),
                 "version": self._configuration.version,
             },
         )
+
+
+def _parent_id(call):
+    return call.parent.call.request_id.decode("latin-1") if call.parent else None
--- /dev/null
+++ b/src/figpick/nodes/_metrics.py
@@ -0,0 +1,51 @@
+"""What a node counts, as metrics."""
+
+from ..base._exposition import Exposition
+from ._counters import LATENCY_BOUNDS_S
+
+
+def node_metrics(name, process):
+    """Gives the metrics of a node.
+
+    :param process: :class:`~figpick.nodes.NodeProcess`.
+    """
+    metrics = Exposition(name)
+    counters = process.counters
+    metrics.add_counter(
+        "figpick_calls", ("route", "outcome"), lambda: counters.outcomes
+    )
+    metrics.add_gauge(
+        "figpick_call_seconds_bucket",
+        ("route", "le"),
+        lambda: _buckets(counters.latencies),
+    )
+    metrics.add_gauge(
+        "figpick_call_seconds_sum",
+        ("route",),
+        lambda: {(route,): row[-1] for route, row in counters.latencies.items()},
+    )
+    metrics.add_gauge("figpick_load", ("what",), lambda: _load(process))
+    metrics.add_gauge("figpick_admitted_share", ("route",), lambda: _shares(process))
+    metrics.add_gauge(
+        "figpick_configuration_revision", (), lambda: {(): process.revision}
+    )
+    return metrics
+
+
+def _buckets(latencies):
+    values = {}
+    for route, row in latencies.items():
+        total = 0
+        for bound, count in zip((*LATENCY_BOUNDS_S, "+Inf"), row, strict=False):
+            total += count
+            values[route, str(bound)] = total
+    return values
+
+
+def _load(process):
+    running, queued, limit = process.owner.load()
+    return {("running",): running, ("queued",): queued, ("limit",): limit}
+
+
+def _shares(process):
+    return {(route,): share for route, share in process.shares().items()}
--- a/src/figpick/nodes/_origins.py
+++ b/src/figpick/nodes/_origins.py
@@ -1,8 +1,8 @@
 """Tells calls of the upstream beside a node from requests of clients.
 
-Both come to the same address. A call of a running request expires with it, so its
-deadline equals the one that the upstream was given; the deadlines of clients lie
-elsewhere.
+Both come to the same address. Where ids do not tell, deadlines do: a call of a
+running request expires with it, so its deadline equals the one that the upstream was
+given; the deadlines of clients lie elsewhere.
 """
 
 # Chance matches happen, so a route counts by how often its requests match.
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -45,6 +45,7 @@
 CRASH_WINDOW_S = 1.0
 # A call of a running request carries the deadline of that request, less the time
 # that the upstream and the network took.
+ID_SEPARATOR = b"."
 PARENT_EARLY_S = 0.003
 PARENT_LATE_S = 0.025
 # A call whose link broke goes on for this long, since its caller may attach again.
@@ -176,6 +177,8 @@
         self._executions = {}
         self._finished = {}
         self._by_deadline = []
+        self._by_id = {}
+        self.ids_tell_parents = False
         self._broken = []
         self._tasks = set()
         self._late_timer = None
@@ -313,19 +316,27 @@
             execution.is_paused = False
             execution.connection.resume()
 
-    def find_parent(self, deadline):
-        """Finds the running request that made a call, by its deadline.
+    def find_parent(self, request_id, deadline):
+        """Finds the running request that made a call.
 
+        Upstreams may derive the id of a call from that of the request; otherwise
+        the call's deadline tells, though several requests may have nearly the same.
+
+        :param request_id: id of the call.
         :param deadline: monotonic seconds at which the call expires.
         :return: :class:`Execution`, or ``None``.
         """
+        parent = self._by_id.get(request_id.rpartition(ID_SEPARATOR)[0])
+        if parent is not None:
+            self.ids_tell_parents = True
+        if parent is not None or self.ids_tell_parents:
+            return parent
         entries = self._by_deadline
         start = bisect_left(entries, (deadline - PARENT_LATE_S,))
-        best = None
         while start < len(entries) and entries[start][0] <= deadline + PARENT_EARLY_S:
-            best = entries[start][2]
+            parent = entries[start][2]
             start += 1
-        return best
+        return parent
 
     def oldest_running(self, routes):
         """Gives the longest running execution of some routes, or ``None``."""
@@ -592,6 +603,8 @@
             entry = (execution.server_deadline, id(execution), execution)
             at = bisect_left(self._by_deadline, entry[:2])
             del self._by_deadline[at]
+            if self._by_id.get(execution.call.request_id) is execution:
+                del self._by_id[execution.call.request_id]
         key = (execution.peer, execution.number)
         self._executions.pop(key, None)
         self._queue.finish(execution.ticket, now, served)
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -18,6 +18,7 @@
 from ._peers import LocalLink, Peers
 
 REFRESH_PERIOD_S = 0.4
+SUMMARY_PERIOD_S = 5.0
 # Clients leave a node after two readiness checks a second apart.
 CLIENTS_LEAVE_S = 2.3
 # The upstream gets calls of others until shortly before the node ends.
@@ -71,11 +72,13 @@
             settings, self._token, self._announcer, clock, self
         )
         self._callers = {}
+        self._metrics = None
         self._server = None
         self._wire_local()
         self._supervisor = Supervisor("node", clock)
         self._supervisor.add("entry", self._entry.watch)
         self._supervisor.add("refresh", self._refresh)
+        self._supervisor.add("summary", self._summarise)
 
     def __repr__(self):
         return f"<NodeProcess {self._settings.name}>"
@@ -90,6 +93,24 @@
         """:class:`~figpick.nodes._owner.Owner` of the upstream beside the node."""
         return self._owner
 
+    @property
+    def revision(self):
+        """Revision of the configuration in force, 0 before the first."""
+        return self._controls.revision
+
+    def shares(self):
+        """Share of the requests that are admitted, by route."""
+        return self._forwarder.shares()
+
+    def metrics_text(self):
+        """Metrics in the Prometheus exposition format, as bytes."""
+        if self._metrics is None:
+            # The libraries take 5 MB, which a node without a reader need not pay.
+            from ._metrics import node_metrics
+
+            self._metrics = node_metrics(self._settings.name, self)
+        return self._metrics.render()
+
     def state(self):
         """State of the node for operators, as a JSON value."""
         configuration = self._forwarder.configuration
@@ -256,6 +277,29 @@
             await asyncio.sleep(REFRESH_PERIOD_S)
             self._controls.fetch()
 
+    async def _summarise(self):
+        before = {}
+        while True:
+            await asyncio.sleep(SUMMARY_PERIOD_S)
+            outcomes = self.counters.outcomes
+            counts = {
+                f"{route} {outcome}": count - before.get((route, outcome), 0)
+                for (route, outcome), count in outcomes.items()
+                if count != before.get((route, outcome), 0)
+            }
+            before = dict(outcomes)
+            log.info(
+                "Calls of the last seconds.",
+                extra={
+                    "seconds": SUMMARY_PERIOD_S,
+                    "counts": counts,
+                    "load": list(self._owner.load()),
+                    "shares": self.shares(),
+                    "revision": self.revision,
+                    "controls": self._controls.open_count,
+                },
+            )
+
     def _wire_local(self):
         calling = LocalLink(self._receive_local)
         owning = LocalLink(self._receive_call)
--- a/src/figpick/operators/_cli.py
+++ b/src/figpick/operators/_cli.py
@@ -11,6 +11,7 @@
   figpick members add NAME ADDRESS [options]
   figpick members remove NAME [options]
   figpick unquarantine SERVICE FINGERPRINT [options]
+  figpick explain ID FILE...
   figpick (-h | --help | --version)
 
 Options:
@@ -89,7 +90,9 @@
         _run_process(arguments["SETTINGS"])
     elif arguments["check"]:
         _load_document(arguments)
-        print(f"{arguments['FILE']}: valid")
+        print(f"{arguments['FILE'][0]}: valid")
+    elif arguments["explain"]:
+        _explain(arguments["ID"], arguments["FILE"])
     elif arguments["put"]:
         _print(_put(arguments))
     elif arguments["members"]:
@@ -123,10 +126,27 @@
     _compose.run(settings)
 
 
+def _explain(request_id, paths):
+    from . import _explain as explaining
+
+    lines = []
+    for path in paths:
+        try:
+            with open(path, errors="replace") as file:
+                lines.extend(explaining.read_lines(file))
+        except OSError as error:
+            _fail(f"{path}: {error.strerror}", EXIT_INVALID)
+    found = explaining.explain(request_id, lines)
+    if not found:
+        _fail(f"no line names {request_id}", EXIT_FAILED)
+    for text in explaining.render(found, request_id):
+        print(text)
+
+
 def _load_document(arguments):
     from ..registry import _documents
 
-    return _documents.load(arguments["FILE"])
+    return _documents.load(arguments["FILE"][0])
 
 
 def _put(arguments):
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -136,6 +136,46 @@
         assert float(headers["retry-after"]) > 0
 
 
+@pytest.mark.parametrize("derives_id", [True, False])
+@in_loop
+async def test_call_of_a_running_request_has_its_rank_and_key(tmp_path, derives_id):
+    """Guards against calls that are refused after the work of their request."""
+    async with Fleet(tmp_path) as fleet:
+        entry, parts = fleet.hosts[0], fleet.hosts[1:]
+        seen = []
+        for host in fleet.hosts:
+            take = host.node.owner.take
+
+            def note(link, peer, number, call, take=take):
+                seen.append(call)
+                take(link, peer, number, call)
+
+            host.node.owner.take = note
+
+        async def with_call(connection, request):
+            names = DEFAULT_HEADERS
+            entry.service.note(request)
+            left_ms = int(request.header(names.deadline_ms))
+            own_id = request.header(names.request_id)
+            inner_id = own_id + b".1" if derives_id else b"other"
+            async with Client(entry.settings.call_address) as client:
+                status, _, _ = await client.call(
+                    b"/parts/1", inner_id, deadline_ms=left_ms
+                )
+            assert status == 200
+            connection.transport.write(entry.service.render(request, b"done"))
+
+        entry.service.behave = with_call
+        async with Client(entry.settings.call_address) as client:
+            await client.call(b"/entries/once/1", b"root", method=b"POST")
+        outer, inner = seen
+        assert (outer.is_inner, inner.is_inner) == (False, True)
+        assert inner.key == outer.key
+        assert (outer.rank, inner.rank) == (1, 0)
+        assert inner.caller == "entries"
+        assert parts[0].service.runs or parts[1].service.runs
+
+
 @in_loop
 async def test_draining_upstream_gets_no_more_requests(tmp_path):
     async with Fleet(tmp_path) as fleet:
