--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -29,6 +29,7 @@
     PART_BYTES,
     REASON_CRASH,
     REASON_TIMEOUT,
+    REASON_WAITED,
     REASONS_AT_UPSTREAM,
     CallMessage,
 )
@@ -494,7 +495,7 @@
         now = self._clock.monotonic()
         limit = MAX_INNER_PLACEMENTS if call.is_inner else MAX_PLACEMENTS
         may_go_on = (
-            reason not in (REASON_CRASH, REASON_TIMEOUT)
+            reason not in (REASON_CRASH, REASON_WAITED)
             and call.placements < limit
             and now < call.answer_by
         )
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -42,6 +42,7 @@
 WINDOW_BYTES = 256 * 1024
 
 REASON_TIMEOUT = "timeout"
+REASON_WAITED = "waited-too-long"
 REASON_BROKEN = "broken-answer"
 REASON_RESET = "connection-lost"
 REASON_LINK = "link-lost"
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -27,6 +27,7 @@
     REASON_NO_CONNECTION,
     REASON_SHED,
     REASON_TIMEOUT,
+    REASON_WAITED,
     REASON_WRONG_INSTANCE,
     WINDOW_BYTES,
 )
@@ -433,7 +434,7 @@
         if now >= execution.deadline - LEAVE_MARGIN_S or self._is_other(call):
             connection.idle_since = now
             self._pool.put_back(connection)
-            self._refuse_started(execution, REASON_TIMEOUT)
+            self._refuse_started(execution, REASON_WAITED)
             return
         execution.connection = connection
         execution.sent_at = now
@@ -517,7 +518,6 @@
     def _give_back_unrun(self, execution, reader):
         now = self._clock.monotonic()
         status = reader.status
-        reason = REASON_SHED if status == 503 else REASON_TIMEOUT
         log.info(
             "The upstream did not run a call.",
             extra={
@@ -529,7 +529,7 @@
             },
         )
         self._release(execution, reader, now)
-        self._refuse_started(execution, reason)
+        self._refuse_started(execution, REASON_SHED)
 
     def _begin_stream(self, execution, reader):
         if not self._is_whole(reader):
@@ -622,7 +622,7 @@
     def _start_ready(self):
         started, late = self._queue.take_ready(self._clock.monotonic())
         for ticket in late:
-            self._refuse_started(ticket.call, REASON_TIMEOUT)
+            self._refuse_started(ticket.call, REASON_WAITED)
         for ticket in started:
             self._start(ticket.call)
 
@@ -634,7 +634,7 @@
     def _check_late(self):
         self._late_timer = None
         for ticket in self._queue.take_late(self._clock.monotonic()):
-            self._refuse_started(ticket.call, REASON_TIMEOUT)
+            self._refuse_started(ticket.call, REASON_WAITED)
         if self._queue.queued:
             self._watch_late()
 
--- a/src/figpick/operators/_explain.py
+++ b/src/figpick/operators/_explain.py
@@ -65,7 +65,7 @@
         ids |= {line.fields["id"] for line in found if "id" in line.fields}
     if not own:
         return []
-    return sorted(own + _context(own, lines))
+    return sorted(own + _context(own, lines), key=lambda line: line.t)
 
 
 def render(lines, request_id):
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,159 @@
+"""From the id of a failed request to its cause, with log lines alone."""
+
+import asyncio
+import os
+import re
+
+import pytest
+
+from figpick.base import _logs
+from figpick.operators import _cli
+from figpick.operators._explain import explain, read_lines, render
+
+from .fleet import Client, Fleet, make_configuration, routes
+from .test_two_nodes import in_loop
+
+
+class Capture:
+    """Collects structured log lines of this process."""
+
+    def __init__(self):
+        self._read, self._write = os.pipe()
+        os.set_blocking(self._read, False)
+        os.set_blocking(self._write, False)
+        self._handler = _logs.JsonHandler("test", self._write, level="INFO")
+
+    def __enter__(self):
+        self._handler.push_application()
+        return self
+
+    def __exit__(self, *error):
+        self._handler.pop_application()
+        os.close(self._read)
+        os.close(self._write)
+
+    def lines(self):
+        """Gives the lines that were written so far."""
+        text = b""
+        try:
+            while chunk := os.read(self._read, 65536):
+                text += chunk
+        except BlockingIOError:
+            pass
+        return list(read_lines(text.decode().splitlines()))
+
+
+async def refused_under_overload(fleet):
+    entry = fleet.hosts[0]
+    for host in fleet.hosts:
+        host.service.delay_s = 1.0
+    statuses = {}
+
+    async def one(number):
+        async with Client(entry.settings.call_address) as client:
+            request_id = b"x%d" % number
+            statuses[request_id] = (await client.call(b"/entries/1", request_id))[0]
+
+    await asyncio.gather(*(one(number) for number in range(80)))
+    refused = [request_id for request_id, status in statuses.items() if status == 503]
+    return refused[0]
+
+
+async def broken_by_a_server_that_died(fleet):
+    async def die(connection, request):
+        connection.transport.abort()
+
+    for host in fleet.hosts:
+        host.service.behave = die
+    async with Client(fleet.hosts[0].settings.call_address) as client:
+        status, _, _ = await client.call(b"/parts/once/1", b"died", method=b"POST")
+    assert status == 502
+    return b"died"
+
+
+async def refused_around_a_change(fleet):
+    changed = tuple(route for route in routes() if "parts" not in route.name)
+    await fleet.accept(make_configuration(4, 1, changed))
+    await asyncio.sleep(0.3)
+    async with Client(fleet.hosts[0].settings.call_address) as client:
+        status, _, _ = await client.call(b"/parts/1", b"gone")
+    assert status == 404
+    return b"gone"
+
+
+@pytest.mark.parametrize(
+    ("play", "fields", "reason"),
+    [
+        (
+            refused_under_overload,
+            {"route", "service", "reason", "placements", "version", "waited_s"},
+            "full|waited-too-long",
+        ),
+        (
+            broken_by_a_server_that_died,
+            {"route", "host", "instance", "reason", "after_s", "load", "version"},
+            "closed|reset|broken",
+        ),
+        (refused_around_a_change, {"status", "reason", "version"}, "no route"),
+    ],
+)
+def test_failed_request_is_explained_by_its_id(tmp_path, play, fields, reason):
+    """Guards against a line without the inputs that decided."""
+
+    @in_loop
+    async def run():
+        with Capture() as capture:
+            async with Fleet(tmp_path) as fleet:
+                request_id = (await play(fleet)).decode()
+            return request_id, explain(request_id, capture.lines())
+
+    request_id, found = run()
+    own = [line for line in found if line.fields.get("id") == request_id]
+    assert any(fields <= set(line.fields) for line in own)
+    assert any(re.search(reason, str(line.fields.get("reason"))) for line in own)
+    text = "\n".join(render(found, request_id))
+    assert request_id in text
+    if play is refused_around_a_change:
+        assert any(
+            line.msg == "Configuration in force." and line.fields["version"] == 4
+            for line in found
+        )
+
+
+def test_command_prints_the_timeline(tmp_path, capsys):
+    path = tmp_path / "node.log"
+    path.write_text(
+        '2026-12-03 host1 {"t":1.0,"node":"n1","level":"info","part":"calls",'
+        '"msg":"Call refused.","id":"a1","reason":"full"}\n'
+        "not a line of ours\n"
+        '{"t":0.9,"node":"n1","part":"calls","msg":"Call failed.","parent":"a1",'
+        '"id":"a1.1"}\n'
+    )
+    _cli.main(["explain", "a1", str(path)])
+    printed = capsys.readouterr().out.splitlines()
+    assert len(printed) == 2
+    assert "Call failed." in printed[0]
+    with pytest.raises(SystemExit):
+        _cli.main(["explain", "a9", str(path)])
+
+
+def test_lines_over_the_rate_are_counted():
+    """Guards against logs that cost more than the calls that they tell of."""
+    budget = _logs.LineBudget(per_s=10.0, burst=5.0)
+    written = sum(budget.take("Call refused.", 0.0) for _ in range(100))
+    assert written == 5
+    assert budget.take("Call refused.", 0.1)
+    assert budget.take_omitted() == {"Call refused.": 95}
+    assert budget.take_omitted() == {}
+
+
+def test_reader_that_stops_reading_blocks_nothing():
+    read, write = os.pipe()
+    os.set_blocking(write, False)
+    handler = _logs.JsonHandler("n", write, level="INFO")
+    log = _logs.logger("test")
+    with handler.applicationbound():
+        for number in range(3000):
+            log.warning("Line {}.", number, extra={"padding": "x" * 200})
+    os.close(read)
+    os.close(write)
--- /dev/null
+++ b/tests/test_node_metrics.py
@@ -0,0 +1,27 @@
+"""Metrics of a node and of a control process as text."""
+
+from .fleet import Client, Fleet
+from .test_two_nodes import in_loop
+
+
+@in_loop
+async def test_metrics_count_calls_by_route_and_outcome(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            for number in range(3):
+                await client.call(b"/parts/1", b"m%d" % number)
+        text = fleet.hosts[0].node.metrics_text().decode()
+        assert (
+            'figpick_calls_total{otel_scope_name="figpick"' in text
+            or "figpick_calls_total{" in text
+        )
+        line = next(
+            line
+            for line in text.splitlines()
+            if line.startswith("figpick_calls_total") and "parts-get" in line
+        )
+        assert line.endswith(" 3.0")
+        assert 'le="+Inf"' in text
+        assert "figpick_configuration_revision" in text
+        control = fleet.controls[0].metrics_text().decode()
+        assert 'what="is_leader"' in control
--- /dev/null
+++ b/tests/test_platform_run.py
@@ -0,0 +1,138 @@
+"""The programs of the platform's folder as separate processes on loopback."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from .test_platform_adapter import COLUMNS, HEARTBEAT
+
+ROOT = Path(__file__).parents[1]
+LIMIT_S = 15.0
+
+SETTINGS = """
+[self]
+nodeName = "{name}"
+role = "{role}"
+ip = "{ip}"
+zone = "z"
+region = "r"
+service = "s1"
+appAddr = "{ip}:{app}"
+bootstrap = true
+dataDir = "{data}"
+[network]
+portRange = [{link}, {link}]
+seeds = ["127.0.0.2:{control}"]
+[network.listen]
+outbound = "{ip}:{outbound}"
+ready = "{ip}:{ready}"
+control = "{ip}:{control}"
+[terms.bounds]
+retryBudgetRatio = 0.2
+retryWindowS = 10
+graceS = 6
+"""
+
+
+def free_ports(count):
+    probes = [socket.socket() for _ in range(count)]
+    for probe in probes:
+        probe.bind(("127.0.0.1", 0))
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
+
+
+def request(method, url, value=None):
+    """Gives status and body of an answer, 0 when there is none."""
+    body = msgspec.json.encode(value) if value is not None else None
+    call = urllib.request.Request(url, body, method=method)
+    try:
+        with urllib.request.urlopen(call, timeout=2.0) as answer:
+            return answer.status, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError:
+        return 0, b""
+
+
+def until(condition):
+    limit = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < limit
+        time.sleep(0.05)
+
+
+@pytest.fixture
+def programs(tmp_path):
+    """Starts a control process and a node; gives their ports and processes."""
+    names = ("app", "link", "outbound", "ready", "control")
+    ports = dict(zip(names, free_ports(len(names)), strict=True))
+    started = {}
+    for role, ip in (("control", "127.0.0.2"), ("node", "127.0.0.3")):
+        path = tmp_path / f"{role}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=role, role=role, ip=ip, data=tmp_path / "data", **ports
+            )
+        )
+        started[role] = subprocess.Popen(
+            [sys.executable, str(ROOT / "platform" / "run.py"), role],
+            env={**os.environ, "FIGPICK_BOOT": str(path)},
+            stdout=subprocess.PIPE,
+        )
+    yield ports, started
+    for process in started.values():
+        if process.poll() is None:
+            process.kill()
+        process.communicate()
+
+
+@pytest.mark.processes
+def test_programs_start_take_a_configuration_and_stop(programs):
+    """Guards against programs that import but do not run."""
+    ports, started = programs
+    operator = f"http://127.0.0.2:{ports['control']}"
+    node = f"http://127.0.0.3:{ports['control']}"
+    ready = f"http://127.0.0.3:{ports['ready']}/ready"
+    row = ["r-1", "h.example", "/a/", "idempotent", 1, 1, 0, None, 2, "s1"]
+    document = {
+        "version": "r2",
+        "baseVersion": 0,
+        "routes": {"columns": COLUMNS, "rows": [row]},
+        "services": {"columns": ["name", "healthPath"], "rows": [["s1", "/health"]]},
+        "limits": {},
+    }
+    until(lambda: request("PUT", f"{operator}/config", document)[0] == 200)
+    assert request("PUT", f"{operator}/config", document)[0] == 200
+    other = {**document, "version": "r9", "baseVersion": "r1"}
+    assert request("PUT", f"{operator}/config", other)[0] == 412
+    invalid = {**document, "version": "r9", "baseVersion": "r2", "services": None}
+    assert request("PUT", f"{operator}/config", invalid)[0] == 400
+    status, body = request("GET", f"{operator}/config")
+    assert status == 200
+    assert msgspec.json.decode(body) == document
+    until(lambda: request("GET", ready)[0] == 200)
+    beat = {**HEARTBEAT, "address": f"127.0.0.3:{ports['app']}"}
+    assert request("PUT", f"{node}/instances/i-1", beat)[0] == 200
+    assert request("PUT", f"{node}/instances/i-2", {"state": "ready"})[0] == 400
+    state = msgspec.json.decode(request("GET", f"{node}/state")[1])
+    assert (state["instance"], state["upstream"]) == ("i-1", "ready")
+    assert request("DELETE", f"{node}/instances/i-1")[0] == 200
+    state = msgspec.json.decode(request("GET", f"{node}/state")[1])
+    assert state["upstream"] == "draining"
+    started["node"].send_signal(signal.SIGHUP)
+    for process in started.values():
+        process.send_signal(signal.SIGTERM)
+    for process in started.values():
+        assert process.wait(8.0) == 0
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -16,7 +16,7 @@
 
     @wraps(test)
     def run(*arguments, **named):
-        asyncio.run(test(*arguments, **named))
+        return asyncio.run(test(*arguments, **named))
 
     return run
 
