Count waiting calls in the pressure of a service

The slots of scans are then all held by requests that wait for parts, which send no more calls: parts sees no more work than it serves, reports a pressure of 1 and the entry goes on admitting; most signoffs fail after 0.8 s of work. Change: the waiting work of a rank counts as if it had to be done in 0.3 s. A test with a full queue and no offers fails before.

--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -22,6 +22,9 @@
 # shorter than the time of a request.
 OFFER_WINDOW_S = 0.3
 MIN_ROOM = 0.05
+# Time in which a backlog is to be worked off. Services above hold their slots for the
+# calls that wait here and then send no more, so that the offered work alone hides it.
+BACKLOG_S = 0.3
 # Calls of running requests may not take every slot: requests that start here keep
 # this share of the slots while they wait.
 ENTRY_SHARE = 0.2
@@ -136,8 +139,8 @@
     def pressure(self, rank, now):
         """Work of a rank that is offered for each slot that it may use.
 
-        Above 1 more calls come than can run; what more urgent calls use, and the
-        share of requests that start here, is not there for them.
+        Above 1 more calls come, or wait, than can run soon; what more urgent calls
+        use, and the share of requests that start here, is not there for them.
 
         :param rank: rank of calls of running requests.
         :param now: monotonic seconds.
@@ -155,6 +158,7 @@
             elif each < rank:
                 room -= use
         room -= min(ENTRY_SHARE, entries)
+        own += self._work_s.get(rank, 0.0) / (BACKLOG_S * self._limit)
         return own / max(room, MIN_ROOM)
 
     def expected_wait_s(self, ticket):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -139,6 +139,20 @@
     assert queue.pressure(4, now) == pytest.approx(0.526 / 0.224, rel=0.2)
 
 
+def test_pressure_counts_what_waits_when_nothing_more_is_offered():
+    """Guards against services above whose slots are all held by waiting calls.
+
+    They send no more calls then, so the offered work looks small while the queue of
+    the deep service is long.
+    """
+    queue = AdmissionQueue()
+    queue.set_slots(20)
+    for number in range(120):
+        queue.offer(ticket(number, 4, True, target_at=30.0, leave_at=30.0), 0.0)
+    assert queue.queued > 80
+    assert queue.pressure(4, 20.0) > 1.2
+
+
 @pytest.mark.parametrize("overload", [1.5, 3.0])
 def test_deep_service_serves_whole_requests_under_overload(overload):
     """Guards against calls refused at random, which fails most requests in part.
