Let failures of a host fade with time

Calls sent to a host also counted twice, as sent and in its next reports. A played load with one spoiled answer in fifty fails before.

--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -403,7 +403,7 @@
         ]
         if not others or not self._budget(call.service).take(now):
             return
-        target.failed()
+        target.failed(now)
         call.sent += 1
         self._log_attempt("Call sent again, no answer yet.", attempt, "silent", now)
         targets = {peer.target: peer for peer in others}
@@ -514,11 +514,11 @@
         target = attempt.peer.target
         if load is not None:
             target.report(Load(*load))
-        target.failed()
+        now = self._clock.monotonic()
+        target.failed(now)
         call.may_have_run = True
         if call.is_done or call.attempts:
             return
-        now = self._clock.monotonic()
         call.sent += 1
         can_repeat = (
             call.route.is_idempotent
--- a/src/figpick/placing/_targets.py
+++ b/src/figpick/placing/_targets.py
@@ -15,9 +15,11 @@
 SERVICE_WEIGHT = 0.1
 # Above this use of the slots the wait is likely to grow.
 BUSY_SHARE = 0.8
-FAILURE_WEIGHT = 0.2
-# Penalty of a host all of whose recent attempts failed.
-FAILURE_PENALTY_S = 2.0
+FAILURE_WEIGHT = 0.1
+# Cost of an attempt that fails: the time until it shows and the second attempt.
+FAILURE_COST_S = 0.5
+# A host that is avoided gets no attempts that could show that it works again.
+FAILURE_HALF_LIFE_S = 0.7
 
 
 class Load(NamedTuple):
@@ -47,20 +49,20 @@
         "sent",
         "service_s",
         "cold_until",
-        "failures",
-        "avoid_until",
+        "_failures",
+        "_failed_at",
     )
 
     def __init__(self, name, is_near):
         self.name = name
         self.is_near = is_near
         self.load = None
-        # Calls sent since the last report, which it does not include yet.
+        # Calls sent since the last report, which cannot include them.
         self.sent = 0
         self.service_s = DEFAULT_SERVICE_S
         self.cold_until = 0.0
-        self.failures = 0.0
-        self.avoid_until = 0.0
+        self._failures = 0.0
+        self._failed_at = 0.0
 
     def __repr__(self):
         return f"<Target {self.name} {self.load}>"
@@ -68,16 +70,28 @@
     def report(self, load):
         """Takes a newer report of the owner."""
         self.load = load
-        self.sent = max(0, self.sent - 1)
+        self.sent = 0
 
     def served(self, seconds):
         """Notes how long an upstream worked on a call."""
         self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
-        self.failures -= FAILURE_WEIGHT * self.failures
+        self._failures -= FAILURE_WEIGHT * self._failures
+
+    def failed(self, now):
+        """Notes an attempt without an answer of the upstream.
+
+        :param now: monotonic seconds.
+        """
+        failures = self.failure_share(now)
+        self._failures = failures + FAILURE_WEIGHT * (1.0 - failures)
+        self._failed_at = now
 
-    def failed(self):
-        """Notes an attempt without an answer of the upstream."""
-        self.failures += FAILURE_WEIGHT * (1.0 - self.failures)
+    def failure_share(self, now):
+        """Share of the recent attempts that failed, which fades with time."""
+        if not self._failures:
+            return 0.0
+        age = (now - self._failed_at) / FAILURE_HALF_LIFE_S
+        return self._failures * 0.5**age
 
     def cost_s(self, now):
         """Expected seconds to an answer, with penalties.
@@ -87,7 +101,7 @@
         service_s = self.service_s
         if now < self.cold_until:
             service_s *= COLD_FACTOR
-        cost_s = service_s + self.failures * FAILURE_PENALTY_S
+        cost_s = service_s + self.failure_share(now) * FAILURE_COST_S
         load = self.load
         if load is not None and load.limit:
             used = load.running + load.queued + self.sent
@@ -106,15 +120,6 @@
 
     :param targets: list of :class:`Target`.
     :param now: monotonic seconds.
-    :return: the target with the least cost, or ``None`` without targets. Hosts to
-        be avoided for now are taken only when there are no others.
+    :return: the target with the least cost, or ``None`` without targets.
     """
-    best = None
-    best_cost = 0.0
-    for target in targets:
-        cost_s = target.cost_s(now)
-        if now < target.avoid_until:
-            cost_s += 60.0
-        if best is None or cost_s < best_cost:
-            best, best_cost = target, cost_s
-    return best
+    return min(targets, key=lambda target: target.cost_s(now), default=None)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -24,13 +24,30 @@
 
 
 def test_failing_host_is_avoided_and_tried_again():
+    """Guards against a host that stays unused after a failure, with slots free."""
     bad, good = target("bad"), target("good", is_near=False)
-    for _ in range(5):
-        bad.failed()
+    for _ in range(10):
+        bad.failed(0.0)
     assert choose([bad, good], 0.0) is good
-    for _ in range(40):
-        bad.served(0.05)
-    assert choose([bad, good], 0.0) is bad
+    assert choose([bad, good], 10.0) is bad
+
+
+def test_host_that_fails_rarely_keeps_its_share():
+    """Guards against a queue at one host while another one has room.
+
+    One answer in fifty is spoiled at a host that is otherwise free.
+    """
+    flaky, full = target("flaky"), target("full", running=35, queued=70)
+    chosen = 0
+    for number in range(500):
+        now = number * 0.005
+        best = choose([flaky, full], now)
+        chosen += best is flaky
+        if number % 50 == 0:
+            flaky.failed(now)
+        else:
+            flaky.served(0.05)
+    assert chosen >= 490
 
 
 def test_cold_host_gets_less():
