Place calls by the wait that owners report for their kind

The queue held long requests of clients, so its length said little of the wait of a call of a running request; those that waited longest were dropped after 0.6 s and held slots of the services above meanwhile, and the throttle learned of it late. Change: owners report the expected wait of both kinds; a call of a running request waits a quarter of its time at most; the throttle corrects with a power of 0.5. Notices are exempt from the line rate.

--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -33,6 +33,9 @@
 SERVICE_WEIGHT = 0.1
 # Part of the time to its target that a call may plan to use: service times vary.
 PLANNED_SHARE = 0.85
+# A running request makes several calls, one after the other, and holds a slot while
+# it waits for one; it may wait for each this part of the time that is left.
+INNER_WAIT_SHARE = 0.25
 MIN_RETRY_AFTER_S = 0.15
 MAX_QUEUED = 2000
 
@@ -183,6 +186,19 @@
         own_share_s = self._entry_work_s / (ENTRY_SHARE * self._limit)
         return min(ahead_s / self._limit, own_share_s)
 
+    def waits_s(self):
+        """Seconds in which the waiting calls could be worked off.
+
+        :return: tuple for calls of running requests and for requests that start
+            here.
+        """
+        if not self._limit or not self._queued:
+            return 0.0, 0.0
+        all_s = sum(self._work_s.values())
+        inner_s = (all_s - self._entry_work_s) / self._limit
+        own_share_s = self._entry_work_s / (ENTRY_SHARE * self._limit)
+        return inner_s, min(all_s / self._limit, own_share_s)
+
     def offer(self, ticket, now):
         """Takes a call.
 
@@ -204,6 +220,8 @@
         left_s = min(ticket.target_at, ticket.leave_at) - now
         if wait_s + ticket.expected_s > PLANNED_SHARE * left_s:
             return Refusal(FULL, max(wait_s, MIN_RETRY_AFTER_S))
+        if ticket.is_inner:
+            ticket.leave_at = min(ticket.leave_at, now + INNER_WAIT_SHARE * left_s)
         self._number += 1
         key = ticket.key if ticket.is_inner else self._number
         waiting = self._waiting.setdefault(ticket.rank, [])
--- a/src/figpick/admission/_throttle.py
+++ b/src/figpick/admission/_throttle.py
@@ -8,7 +8,7 @@
 PERIOD_S = 0.1
 # Answers report the pressure of some tenths of a second ago, so that a full
 # correction in each period would overshoot.
-GAIN = 0.35
+GAIN = 0.5
 MIN_FACTOR = 0.7
 MAX_FACTOR = 1.15
 # Without answers nothing is known, and some requests must find out.
--- a/src/figpick/base/_logs.py
+++ b/src/figpick/base/_logs.py
@@ -104,7 +104,7 @@
     def emit(self, record):
         """Writes one record, unless the rate is exceeded."""
         now = time.monotonic()
-        is_important = record.level >= logbook.WARNING
+        is_important = record.level >= logbook.NOTICE
         if not self._budget.take(record.msg, now) and not is_important:
             return
         omitted = self._budget.take_omitted()
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -110,7 +110,7 @@
         self._server = await listen(self._settings.link_address, self._make_accepted)
         for seed in self._settings.seeds:
             self._dial(seed)
-        log.info(
+        log.notice(
             "Control process starts.",
             extra={"name": self._settings.name, "seeds": len(self._settings.seeds)},
         )
@@ -120,7 +120,7 @@
         """Connects to control processes that changed settings name."""
         for seed in seeds:
             self._dial(seed)
-        log.info("Settings reloaded.", extra={"seeds": len(seeds)})
+        log.notice("Settings reloaded.", extra={"seeds": len(seeds)})
 
     async def drain(self):
         """Says goodbye and closes the links."""
@@ -129,7 +129,7 @@
         for dialer in self._dialers.values():
             if dialer.link is not None:
                 dialer.link.finish()
-        log.info("Control process stops.")
+        log.notice("Control process stops.")
 
     def close(self):
         """Closes everything at once."""
@@ -149,7 +149,7 @@
         :raises NoQuorumError: when the outcome is not known.
         """
         version = await self._at_leader(PUT, change._asdict())
-        log.info(
+        log.notice(
             "Configuration accepted.",
             extra={
                 "version": version,
@@ -373,5 +373,5 @@
             self._clock.monotonic(),
         )
         if members is not None:
-            log.info("Members change.", extra=describe(members))
+            log.notice("Members change.", extra=describe(members))
             self._member.change_members(members)
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -106,7 +106,7 @@
 
     def _on_closed(self, link):
         self._revisions.pop(link, None)
-        log.info("Link to control {} is lost.", link.peer)
+        log.notice("Link to control {} is lost.", link.peer)
 
     def _receive(self, link, message):
         kind, *values = message
@@ -123,7 +123,7 @@
             elif kind == CRASH:
                 self._handlers.on_crash_report(*values)
             elif kind == HELLO:
-                log.info("Link to control {} is open.", values[0])
+                log.notice("Link to control {} is open.", values[0])
         except (PeerError, TypeError, ValueError) as error:
             log.warning(
                 "Message {!r} of {} cannot be used: {}.", kind, link.peer, error
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -325,7 +325,7 @@
             self._wait_or_refuse(call, usable, now)
             return
         targets = {peer.target: peer for peer in fresh}
-        peer = targets[choose(list(targets), now)]
+        peer = targets[choose(list(targets), call.is_inner, now)]
         self._send(call, peer, now)
 
     def _wait_or_refuse(self, call, usable, now):
@@ -407,7 +407,7 @@
         call.sent += 1
         self._log_attempt("Call sent again, no answer yet.", attempt, "silent", now)
         targets = {peer.target: peer for peer in others}
-        self._send(call, targets[choose(list(targets), now)], now)
+        self._send(call, targets[choose(list(targets), call.is_inner, now)], now)
 
     def _check_attached(self, attempt):
         peer = attempt.peer
@@ -626,7 +626,7 @@
                 "instance": attempt.peer.instance,
                 "reason": reason,
                 "after_s": round(now - attempt.sent_at, 3),
-                "load": list(load) if load else None,
+                "load": load and list(load),
                 "sent": call.sent,
                 "parent": _parent_id(call),
                 "version": self._configuration.version,
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -18,7 +18,7 @@
 * ``load``: load of the owner and its instance, sent when its upstream changes.
 * ``attach``: numbers of the calls whose answers are still awaited on a new link.
 
-The load is a list of running calls, waiting calls and the limit.
+The load is a list of the fields of :class:`~figpick.placing.Load`.
 """
 
 from typing import NamedTuple
--- a/src/figpick/nodes/_metrics.py
+++ b/src/figpick/nodes/_metrics.py
@@ -43,8 +43,10 @@
 
 
 def _load(process):
-    running, queued, limit = process.owner.load()
-    return {("running",): running, ("queued",): queued, ("limit",): limit}
+    names = ("running", "queued", "limit", "inner_wait_ms", "entry_wait_ms")
+    return {
+        (name,): value for name, value in zip(names, process.owner.load(), strict=True)
+    }
 
 
 def _shares(process):
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -200,8 +200,11 @@
 
     def load(self):
         """Load as it is reported to calling nodes."""
-        limit = 0 if self._is_stopping else self._queue.limit
-        return (self._queue.running, self._queue.queued, limit)
+        queue = self._queue
+        limit = 0 if self._is_stopping else queue.limit
+        inner_s, entry_s = queue.waits_s()
+        waits_ms = int(inner_s * 1000), int(entry_s * 1000)
+        return (queue.running, queue.queued, limit, *waits_ms)
 
     def add_link(self, link):
         """Starts to report changes of the load on a link."""
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -223,7 +223,7 @@
         peer.link = link
         if peer.attempts:
             link.send((ATTACH, list(peer.attempts)))
-        log.info("Link to {} is open.", name)
+        log.notice("Link to {} is open.", name)
         if peer.takes_calls:
             self._handlers.on_usable(peer.record.service)
 
@@ -231,7 +231,7 @@
         if peer.link is not link:
             return
         peer.link = None
-        log.info(
+        log.notice(
             "Link to {} is lost.", peer.name, extra={"awaited": len(peer.attempts)}
         )
         self._handlers.on_link_lost(peer)
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -24,7 +24,7 @@
 # The upstream gets calls of others until shortly before the node ends.
 OWNER_STOPS_S = 1.2
 # What still runs this long before the process is killed is cut off.
-EXIT_MARGIN_S = 0.4
+EXIT_MARGIN_S = 0.8
 STOP_POLL_S = 0.05
 
 log = logger("node")
@@ -131,7 +131,7 @@
         self._server = await listen(self._settings.link_address, self._make_accepted)
         await self._entry.start(self._settings.call_address)
         self._controls.start()
-        log.info(
+        log.notice(
             "Node starts.",
             extra={
                 "name": self._settings.name,
@@ -144,14 +144,14 @@
     def use_seeds(self, seeds):
         """Connects to control processes that changed settings name."""
         self._controls.connect(seeds)
-        log.info("Settings reloaded.", extra={"seeds": len(seeds)})
+        log.notice("Settings reloaded.", extra={"seeds": len(seeds)})
 
     async def drain(self):
         """Ends the node without cutting requests; returns when it may exit."""
         started_at = self._clock.monotonic()
         self._is_stopping = True
         self._entry.stop_keeping()
-        log.info("Node stops.", extra={"in_flight": self._forwarder.in_flight})
+        log.notice("Node stops.", extra={"in_flight": self._forwarder.in_flight})
         await asyncio.sleep(OWNER_STOPS_S)
         self._owner.stop_taking()
         end_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
@@ -162,7 +162,7 @@
             await asyncio.sleep(STOP_POLL_S)
         self._announcer.update(state=LEFT)
         self._controls.announce()
-        log.info(
+        log.notice(
             "Node has stopped.",
             extra={
                 "after_s": round(self._clock.monotonic() - started_at, 2),
@@ -208,7 +208,7 @@
             log.debug("Old report of {}.", report.instance)
             return
         if (view.instance, view.state, view.slots) != before:
-            log.info(
+            log.notice(
                 "Upstream changed.",
                 extra={
                     "instance": view.instance,
@@ -223,7 +223,7 @@
     def take_leave(self, instance):
         """Takes the word of an upstream that it leaves."""
         if self._owner.view.leave(instance):
-            log.info("Upstream leaves.", extra={"instance": instance})
+            log.notice("Upstream leaves.", extra={"instance": instance})
             self._owner.upstream_changed()
 
     def on_record(self, record):
@@ -241,7 +241,7 @@
             return
         self._controls.revision = revision
         self._forwarder.configure(configuration)
-        log.info(
+        log.notice(
             "Configuration in force.",
             extra={
                 "version": configuration.version,
@@ -288,7 +288,7 @@
                 if count != before.get((route, outcome), 0)
             }
             before = dict(outcomes)
-            log.info(
+            log.notice(
                 "Calls of the last seconds.",
                 extra={
                     "seconds": SUMMARY_PERIOD_S,
--- a/src/figpick/placing/_targets.py
+++ b/src/figpick/placing/_targets.py
@@ -28,11 +28,15 @@
     :param running: calls that hold a slot.
     :param queued: calls that wait.
     :param limit: calls that may hold a slot, 0 when no upstream takes calls.
+    :param inner_wait_ms: expected wait of a call of a running request.
+    :param entry_wait_ms: expected wait of a request that starts at the service.
     """
 
     running: int
     queued: int
     limit: int
+    inner_wait_ms: int = 0
+    entry_wait_ms: int = 0
 
 
 class Target:
@@ -93,9 +97,10 @@
         age = (now - self._failed_at) / FAILURE_HALF_LIFE_S
         return self._failures * 0.5**age
 
-    def cost_s(self, now):
+    def cost_s(self, is_inner, now):
         """Expected seconds to an answer, with penalties.
 
+        :param is_inner: whether the call is one of a running request.
         :param now: monotonic seconds.
         """
         service_s = self.service_s
@@ -104,10 +109,11 @@
         cost_s = service_s + self.failure_share(now) * FAILURE_COST_S
         load = self.load
         if load is not None and load.limit:
-            used = load.running + load.queued + self.sent
-            free_below = BUSY_SHARE * load.limit
-            if used > free_below:
-                cost_s += service_s * (used - free_below) / load.limit
+            wait_ms = load.inner_wait_ms if is_inner else load.entry_wait_ms
+            cost_s += wait_ms / 1000
+            busy = (load.running + self.sent) / load.limit - BUSY_SHARE
+            if busy > 0:
+                cost_s += service_s * busy
         else:
             cost_s += service_s * 0.02 * self.sent
         if not self.is_near:
@@ -115,11 +121,12 @@
         return cost_s
 
 
-def choose(targets, now):
+def choose(targets, is_inner, now):
     """Chooses among the hosts that can be reached.
 
     :param targets: list of :class:`Target`.
+    :param is_inner: whether the call is one of a running request.
     :param now: monotonic seconds.
     :return: the target with the least cost, or ``None`` without targets.
     """
-    return min(targets, key=lambda target: target.cost_s(now), default=None)
+    return min(targets, key=lambda target: target.cost_s(is_inner, now), default=None)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -5,22 +5,24 @@
 from figpick.placing import Load, SplitCounter, Target, choose
 
 
-def target(name, is_near=True, running=0, queued=0, limit=35, service_s=0.05):
+def target(
+    name, is_near=True, running=0, queued=0, limit=35, service_s=0.05, wait_ms=0
+):
     each = Target(name, is_near)
-    each.load = Load(running, queued, limit)
+    each.load = Load(running, queued, limit, wait_ms, wait_ms)
     each.service_s = service_s
     return each
 
 
 def test_near_host_with_room_is_chosen():
     near, far = target("near", running=10), target("far", is_near=False)
-    assert choose([far, near], 0.0) is near
+    assert choose([far, near], True, 0.0) is near
 
 
 def test_calls_spill_over_when_the_near_host_is_full():
-    near = target("near", running=35, queued=60, service_s=0.1)
+    near = target("near", running=35, queued=60, service_s=0.1, wait_ms=170)
     far = target("far", is_near=False, service_s=0.1)
-    assert choose([near, far], 0.0) is far
+    assert choose([near, far], True, 0.0) is far
 
 
 def test_failing_host_is_avoided_and_tried_again():
@@ -28,8 +30,8 @@
     bad, good = target("bad"), target("good", is_near=False)
     for _ in range(10):
         bad.failed(0.0)
-    assert choose([bad, good], 0.0) is good
-    assert choose([bad, good], 10.0) is bad
+    assert choose([bad, good], True, 0.0) is good
+    assert choose([bad, good], True, 10.0) is bad
 
 
 def test_host_that_fails_rarely_keeps_its_share():
@@ -37,11 +39,11 @@
 
     One answer in fifty is spoiled at a host that is otherwise free.
     """
-    flaky, full = target("flaky"), target("full", running=35, queued=70)
+    flaky, full = target("flaky"), target("full", running=35, queued=70, wait_ms=100)
     chosen = 0
     for number in range(500):
         now = number * 0.005
-        best = choose([flaky, full], now)
+        best = choose([flaky, full], True, now)
         chosen += best is flaky
         if number % 50 == 0:
             flaky.failed(now)
@@ -53,7 +55,15 @@
 def test_cold_host_gets_less():
     cold, warm = target("cold", service_s=0.1), target("warm", service_s=0.1)
     cold.cold_until = 5.0
-    assert choose([cold, warm], 1.0) is warm
+    assert choose([cold, warm], True, 1.0) is warm
+
+
+def test_wait_counts_for_the_kind_of_call():
+    """Guards against calls that avoid a fast host since others wait there long."""
+    fast, slow = target("fast", service_s=0.02), target("slow", service_s=0.04)
+    fast.load = Load(36, 80, 36, inner_wait_ms=5, entry_wait_ms=900)
+    assert choose([fast, slow], True, 0.0) is fast
+    assert choose([fast, slow], False, 0.0) is slow
 
 
 def test_calls_sent_since_the_report_count():
@@ -61,7 +71,7 @@
     hosts = [target("a", limit=10), target("b", limit=10)]
     taken = Counter()
     for _ in range(40):
-        chosen = choose(hosts, 0.0)
+        chosen = choose(hosts, True, 0.0)
         chosen.sent += 1
         taken[chosen.name] += 1
     assert abs(taken["a"] - taken["b"]) <= 10
