Register running requests by id, and prefer clients that come back

Change: requests enter the table when they are sent; the test of derived ids checks that ids decided. A client with less time left than others on its route was refused before and goes before new ones; it is asked to come back after a third of its target.

--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -56,6 +56,12 @@
 HEDGE_FACTOR = 4.0
 MIN_HEDGE_S = 0.3
 MIN_RETRY_AFTER_S = 0.2
+# Refused for want of room below, a client comes back within the target of its route,
+# but not at once: the room is found by others leaving, not by asking again.
+RETRY_TARGET_SHARE = 0.35
+# A client that was refused before goes before most new ones, which can come back yet.
+RETURNING_SHARE = 0.97
+RETURNING_KEY = 0.5
 # Clients follow a longer pause only in part.
 MAX_RETRY_SHARE = 1 / 3
 # A second attempt while services below are short of room only adds to the load.
@@ -96,6 +102,7 @@
         self._splits = {}
         self._throttles = {}
         self._pressures = {}
+        self._longest_s = {}
         self._budgets = {}
         self._attempts = {}
         self._waiting = {}
@@ -164,9 +171,10 @@
             return call
         self._find_origin(call)
         if not call.is_inner and not self._admits(call, now):
-            self._refuse_early(
-                call, STATUS_NOT_RUN, "services below have no room", MIN_RETRY_AFTER_S
-            )
+            target_s = call.target_at - now
+            hint_s = max(MIN_RETRY_AFTER_S, RETRY_TARGET_SHARE * target_s)
+            reason = "services below have no room"
+            self._refuse_early(call, STATUS_NOT_RUN, reason, hint_s)
             return call
         self._begin(call, now)
         return call
@@ -242,7 +250,7 @@
 
     def _find_origin(self, call):
         route = call.route
-        call.key = crc32(call.request_id) / KEY_RANGE
+        call.key = self._entry_key(call)
         parent = self._owner.find_parent(call.request_id, call.deadline)
         self._origins.observe(route.name, parent.call.route if parent else None)
         if self._owner.ids_tell_parents:
@@ -266,6 +274,16 @@
             call.key = parent.call.key
             call.is_repeat = parent.call.is_repeat
 
+    def _entry_key(self, call):
+        key = crc32(call.request_id) / KEY_RANGE
+        # A client that comes back has less time left than others on the route.
+        given_s = call.deadline - call.started_at
+        longest_s = max(given_s, self._longest_s.get(call.route.name, 0.0))
+        self._longest_s[call.route.name] = longest_s
+        if given_s < RETURNING_SHARE * longest_s:
+            key *= RETURNING_KEY
+        return key
+
     def _admits(self, call, now):
         throttle = self._throttles.get(call.route.name)
         return throttle is None or throttle.admits(call.key, now)
@@ -553,6 +571,8 @@
                 "reason": reason,
                 "placements": call.placements,
                 "may_have_run": call.may_have_run,
+                "rank": call.rank,
+                "key": round(call.key, 3),
                 "waited_s": round(self._clock.monotonic() - call.started_at, 3),
                 "retry_after_s": round(retry_after_s, 2),
                 "version": self._configuration.version,
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -445,6 +445,7 @@
         # The upstream rounds to milliseconds, and so do its calls.
         execution.server_deadline = now + left_ms / 1000
         insort(self._by_deadline, (execution.server_deadline, id(execution), execution))
+        self._by_id[call.request_id] = execution
         data = self._render(call, left_ms) + b"".join(execution.parts)
         execution.parts = []
         loop = asyncio.get_running_loop()
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -169,6 +169,7 @@
         async with Client(entry.settings.call_address) as client:
             await client.call(b"/entries/once/1", b"root", method=b"POST")
         outer, inner = seen
+        assert entry.node.owner.ids_tell_parents == derives_id
         assert (outer.is_inner, inner.is_inner) == (False, True)
         assert inner.key == outer.key
         assert (outer.rank, inner.rank) == (1, 0)
@@ -176,6 +177,25 @@
         assert parts[0].service.runs or parts[1].service.runs
 
 
+@in_loop
+async def test_client_that_comes_back_goes_before_new_ones(tmp_path):
+    """Guards against clients that are refused twice while new ones are served."""
+    async with Fleet(tmp_path, services=("entries",)) as fleet:
+        keys = {}
+        take = fleet.hosts[0].node.owner.take
+
+        def note(link, peer, number, call):
+            keys[call.request_id] = call.key
+            take(link, peer, number, call)
+
+        fleet.hosts[0].node.owner.take = note
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            await client.call(b"/entries/1", b"k1", deadline_ms=5000)
+            first = keys[b"k1"]
+            await client.call(b"/entries/1", b"k1", deadline_ms=4400)
+        assert keys[b"k1"] < first
+
+
 @in_loop
 async def test_draining_upstream_gets_no_more_requests(tmp_path):
     async with Fleet(tmp_path) as fleet:
