Compare waits by kind of call at two full hosts in the test

Cause: the test compared a full host with an empty one, which now always goes first. Change: both hosts are full, so that the wait alone decides; inner calls still choose the fast host and requests of clients the other one.

--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -73,6 +73,7 @@
     """Guards against calls that avoid a fast host since others wait there long."""
     fast, slow = target("fast", service_s=0.02), target("slow", service_s=0.04)
     fast.load = Load(36, 80, 36, inner_wait_ms=5, entry_wait_ms=900)
+    slow.load = Load(36, 80, 36, inner_wait_ms=5, entry_wait_ms=100)
     assert choose([fast, slow], True, 0.0) is fast
     assert choose([fast, slow], False, 0.0) is slow
 
