Share calls among equal hosts below their limit

A call that waited its share of time at one host was not tried at another. Change: the use of slots is part of the cost below the limit too; calls of running requests go on to another host. A test with two equal hosts fails before.

--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -403,11 +403,11 @@
             return
         now = self._clock.monotonic()
         limit = MAX_INNER_PLACEMENTS if call.is_inner else MAX_PLACEMENTS
-        may_go_on = (
-            reason not in (REASON_CRASH, REASON_WAITED)
-            and call.placements < limit
-            and now < call.answer_by
+        # A call of a running request waits a part of its time only at each host.
+        is_final = reason == REASON_CRASH or (
+            reason == REASON_WAITED and not call.is_inner
         )
+        may_go_on = not is_final and call.placements < limit and now < call.answer_by
         if may_go_on and reason in REASONS_AT_UPSTREAM:
             may_go_on = self._budget(call.service).take(now)
         if may_go_on:
--- a/src/figpick/placing/_targets.py
+++ b/src/figpick/placing/_targets.py
@@ -115,8 +115,9 @@
             wait_ms = load.inner_wait_ms if is_inner else load.entry_wait_ms
             cost_s += wait_ms / 1000
             used = (load.running + self.sent) / load.limit
+            cost_s += service_s * used
             if used >= FULL_SHARE:
-                cost_s += FULL_PENALTY_S + service_s * (used - FULL_SHARE)
+                cost_s += FULL_PENALTY_S
         else:
             cost_s += service_s * 0.02 * self.sent
         if not self.is_near:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -25,6 +25,17 @@
     assert choose([near, far], True, 0.0) is far
 
 
+def test_equal_hosts_share_the_calls():
+    """Guards against a host that is filled to its limit while its equal is idle."""
+    hosts = [target(name, is_near=False, limit=36) for name in "ab"]
+    running = dict.fromkeys("ab", 0)
+    for _ in range(30):
+        chosen = choose(hosts, True, 0.0)
+        running[chosen.name] += 1
+        chosen.report(Load(running[chosen.name], 0, 36))
+    assert abs(running["a"] - running["b"]) <= 2
+
+
 def test_far_host_with_room_goes_before_a_near_one_that_is_full():
     """Guards against requests refused at the entry while slots are free elsewhere.
 
