Elect a leader sooner after a start

Change: the first election is due 0.2 to 0.5 s after a start, unless a leader is heard; nodes that just started ask clients back after 0.8 s at least. A test with the simulated quorum fails before.

--- a/src/figpick/consensus/_consensus_core.py
+++ b/src/figpick/consensus/_consensus_core.py
@@ -7,6 +7,10 @@
 
 MIN_ELECTION_S = 0.6
 MAX_ELECTION_S = 1.2
+# After a start there is no leader to wait for, unless one is heard first; a pre-vote
+# disturbs no leader that others hear. Links to the others take 0.1 s.
+MIN_FIRST_ELECTION_S = 0.2
+MAX_FIRST_ELECTION_S = 0.5
 
 FOLLOWER = "follower"
 PRE_CANDIDATE = "pre-candidate"
@@ -62,7 +66,8 @@
         self._new_entries = []
         self._messages = []
         self._reads = []
-        self._reset_election(now)
+        first_s = random.uniform(MIN_FIRST_ELECTION_S, MAX_FIRST_ELECTION_S)
+        self._election_at = now + first_s
         if set(self._log.members.voters) == {own_id}:
             self._election_at = now
 
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -36,6 +36,8 @@
 
 # The owner and the upstream answer at the deadline; this node only if they do not.
 TIMER_MARGIN_S = 0.06
+# Until a node that has just started knows the configuration and its hosts.
+START_PAUSE_S = 0.8
 # A call waits this long for a host of its service to come up.
 HOST_WAIT_S = 0.4
 MAX_PLACEMENTS = 3
@@ -124,7 +126,8 @@
         call = Call(request, reply, now)
         call.request_id = request.header(self._names.request_id) or b""
         if self._configuration is None:
-            self._refuse_early(call, STATUS_NOT_RUN, "no configuration yet", 0.5)
+            reason = "no configuration yet"
+            self._refuse_early(call, STATUS_NOT_RUN, reason, START_PAUSE_S)
             return call
         host = request.header(b"host")
         path = request.target.partition(b"?")[0]
@@ -270,7 +273,7 @@
         waiting = self._waiting.get(call.service)
         if waiting and call in waiting:
             waiting.remove(call)
-        self._end_not_run(call, "no host of the service can be reached", 0.5)
+        self._end_not_run(call, "no host of the service can be reached", START_PAUSE_S)
 
     def _send(self, call, peer, now):
         call.tried.add(peer.name)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -211,3 +211,21 @@
         raft.change_members(Membership({"a#1": "a", "b#1": "b"}, {}), 2.1)
     raft.receive(AppendReply("b#1", "a#1", 4, True, match=3), 2.2)
     assert raft.commit == 3
+
+
+def test_quorum_leads_soon_after_all_its_processes_were_killed(world):
+    """Guards against nodes that wait for a configuration after a mass restart."""
+    put(world, world.processes[schedules.NAMES[0]], "c1", 0)
+    for process in world.processes.values():
+        process.crash()
+    world.run_until(world.now + 0.5)
+    for process in world.processes.values():
+        process.start()
+    started = world.now
+    world.run_until(started + 0.8)
+    leaders = [
+        process
+        for process in world.processes.values()
+        if process.replica.raft.is_leader
+    ]
+    assert len(leaders) == 1
