--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -32,6 +32,7 @@
     "control-cost",
     "costs",
     "replay",
+    "logs",
 )
 SEEDS = (1, 2, 3)
 RESULTS = Path(__file__).parent / "results"
--- a/src/figpick/base/_logs.py
+++ b/src/figpick/base/_logs.py
@@ -1,8 +1,8 @@
 """Logging with a fixed prefix for each component.
 
-People read lines of text; log collectors read JSON objects, one a line. Lines over
-the rate are left out and counted, and a reader that stops reading loses lines
-instead of blocking the process.
+People read lines of text; log collectors read JSON objects, one a line. A reader that
+stops reading loses lines instead of blocking the process. Lines that come with each
+call ask :data:`CALL_LINES` first; those over its rate are counted, not written.
 """
 
 import os
@@ -13,7 +13,7 @@
 import msgspec
 
 # A node under overload refuses some hundred calls a second; a sample of them tells
-# the cause. Each line costs about 30 microseconds.
+# the cause. A line costs about 100 microseconds, one that is left out less than one.
 LINES_PER_S = 30.0
 BURST_LINES = 200.0
 
@@ -87,6 +87,9 @@
         return omitted
 
 
+CALL_LINES = LineBudget()
+
+
 class JsonHandler(logbook.Handler):
     """Writes records as JSON without ever blocking.
 
@@ -98,19 +101,10 @@
         super().__init__(**options)
         self._name = name
         self._descriptor = descriptor
-        self._budget = LineBudget()
         self._encoder = msgspec.json.Encoder(enc_hook=repr)
 
     def emit(self, record):
-        """Writes one record, unless the rate is exceeded."""
-        now = time.monotonic()
-        is_important = record.level >= logbook.NOTICE
-        if not self._budget.take(record.msg, now) and not is_important:
-            return
-        omitted = self._budget.take_omitted()
-        if omitted:
-            fields = {"part": "logs", "msg": "Lines left out.", "counts": omitted}
-            self._write({"t": round(time.time(), 3), "node": self._name, **fields})
+        """Writes one record."""
         fields = {
             "t": round(time.time(), 3),
             "node": self._name,
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -4,7 +4,6 @@
 import random
 
 from ..admission import RetryBudget
-from ..base._logs import logger
 from ..configuration import RoutingTable
 from ..placing import Load, SplitCounter, choose
 from ..wire import render_request
@@ -15,6 +14,7 @@
     Attempt,
     Call,
 )
+from ._decisions import log_attempt, log_refused, log_refused_early, log_timed_out
 from ._entry_policy import RETRY_TARGET_SHARE, EntryPolicy, pause_s, set_times
 from ._messages import (
     ANSWER,
@@ -51,8 +51,6 @@
 # A second attempt while services below are short of room only adds to the load.
 HEDGE_PRESSURE = 0.8
 
-log = logger("calls")
-
 
 class Forwarder:
     """The calls that this node took.
@@ -122,7 +120,7 @@
         :param reply: where its answer goes.
         :return: :class:`Call`.
         """
-        now = self._clock.monotonic()
+        now = self._now()
         call = Call(request, reply, now)
         call.request_id = request.header(self._names.request_id) or b""
         if self._configuration is None:
@@ -206,17 +204,8 @@
         self._counters.count(call, "refused" if status != 404 else "no-route")
         if retry_after_s is not None:
             retry_after_s = self._pause_s(call, retry_after_s)
-        log.info(
-            "Call refused.",
-            extra={
-                "id": call.text_id,
-                "route": call.route.name if call.route else None,
-                "status": status,
-                "reason": text,
-                "version": self._configuration and self._configuration.version,
-                "share": self.policy.share(call.route),
-            },
-        )
+        share = self.policy.share(call.route)
+        log_refused_early(call, status, text, share, self._version, self._now())
         call.refuse(status, text, retry_after_s)
 
     def _begin(self, call, now):
@@ -245,7 +234,7 @@
         return budget
 
     def _place(self, call):
-        now = self._clock.monotonic()
+        now = self._now()
         usable = [peer for peer in self._peers.of(call.service) if peer.takes_calls]
         fresh = [peer for peer in usable if peer.name not in call.tried]
         if not fresh:
@@ -322,7 +311,7 @@
         pressure = self.policy.pressure(call.route)
         if target.load.queued or pressure > HEDGE_PRESSURE:
             return
-        now = self._clock.monotonic()
+        now = self._now()
         others = [
             peer
             for peer in self._peers.of(call.service)
@@ -369,7 +358,7 @@
                 "Upstream answered with a failure.",
                 attempt,
                 str(status),
-                self._clock.monotonic(),
+                self._now(),
             )
         call.reply.answer(status, head, length, body, True)
         self._close(call)
@@ -390,9 +379,7 @@
         self._forget(attempt)
         if call.is_done:
             return
-        self._log_attempt(
-            "Answer broke off.", attempt, "broken", self._clock.monotonic()
-        )
+        self._log_attempt("Answer broke off.", attempt, "broken", self._now())
         self._counters.count(call, "broken")
         call.reply.abort()
         self._close(call)
@@ -404,7 +391,7 @@
         self.policy.note(call.route, pressure)
         if call.is_done or call.attempts:
             return
-        now = self._clock.monotonic()
+        now = self._now()
         limit = MAX_INNER_PLACEMENTS if call.is_inner else MAX_PLACEMENTS
         # A call of a running request waits a part of its time only at each host.
         is_final = reason == REASON_CRASH or (
@@ -426,7 +413,7 @@
         target = attempt.peer.target
         if load is not None:
             target.report(Load(*load))
-        now = self._clock.monotonic()
+        now = self._now()
         target.failed(now)
         call.may_have_run = True
         if call.is_done or call.attempts:
@@ -456,28 +443,12 @@
             self._counters.count(call, "refused")
             retry_after_s = self._pause_s(call, retry_after_s)
             call.refuse(STATUS_NOT_RUN, f"not run: {reason}", retry_after_s)
-        log.info(
-            "Call refused.",
-            extra={
-                "id": call.text_id,
-                "route": call.route.name,
-                "service": call.service,
-                "reason": reason,
-                "placements": call.placements,
-                "may_have_run": call.may_have_run,
-                "rank": call.rank,
-                "key": round(call.key, 3),
-                "waited_s": round(self._clock.monotonic() - call.started_at, 3),
-                "retry_after_s": round(retry_after_s, 2),
-                "version": self._configuration.version,
-                "pressure": round(self.policy.pressure(call.route), 2),
-                "parent": _parent_id(call),
-            },
-        )
+        pressure = self.policy.pressure(call.route)
+        log_refused(call, reason, retry_after_s, pressure, self._version, self._now())
         self._close(call)
 
     def _pause_s(self, call, hint_s):
-        left_s = call.deadline - self._clock.monotonic()
+        left_s = call.deadline - self._now()
         return pause_s(hint_s, left_s, self._random.random())
 
     def _time_out(self, call):
@@ -488,17 +459,7 @@
         if any(attempt.is_streaming for attempt in attempts):
             # The client still reads; its own deadline ends the answer.
             return
-        log.info(
-            "Call timed out.",
-            extra={
-                "id": call.text_id,
-                "route": call.route.name,
-                "hosts": [attempt.peer.name for attempt in attempts],
-                "links": [attempt.peer.link is not None for attempt in attempts],
-                "parent": _parent_id(call),
-                "waited_s": round(self._clock.monotonic() - call.started_at, 3),
-            },
-        )
+        log_timed_out(call, attempts, self._now())
         self._counters.count(call, "timeout")
         if attempts or call.may_have_run:
             call.refuse(STATUS_TIMEOUT, "no answer in the time of the route")
@@ -526,24 +487,11 @@
             link.send((CANCEL, attempt.number, breaks_off))
 
     def _log_attempt(self, text, attempt, reason, now):
-        call = attempt.call
-        load = attempt.peer.target.load
-        log.info(
-            text,
-            extra={
-                "id": call.text_id,
-                "route": call.route.name,
-                "host": attempt.peer.name,
-                "instance": attempt.peer.instance,
-                "reason": reason,
-                "after_s": round(now - attempt.sent_at, 3),
-                "load": load and list(load),
-                "sent": call.sent,
-                "parent": _parent_id(call),
-                "version": self._configuration.version,
-            },
-        )
+        log_attempt(text, attempt, reason, self._version, now)
 
+    @property
+    def _version(self):
+        return self._configuration.version if self._configuration else None
 
-def _parent_id(call):
-    return call.parent.call.request_id.decode("latin-1") if call.parent else None
+    def _now(self):
+        return self._clock.monotonic()
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from collections import deque
 
 from ..admission import AdmissionQueue, Refusal
 from ..base._logs import logger
 from ..directory import UpstreamView
 from ..wire import render_answer
+from ._decisions import log_broke, log_unrun
 from ._executions import (
     LEAVE_MARGIN_S,
     Execution,
@@ -53,6 +55,8 @@
 
 # Results of ended calls are remembered for callers that attach late.
 MAX_FINISHED = 8192
+# Requests that ran when an upstream crashed; it has no more slots than these.
+MAX_SUSPECTS = 1024
 MISDIRECTED = 421
 
 log = logger("owner")
@@ -81,7 +85,7 @@
         self._executions = {}
         self._finished = {}
         self.running = RunningRequests()
-        self._broken = []
+        self._broken = deque(maxlen=MAX_SUSPECTS)
         self._tasks = set()
         self._late_timer = None
         self._is_stopping = False
@@ -238,16 +242,7 @@
             return
         now = self._clock.monotonic()
         self._broken.append((now, fingerprint(execution.call)))
-        log.info(
-            "Call broke at the upstream.",
-            extra={
-                "id": execution.call.request_id.decode("latin-1"),
-                "route": execution.call.route,
-                "reason": reason,
-                "instance": execution.call.instance,
-                "ran_s": round(now - execution.sent_at, 3),
-            },
-        )
+        log_broke(execution, reason, now)
         if execution.streams:
             self._finish(execution, (BROKEN, execution.number))
         else:
@@ -292,7 +287,7 @@
         if not isinstance(error, ConnectionRefusedError):
             return
         crashed = [name for at, name in self._broken if now - at < CRASH_WINDOW_S]
-        self._broken = []
+        self._broken.clear()
         log.warning(
             "The upstream refuses connections.",
             extra={"instance": self.view.instance, "suspects": len(crashed)},
@@ -371,17 +366,7 @@
 
     def _give_back_unrun(self, execution, reader):
         now = self._clock.monotonic()
-        status = reader.status
-        log.info(
-            "The upstream did not run a call.",
-            extra={
-                "id": execution.call.request_id.decode("latin-1"),
-                "route": execution.call.route,
-                "status": status,
-                "running": self._queue.running,
-                "limit": self._queue.limit,
-            },
-        )
+        log_unrun(execution, reader.status, self._queue, now)
         self._release(execution, reader, now)
         self._refuse_started(execution, REASON_SHED)
 
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -5,7 +5,7 @@
 
 from ..admission import CrashJudge
 from ..base._errors import FigpickError, InvalidDocumentError
-from ..base._logs import logger
+from ..base._logs import CALL_LINES, logger
 from ..base._supervisor import Supervisor
 from ..directory import LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Link, listen
@@ -17,7 +17,7 @@
 from ._owner import Owner
 from ._peers import LocalLink, Peers
 
-REFRESH_PERIOD_S = 0.4
+REFRESH_PERIOD_S = 1.0
 SUMMARY_PERIOD_S = 5.0
 # Clients leave a node after two readiness checks a second apart.
 CLIENTS_LEAVE_S = 2.3
@@ -276,6 +276,9 @@
         while True:
             await asyncio.sleep(REFRESH_PERIOD_S)
             self._controls.fetch()
+            omitted = CALL_LINES.take_omitted()
+            if omitted:
+                log.info("Lines left out.", extra={"counts": omitted})
 
     async def _summarise(self):
         before = {}
