Test the soak's schedule and checker, and run it for a short time in the suite

Change: tests/test_soak.py with a case for each broken promise and one run of 6 s; make soak SEED=N FOR=S.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,12 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 NAME ?= all
+SEED ?= 1
+FOR ?= 10
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup lock format lint test demo bench dist
+.PHONY: setup lock format lint test demo bench soak dist
 
 setup: $(VENV)/.installed
 
@@ -35,6 +37,9 @@
 bench: setup
 	$(BIN)/python -m bench $(NAME)
 
+soak: setup
+	$(BIN)/python -m bench.soak $(SEED) $(FOR)
+
 dist: setup
 	mkdir -p dist
 	$(BIN)/shiv --quiet --compressed --entry-point figpick.cli:main \
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,17 +1,19 @@
 """A randomised soak: real processes, faults from outside, promises checked meanwhile.
 
-``python -m bench.soak SEED SECONDS`` starts control processes and nodes of the platform's
-folder as separate processes on loopback, with stand-in upstreams and clients in this one.
-One seed draws the whole schedule, which is printed first: nodes and control processes are
-killed, paused, stopped and started again, upstreams reset their connections or crash and
-come back, and the configuration changes; faults overlap. What callers and upstreams see
-is checked against the promises; the exit code is 1 when one is broken.
+``python -m bench.soak SEED SECONDS`` starts control processes and nodes of the
+platform's folder as separate processes on loopback, with stand-in upstreams and clients
+in this one. One seed draws the whole schedule, which is printed first: nodes and control
+processes are killed, paused, stopped and started again, upstreams reset their
+connections or crash and come back, and the configuration changes; faults overlap. What
+callers and upstreams see is checked against the promises; the exit code is 1 when one
+is broken.
 """
 
 import asyncio
 import json
 import os
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -318,15 +320,12 @@
     :return: exit code.
     """
     began = time.time()
-    with tempfile.TemporaryDirectory(
-        prefix="soak-", dir=os.environ.get("SOAK_DIR")
-    ) as name:
+    with tempfile.TemporaryDirectory(prefix="soak-") as name:
         soak = Soak(seed, seconds, Path(name))
         asyncio.run(soak.run())
         broken = soak.checks.broken()
-        if broken and os.environ.get("SOAK_KEEP"):
-            os.rename(name, os.environ["SOAK_KEEP"])
-            os.mkdir(name)
+        if broken and (kept := os.environ.get("SOAK_KEEP")):
+            shutil.copytree(name, f"{kept}/seed-{seed}", dirs_exist_ok=True)
     verdict = {"seed": seed, "seconds": round(time.time() - began, 1)}
     print(json.dumps({**verdict, **soak.checks.summary(), "broken": broken}))
     return 1 if broken else 0
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,86 @@
+"""The soak: its schedule, its checks, and a short run with real processes."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from bench.soak import CONTROLS, draw_schedule
+from bench.soak_checks import Checks
+
+ROOT = Path(__file__).parents[1]
+
+
+def test_schedule_follows_from_the_seed():
+    assert draw_schedule(5, 30.0) == draw_schedule(5, 30.0)
+    assert draw_schedule(5, 30.0) != draw_schedule(6, 30.0)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_quorum_is_hurt_one_process_at_a_time(seed):
+    ends_at = 0.0
+    for fault in draw_schedule(seed, 60.0):
+        is_process = fault.kind in ("kill", "pause", "stop")
+        if is_process and fault.target < CONTROLS:
+            assert fault.at_s >= ends_at
+            ends_at = fault.at_s + fault.for_s
+
+
+def run_twice(checks):
+    checks.ran("a1", True)
+    checks.ran("a1", True)
+
+
+def false_refusal(checks):
+    checks.ran("a1", True)
+    checks.answered("a1", True, 503, False)
+
+
+def foreign_body(checks):
+    checks.answered("a1", False, 200, False)
+
+
+def lost_change(checks):
+    checks.acknowledged(7)
+    checks.read_back(6)
+
+
+def refused_change(checks):
+    checks.refused_change(412, "r8")
+
+
+def no_recovery(checks):
+    checks.recovered(False, 15.0)
+
+
+@pytest.mark.parametrize(
+    "see",
+    [run_twice, false_refusal, foreign_body, lost_change, refused_change, no_recovery],
+)
+def test_each_broken_promise_is_caught(see):
+    """Guards against a soak that cannot fail."""
+    checks = Checks()
+    see(checks)
+    assert checks.broken()
+
+
+def test_kept_promises_are_no_finding():
+    checks = Checks()
+    checks.ran("a1", True)
+    checks.answered("a1", True, 502, False)
+    checks.answered("a2", True, 503, False)
+    checks.answered("a3", False, 200, True)
+    checks.refused_change(503, "r8")
+    checks.acknowledged(7)
+    checks.read_back(7)
+    checks.recovered(True, 1.0)
+    assert checks.broken() == []
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [1])
+def test_promises_hold_in_a_short_run(seed):
+    command = [sys.executable, "-m", "bench.soak", str(seed), "6"]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=90)
+    assert done.returncode == 0, done.stdout.splitlines()[-1]
