--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,12 +1,12 @@
 """A randomised soak: real processes, faults from outside, promises checked meanwhile.
 
 ``python -m bench.soak SEED SECONDS`` starts control processes and nodes of the
-platform's folder as separate processes on loopback, with stand-in upstreams and clients
-in this one. One seed draws the whole schedule, which is printed first: nodes and control
-processes are killed, paused, stopped and started again, upstreams reset their
-connections or crash and come back, and the configuration changes; faults overlap. What
-callers and upstreams see is checked against the promises; the exit code is 1 when one
-is broken.
+platform's folder as separate processes on loopback, with stand-in upstreams and
+clients in this one. One seed draws the whole schedule, which is printed first: nodes
+and control processes are killed, paused, stopped and started again, upstreams reset
+their connections or crash and come back, and the configuration changes; faults overlap.
+What callers and upstreams see is checked against the promises; the exit code is 1 when
+one is broken.
 """
 
 import asyncio
