--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -3,53 +3,38 @@
 import asyncio
 import random
 
-from ..admission import RetryBudget
 from ..configuration import RoutingTable
-from ..placing import Load, SplitCounter, choose
+from ..placing import Load, SplitCounter
 from ..wire import render_request
 from ._calls import (
     STATUS_FAILED,
     STATUS_NOT_RUN,
     STATUS_TIMEOUT,
-    Attempt,
     Call,
 )
 from ._decisions import log_attempt, log_refused, log_refused_early, log_timed_out
+from ._dispatching import START_PAUSE_S, Dispatcher
 from ._entry_policy import RETRY_TARGET_SHARE, EntryPolicy, pause_s, set_times
 from ._messages import (
     ANSWER,
-    BODY,
     BROKEN,
-    CALL,
-    CANCEL,
     CREDIT,
     FAILED,
     NOT_RUN,
     PART,
-    PART_BYTES,
     REASON_CRASH,
     REASON_TIMEOUT,
     REASON_WAITED,
     REASONS_AT_UPSTREAM,
-    CallMessage,
 )
 
 # The owner and the upstream answer at the deadline; this node only if they do not.
 TIMER_MARGIN_S = 0.06
-# Until a node that has just started knows the configuration and its hosts.
-START_PAUSE_S = 0.8
-# A call waits this long for a host of its service to come up.
-HOST_WAIT_S = 0.4
 MAX_PLACEMENTS = 3
 MAX_INNER_PLACEMENTS = 6
 # A lost link is open again after a few milliseconds unless its host has gone.
 REATTACH_WAIT_S = 0.5
 REATTACH_WAIT_ONCE_S = 1.8
-# A call that takes this many times the usual time has probably lost its answer.
-HEDGE_FACTOR = 4.0
-MIN_HEDGE_S = 0.3
-# A second attempt while services below are short of room only adds to the load.
-HEDGE_PRESSURE = 0.8
 
 
 class Forwarder:
@@ -76,14 +61,10 @@
         self._counters = counters
         self._random = random.Random()
         self.policy = EntryPolicy(owner.running)
-        self._peers = None
+        self._dispatcher = Dispatcher(settings, self.policy, self)
         self._configuration = None
         self._routes = RoutingTable()
         self._splits = {}
-        self._budgets = {}
-        self._attempts = {}
-        self._waiting = {}
-        self._number = 0
         self._calls = 0
 
     def __repr__(self):
@@ -101,7 +82,7 @@
 
     def use_peers(self, peers):
         """Sets the :class:`~figpick.nodes._peers.Peers` to hand calls to."""
-        self._peers = peers
+        self._dispatcher.peers = peers
 
     def configure(self, configuration):
         """Puts a configuration in force."""
@@ -120,7 +101,7 @@
         :param reply: where its answer goes.
         :return: :class:`Call`.
         """
-        now = self._now()
+        now = self.now()
         call = Call(request, reply, now)
         call.request_id = request.header(self._names.request_id) or b""
         if self._configuration is None:
@@ -148,6 +129,22 @@
         self._begin(call, now)
         return call
 
+    def on_usable(self, service):
+        """Places the calls that waited for a host of a service."""
+        self._dispatcher.place_waiting(service)
+
+    def on_unplaced(self, call, reason, hint_s):
+        """Answers a call that no host takes.
+
+        :param hint_s: seconds until one is expected to.
+        """
+        self._end_not_run(call, reason, hint_s)
+
+    def on_hedged(self, attempt, now):
+        """Notes that a call is sent to a second host for want of an answer."""
+        text = "Call sent again, no answer yet."
+        self._log_attempt(text, attempt, "silent", now)
+
     def abandon(self, call):
         """Ends a call whose client has gone."""
         if not call.is_done:
@@ -160,15 +157,6 @@
             if attempt.peer.link is not None:
                 attempt.peer.link.send((CREDIT, attempt.number, size))
 
-    def on_usable(self, service):
-        """Places the calls that waited for a host of a service."""
-        waiting = self._waiting.pop(service, None)
-        if waiting:
-            for call in waiting:
-                if not call.is_done and call.waits:
-                    call.waits = False
-                    self._place(call)
-
     def on_link_lost(self, peer):
         """Gives the calls of a lost link time to be attached again."""
         loop = asyncio.get_running_loop()
@@ -205,7 +193,7 @@
         if retry_after_s is not None:
             retry_after_s = self._pause_s(call, retry_after_s)
         share = self.policy.share(call.route)
-        log_refused_early(call, status, text, share, self._version, self._now())
+        log_refused_early(call, status, text, share, self._version, self.now())
         call.refuse(status, text, retry_after_s)
 
     def _begin(self, call, now):
@@ -218,122 +206,17 @@
             request.method, request.target, request.headers, self._own_headers
         )
         call.body = b"".join(request.body)
-        self._budget(call.service).count_request(now)
+        self._dispatcher.budget(call.service).count_request(now)
         loop = asyncio.get_running_loop()
         due = loop.time() + call.answer_by - now + TIMER_MARGIN_S
         call.timer = loop.call_at(due, self._time_out, call)
-        self._place(call)
-
-    def _budget(self, service):
-        budget = self._budgets.get(service)
-        if budget is None:
-            settings = self._settings
-            budget = self._budgets[service] = RetryBudget(
-                settings.retry_ratio, settings.retry_window_s
-            )
-        return budget
-
-    def _place(self, call):
-        now = self._now()
-        usable = [peer for peer in self._peers.of(call.service) if peer.takes_calls]
-        fresh = [peer for peer in usable if peer.name not in call.tried]
-        if not fresh:
-            self._wait_or_refuse(call, usable, now)
-            return
-        targets = {peer.target: peer for peer in fresh}
-        peer = targets[choose(list(targets), call.is_inner, now)]
-        self._send(call, peer, now)
-
-    def _wait_or_refuse(self, call, usable, now):
-        if usable and call.placements:
-            self._end_not_run(call, "every host of the service is full", 0.0)
-            return
-        call.waits = True
-        call.tried.clear()
-        self._waiting.setdefault(call.service, []).append(call)
-        loop = asyncio.get_running_loop()
-        wait_s = min(HOST_WAIT_S, max(0.0, call.answer_by - now))
-        loop.call_later(wait_s, self._stop_waiting, call)
-
-    def _stop_waiting(self, call):
-        if call.is_done or not call.waits:
-            return
-        call.waits = False
-        waiting = self._waiting.get(call.service)
-        if waiting and call in waiting:
-            waiting.remove(call)
-        self._end_not_run(call, "no host of the service can be reached", START_PAUSE_S)
-
-    def _send(self, call, peer, now):
-        call.tried.add(peer.name)
-        call.placements += 1
-        self._number += 1
-        attempt = Attempt(self._number, call, peer, now)
-        call.attempts[attempt.number] = attempt
-        peer.attempts[attempt.number] = attempt
-        peer.target.sent += 1
-        body = call.body
-        first = body[:PART_BYTES]
-        message = CallMessage(
-            instance=peer.instance,
-            rank=call.rank,
-            key=call.key,
-            is_inner=call.is_inner,
-            is_idempotent=call.route.is_idempotent,
-            is_repeat=call.is_repeat or call.sent > 0,
-            left_ms=max(0, int((call.answer_by - now) * 1000)),
-            target_ms=max(0, int((call.target_at - now) * 1000)),
-            route=call.route.name,
-            caller=self._settings.service,
-            request_id=call.request_id,
-            is_head=call.request.method == b"HEAD",
-            head=call.head,
-            body=first,
-            is_complete=len(first) == len(body),
-            body_bytes=len(body),
-        )
-        peer.link.send((CALL, attempt.number, *message))
-        for start in range(PART_BYTES, len(body), PART_BYTES):
-            part = body[start : start + PART_BYTES]
-            is_last = start + PART_BYTES >= len(body)
-            peer.link.send((BODY, attempt.number, part, is_last))
-        if call.route.is_idempotent and call.sent == 0 and call.route.attempts > 1:
-            wait_s = max(MIN_HEDGE_S, HEDGE_FACTOR * peer.target.service_s)
-            if now + wait_s < call.answer_by:
-                loop = asyncio.get_running_loop()
-                call.hedge_timer = loop.call_later(wait_s, self._hedge, call, attempt)
-
-    def _hedge(self, call, attempt):
-        call.hedge_timer = None
-        target = attempt.peer.target
-        if call.is_done or attempt.number not in call.attempts or attempt.is_streaming:
-            return
-        pressure = self.policy.pressure(call.route)
-        if target.load.queued or pressure > HEDGE_PRESSURE:
-            return
-        now = self._now()
-        others = [
-            peer
-            for peer in self._peers.of(call.service)
-            if peer.takes_calls and peer.name not in call.tried
-        ]
-        if not others or not self._budget(call.service).take(now):
-            return
-        target.failed(now)
-        call.sent += 1
-        self._log_attempt("Call sent again, no answer yet.", attempt, "silent", now)
-        targets = {peer.target: peer for peer in others}
-        self._send(call, targets[choose(list(targets), call.is_inner, now)], now)
+        self._dispatcher.place(call)
 
     def _check_attached(self, attempt):
         peer = attempt.peer
         if peer.link is None and peer.attempts.pop(attempt.number, None) is not None:
             self._on_failed(attempt, "link-lost", None)
 
-    def _forget(self, attempt):
-        attempt.call.attempts.pop(attempt.number, None)
-        attempt.peer.attempts.pop(attempt.number, None)
-
     def _on_answer(self, attempt, message):
         _, _, status, head, length, body, is_last, load, pressure, served_ms = message
         call = attempt.call
@@ -341,13 +224,13 @@
         target.report(Load(*load))
         if is_last:
             target.served(served_ms / 1000)
-            self._forget(attempt)
+            self._dispatcher.forget(attempt)
         self.policy.report(call, pressure)
         if call.is_done:
             return
         for other in list(call.attempts.values()):
             if other is not attempt:
-                self._cancel(other)
+                self._dispatcher.cancel(other)
         if not is_last:
             attempt.is_streaming = True
             call.reply.answer(status, head, length, body, False)
@@ -358,7 +241,7 @@
                 "Upstream answered with a failure.",
                 attempt,
                 str(status),
-                self._now(),
+                self.now(),
             )
         call.reply.answer(status, head, length, body, True)
         self._close(call)
@@ -366,7 +249,7 @@
     def _on_part(self, attempt, body, is_last):
         call = attempt.call
         if is_last:
-            self._forget(attempt)
+            self._dispatcher.forget(attempt)
         if call.is_done or not attempt.is_streaming:
             return
         call.reply.part(body, is_last)
@@ -376,22 +259,22 @@
 
     def _on_broken(self, attempt):
         call = attempt.call
-        self._forget(attempt)
+        self._dispatcher.forget(attempt)
         if call.is_done:
             return
-        self._log_attempt("Answer broke off.", attempt, "broken", self._now())
+        self._log_attempt("Answer broke off.", attempt, "broken", self.now())
         self._counters.count(call, "broken")
         call.reply.abort()
         self._close(call)
 
     def _on_not_run(self, attempt, reason, retry_after_ms, load, pressure):
         call = attempt.call
-        self._forget(attempt)
+        self._dispatcher.forget(attempt)
         attempt.peer.target.report(Load(*load))
         self.policy.note(call.route, pressure)
         if call.is_done or call.attempts:
             return
-        now = self._now()
+        now = self.now()
         limit = MAX_INNER_PLACEMENTS if call.is_inner else MAX_PLACEMENTS
         # A call of a running request waits a part of its time only at each host.
         is_final = reason == REASON_CRASH or (
@@ -399,9 +282,9 @@
         )
         may_go_on = not is_final and call.placements < limit and now < call.answer_by
         if may_go_on and reason in REASONS_AT_UPSTREAM:
-            may_go_on = self._budget(call.service).take(now)
+            may_go_on = self._dispatcher.budget(call.service).take(now)
         if may_go_on:
-            self._place(call)
+            self._dispatcher.place(call)
         else:
             if call.parent is not None:
                 call.parent.add_child(pressure)
@@ -409,11 +292,11 @@
 
     def _on_failed(self, attempt, reason, load):
         call = attempt.call
-        self._forget(attempt)
+        self._dispatcher.forget(attempt)
         target = attempt.peer.target
         if load is not None:
             target.report(Load(*load))
-        now = self._now()
+        now = self.now()
         target.failed(now)
         call.may_have_run = True
         if call.is_done or call.attempts:
@@ -425,9 +308,9 @@
             and call.sent < call.route.attempts
             and now < call.answer_by
         )
-        if can_repeat and self._budget(call.service).take(now):
+        if can_repeat and self._dispatcher.budget(call.service).take(now):
             self._log_attempt("Call sent again.", attempt, reason, now)
-            self._place(call)
+            self._dispatcher.place(call)
             return
         self._log_attempt("Call failed.", attempt, reason, now)
         self._counters.count(call, "failed")
@@ -444,11 +327,11 @@
             retry_after_s = self._pause_s(call, retry_after_s)
             call.refuse(STATUS_NOT_RUN, f"not run: {reason}", retry_after_s)
         pressure = self.policy.pressure(call.route)
-        log_refused(call, reason, retry_after_s, pressure, self._version, self._now())
+        log_refused(call, reason, retry_after_s, pressure, self._version, self.now())
         self._close(call)
 
     def _pause_s(self, call, hint_s):
-        left_s = call.deadline - self._now()
+        left_s = call.deadline - self.now()
         return pause_s(hint_s, left_s, self._random.random())
 
     def _time_out(self, call):
@@ -459,7 +342,7 @@
         if any(attempt.is_streaming for attempt in attempts):
             # The client still reads; its own deadline ends the answer.
             return
-        log_timed_out(call, attempts, self._now())
+        log_timed_out(call, attempts, self.now())
         self._counters.count(call, "timeout")
         if attempts or call.may_have_run:
             call.refuse(STATUS_TIMEOUT, "no answer in the time of the route")
@@ -475,17 +358,10 @@
                 timer.cancel()
         call.timer = call.hedge_timer = None
         for attempt in list(call.attempts.values()):
-            self._cancel(attempt)
+            self._dispatcher.cancel(attempt)
         call.body = b""
         call.parent = None
 
-    def _cancel(self, attempt):
-        self._forget(attempt)
-        link = attempt.peer.link
-        if link is not None:
-            breaks_off = attempt.call.route.is_idempotent
-            link.send((CANCEL, attempt.number, breaks_off))
-
     def _log_attempt(self, text, attempt, reason, now):
         log_attempt(text, attempt, reason, self._version, now)
 
@@ -493,5 +369,6 @@
     def _version(self):
         return self._configuration.version if self._configuration else None
 
-    def _now(self):
+    def now(self):
+        """Monotonic seconds."""
         return self._clock.monotonic()
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -10,30 +10,23 @@
 from ..admission import AdmissionQueue, Refusal
 from ..base._logs import logger
 from ..directory import UpstreamView
-from ..wire import render_answer
-from ._decisions import log_broke, log_unrun
+from ._answering import Answering
 from ._executions import (
     LEAVE_MARGIN_S,
     Execution,
     RunningRequests,
     fingerprint,
-    is_whole,
     render_call,
 )
 from ._messages import (
-    ANSWER,
     BROKEN,
     FAILED,
     LOAD,
     NOT_RUN,
-    PART,
-    REASON_BROKEN,
     REASON_CRASH,
     REASON_LEAVING,
     REASON_LINK,
-    REASON_MISDIRECTED,
     REASON_NO_CONNECTION,
-    REASON_SHED,
     REASON_TIMEOUT,
     REASON_WAITED,
     REASON_WRONG_INSTANCE,
@@ -41,9 +34,6 @@
 )
 from ._upstream import UpstreamPool
 
-# Answers up to this size are passed on whole, so that one which breaks off before
-# can be asked for again.
-WHOLE_ANSWER_BYTES = 64 * 1024
 # The upstream stops at its deadline and says so; its answer needs this long.
 DEADLINE_MARGIN_S = 0.3
 LATE_CHECK_S = 0.02
@@ -57,12 +47,11 @@
 MAX_FINISHED = 8192
 # Requests that ran when an upstream crashed; it has no more slots than these.
 MAX_SUSPECTS = 1024
-MISDIRECTED = 421
 
 log = logger("owner")
 
 
-class Owner:
+class Owner(Answering):
     """Runs calls at one upstream.
 
     :param settings: :class:`~figpick.nodes.NodeSettings`.
@@ -225,29 +214,6 @@
             execution.is_paused = False
             execution.connection.resume()
 
-    def on_answer(self, execution, reader):
-        """Passes on what has come of an answer."""
-        if execution.is_done:
-            return
-        if execution.streams:
-            self._stream(execution, reader)
-        elif reader.complete:
-            self._answer(execution, reader)
-        elif reader.body_bytes > WHOLE_ANSWER_BYTES:
-            self._begin_stream(execution, reader)
-
-    def on_lost(self, execution, reason):
-        """Ends a call whose connection broke."""
-        if execution.is_done:
-            return
-        now = self._clock.monotonic()
-        self._broken.append((now, fingerprint(execution.call)))
-        log_broke(execution, reason, now)
-        if execution.streams:
-            self._finish(execution, (BROKEN, execution.number))
-        else:
-            self._fail(execution, REASON_BROKEN)
-
     def _refusal_reason(self, call, now):
         if self._is_stopping or call.instance != self.view.instance:
             return REASON_WRONG_INSTANCE
@@ -323,93 +289,6 @@
     def _is_other(self, call):
         return call.instance != self.view.instance or not self.view.slots
 
-    def _answer(self, execution, reader):
-        now = self._clock.monotonic()
-        if reader.header(self._names.not_run) is not None:
-            self._give_back_unrun(execution, reader)
-            return
-        if reader.status == MISDIRECTED:
-            log.warning(
-                "Another upstream answers at this address.",
-                extra={"instance": execution.call.instance},
-            )
-            other = reader.header(self._names.answering_instance) or b""
-            self._release(execution, reader, now)
-            self._refuse_started(execution, REASON_MISDIRECTED)
-            self.view.answered_as(other.decode("latin-1"))
-            self.upstream_changed()
-            return
-        if not is_whole(reader, self._names):
-            self.on_lost(execution, "not the upstream's answer")
-            return
-        body = reader.take_chunks()
-        served_ms = int((now - execution.sent_at) * 1000)
-        message = (
-            ANSWER,
-            execution.number,
-            reader.status,
-            _head(reader),
-            len(body),
-            body,
-            True,
-            self.load(),
-            self._pressure(execution.call, now, execution.pressure),
-            served_ms,
-        )
-        self._release(execution, reader, now)
-        self._finish(execution, message, served=reader.status < 500)
-
-    def _release(self, execution, reader, now):
-        connection, execution.connection = execution.connection, None
-        # A body that the upstream did not wait for may still be on its way.
-        connection.release(now, may_reuse=execution.body_left <= 0)
-
-    def _give_back_unrun(self, execution, reader):
-        now = self._clock.monotonic()
-        log_unrun(execution, reader.status, self._queue, now)
-        self._release(execution, reader, now)
-        self._refuse_started(execution, REASON_SHED)
-
-    def _begin_stream(self, execution, reader):
-        if not is_whole(reader, self._names):
-            self.on_lost(execution, "not the upstream's answer")
-            return
-        execution.streams = True
-        length = reader.header(b"content-length")
-        body = reader.take_chunks()
-        execution.unread += len(body)
-        execution.link.send(
-            (
-                ANSWER,
-                execution.number,
-                reader.status,
-                _head(reader),
-                int(length) if length is not None else -1,
-                body,
-                False,
-                self.load(),
-                execution.pressure,
-                0,
-            )
-        )
-        self._check_window(execution)
-
-    def _stream(self, execution, reader):
-        body = reader.take_chunks()
-        execution.unread += len(body)
-        message = (PART, execution.number, body, reader.complete)
-        if reader.complete:
-            self._release(execution, reader, self._clock.monotonic())
-            self._finish(execution, message)
-        else:
-            execution.link.send(message)
-            self._check_window(execution)
-
-    def _check_window(self, execution):
-        if execution.unread >= WINDOW_BYTES and not execution.is_paused:
-            execution.is_paused = True
-            execution.connection.pause()
-
     def _time_out(self, execution):
         execution.timer = None
         if not execution.is_done:
@@ -418,9 +297,6 @@
             else:
                 self._fail(execution, REASON_TIMEOUT)
 
-    def _fail(self, execution, reason):
-        self._finish(execution, (FAILED, execution.number, reason, self.load()))
-
     def _refuse_started(self, execution, reason):
         pressure = self._pressure(execution.call, self._clock.monotonic())
         message = (NOT_RUN, execution.number, reason, 0, self.load(), pressure)
@@ -498,7 +374,3 @@
         message = (LOAD, self.load(), self.view.instance)
         for link in list(self._links):
             link.send(message)
-
-
-def _head(reader):
-    return render_answer(reader.status, reader.headers)
