Let owners decide on one admission level that all entries follow

Each entry integrated the common pressure for itself, so their shares drifted apart, and a key was refused at one node and admitted at another. Change: the owner keeps the level of each rank and answers carry it; an entry follows the mean level of its answers, so all of them refuse the same keys (as DAGOR does). Steps up and down are equal.

--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -14,6 +14,8 @@
 from math import exp
 from typing import NamedTuple
 
+from ._throttle import AdmissionLevel
+
 # Upstreams slow down when nearly full, and connects or health checks may hold a slot.
 LIMIT_SHARE = 0.95
 # Use of the slots by calls of running requests above which fewer are to be admitted.
@@ -111,6 +113,7 @@
         self._entry_work_s = 0.0
         self._service_s = {}
         self._offered = {}
+        self._levels = {}
         self._number = 0
 
     def __repr__(self):
@@ -186,6 +189,17 @@
         own_share_s = self._entry_work_s / (ENTRY_SHARE * self._limit)
         return min(ahead_s / self._limit, own_share_s)
 
+    def level(self, rank, now):
+        """Part of the keys of a rank for which there is room, from 0.05 to 1.
+
+        :param rank: rank of calls of running requests.
+        :param now: monotonic seconds.
+        """
+        level = self._levels.get(rank)
+        if level is None:
+            level = self._levels[rank] = AdmissionLevel()
+        return level.update(lambda: self.pressure(rank, now), now)
+
     def waits_s(self):
         """Seconds in which the waiting calls could be worked off.
 
--- a/src/figpick/admission/_throttle.py
+++ b/src/figpick/admission/_throttle.py
@@ -2,28 +2,59 @@
 
 It answers the load of a deep service that is short of slots: a request whose later
 calls would be refused there costs the work of every service above for nothing. The
-pressure at the deepest service comes back with the answers of earlier requests.
+owners of the deep service decide on one level, so that all entries refuse the same
+keys; each entry follows the levels that come back with the answers of its requests.
 """
 
 PERIOD_S = 0.1
-# Answers report the pressure of some tenths of a second ago, so that a full
-# correction in each period would overshoot.
+# An owner corrects its level by this power of the pressure in each period. What it
+# changes shows some tenths of a second later, so a full correction would overshoot.
 GAIN = 0.5
-MIN_FACTOR = 0.7
-MAX_FACTOR = 1.15
+# Equal steps up and down, so that a pressure that only varies does not close the entry.
+MIN_FACTOR = 0.8
+MAX_FACTOR = 1 / MIN_FACTOR
+# Weight of one answer in the level that an entry follows.
+ANSWER_WEIGHT = 0.15
 # Without answers nothing is known, and some requests must find out.
 PROBE_FACTOR = 1.1
-MIN_SHARE = 0.05
+MIN_LEVEL = 0.05
+
+
+class AdmissionLevel:
+    """Part of the keys, from 0 up, for which the owner of a service has room."""
+
+    __slots__ = ("_level", "_updated_at")
+
+    def __init__(self):
+        self._level = 1.0
+        self._updated_at = 0.0
+
+    def __repr__(self):
+        return f"<AdmissionLevel {self._level:.2f}>"
+
+    def update(self, pressure, now):
+        """Follows the pressure of calls of one rank.
+
+        :param pressure: see :meth:`~figpick.admission.AdmissionQueue.pressure`; a
+            function, called when the level is due.
+        :param now: monotonic seconds.
+        :return: the level, from 0.05 to 1.
+        """
+        if now - self._updated_at >= PERIOD_S:
+            self._updated_at = now
+            factor = max(pressure(), 0.01) ** -GAIN
+            factor = min(MAX_FACTOR, max(MIN_FACTOR, factor))
+            self._level = min(1.0, max(MIN_LEVEL, self._level * factor))
+        return self._level
 
 
 class EntryThrottle:
-    """Share of the requests of one route that are admitted."""
+    """Share of the requests of one route that are admitted at one entry."""
 
-    __slots__ = ("_share", "_sum", "_count", "_updated_at")
+    __slots__ = ("_share", "_count", "_updated_at")
 
     def __init__(self):
         self._share = 1.0
-        self._sum = 0.0
         self._count = 0
         self._updated_at = 0.0
 
@@ -35,13 +66,12 @@
         """Share of the requests that are admitted, from 0.05 to 1."""
         return self._share
 
-    def observe(self, pressure):
-        """Takes the pressure that an answer reports.
+    def observe(self, level):
+        """Takes the level that an answer reports.
 
-        :param pressure: work that is offered for each slot that is there, at the
-            calls that the request caused.
+        :param level: mean level at the calls that the request caused.
         """
-        self._sum += pressure
+        self._share += ANSWER_WEIGHT * (level - self._share)
         self._count += 1
 
     def admits(self, key, now):
@@ -51,15 +81,8 @@
         :param now: monotonic seconds.
         """
         if now - self._updated_at >= PERIOD_S:
-            self._update(now)
+            self._updated_at = now
+            if not self._count:
+                self._share = min(1.0, self._share * PROBE_FACTOR)
+            self._count = 0
         return key < self._share
-
-    def _update(self, now):
-        self._updated_at = now
-        factor = PROBE_FACTOR
-        if self._count:
-            mean = max(self._sum / self._count, 0.01)
-            factor = min(MAX_FACTOR, max(MIN_FACTOR, mean**-GAIN))
-        self._share = min(1.0, max(MIN_SHARE, self._share * factor))
-        self._sum = 0.0
-        self._count = 0
--- a/src/figpick/nodes/_answering.py
+++ b/src/figpick/nodes/_answering.py
@@ -83,7 +83,7 @@
             body,
             True,
             self.load(),
-            self._pressure(execution.call, now, execution.pressure),
+            self._level(execution.call, now, execution.level),
             served_ms,
         )
         self._release(execution, reader, now)
@@ -118,7 +118,7 @@
                 body,
                 False,
                 self.load(),
-                execution.pressure,
+                execution.level,
                 0,
             )
         )
--- a/src/figpick/nodes/_decisions.py
+++ b/src/figpick/nodes/_decisions.py
@@ -34,10 +34,10 @@
         log.info(REFUSED, extra=fields)
 
 
-def log_refused(call, reason, retry_after_s, pressure, version, now):
+def log_refused(call, reason, retry_after_s, level, version, now):
     """Logs a call that no host ran.
 
-    :param pressure: smoothed pressure that calls on its route met.
+    :param level: smoothed admission level that calls on its route met.
     """
     if CALL_LINES.take(REFUSED, now):
         fields = {
@@ -52,7 +52,7 @@
             "waited_s": round(now - call.started_at, 3),
             "retry_after_s": round(retry_after_s, 2),
             "version": version,
-            "pressure": round(pressure, 2),
+            "admission_level": round(level, 2),
             "parent": _parent_id(call),
         }
         log.info(REFUSED, extra=fields)
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -13,7 +13,7 @@
 HEDGE_FACTOR = 4.0
 MIN_HEDGE_S = 0.3
 # A second attempt while services below are short of room only adds to the load.
-HEDGE_PRESSURE = 0.8
+HEDGE_LEVEL = 0.95
 # Until a node that has just started knows the configuration and its hosts.
 START_PAUSE_S = 0.8
 
@@ -136,8 +136,8 @@
         target = attempt.peer.target
         if call.is_done or attempt.number not in call.attempts or attempt.is_streaming:
             return
-        pressure = self._policy.pressure(call.route)
-        if target.load.queued or pressure > HEDGE_PRESSURE:
+        level = self._policy.level(call.route)
+        if target.load.queued or level < HEDGE_LEVEL:
             return
         now = self._calls.now()
         others = [
--- a/src/figpick/nodes/_entry_policy.py
+++ b/src/figpick/nodes/_entry_policy.py
@@ -22,7 +22,7 @@
 RETURNING_KEY = 0.5
 # Clients follow a longer pause only in part.
 MAX_RETRY_SHARE = 1 / 3
-PRESSURE_WEIGHT = 0.2
+LEVEL_WEIGHT = 0.2
 KEY_RANGE = 1 << 32
 
 
@@ -75,7 +75,7 @@
         self._running = running
         self._origins = Origins()
         self._throttles = {}
-        self._pressures = {}
+        self._levels = {}
         self._longest_s = {}
 
     def __repr__(self):
@@ -132,26 +132,26 @@
         throttle = route and self._throttles.get(route.name)
         return round(throttle.share, 2) if throttle else 1.0
 
-    def pressure(self, route):
-        """Smoothed pressure that calls on a route met."""
-        return self._pressures.get(route.name, 0.0)
+    def level(self, route):
+        """Smoothed admission level that calls on a route met."""
+        return self._levels.get(route.name, 1.0)
 
-    def report(self, call, pressure):
-        """Takes the pressure that an answer brings back."""
-        self.note(call.route, pressure)
+    def report(self, call, level):
+        """Takes the admission level that an answer brings back."""
+        self.note(call.route, level)
         if call.parent is not None:
-            call.parent.add_child(pressure)
+            call.parent.add_child(level)
         elif not call.is_inner:
             name = call.route.name
             throttle = self._throttles.get(name)
             if throttle is None:
                 throttle = self._throttles[name] = EntryThrottle()
-            throttle.observe(pressure)
+            throttle.observe(level)
 
-    def note(self, route, pressure):
-        """Notes the pressure that a call on a route met."""
-        known = self._pressures.get(route.name, 0.0)
-        self._pressures[route.name] = known + PRESSURE_WEIGHT * (pressure - known)
+    def note(self, route, level):
+        """Notes the admission level that a call on a route met."""
+        known = self._levels.get(route.name, 1.0)
+        self._levels[route.name] = known + LEVEL_WEIGHT * (level - known)
 
     def _key(self, call):
         key = crc32(call.request_id) / KEY_RANGE
--- a/src/figpick/nodes/_executions.py
+++ b/src/figpick/nodes/_executions.py
@@ -53,7 +53,7 @@
         "unread",
         "is_paused",
         "timer",
-        "child_pressure",
+        "child_levels",
         "child_count",
         "sent_at",
         "server_deadline",
@@ -83,7 +83,7 @@
         self.unread = 0
         self.is_paused = False
         self.timer = None
-        self.child_pressure = 0.0
+        self.child_levels = 0.0
         self.child_count = 0
         self.sent_at = None
         self.server_deadline = None
@@ -92,13 +92,13 @@
         return f"<Execution {self.number} {self.call.route}>"
 
     @property
-    def pressure(self):
-        """Mean pressure that the calls of this request met."""
-        return self.child_pressure / self.child_count if self.child_count else 0.0
+    def level(self):
+        """Mean level that the calls of this request met, 1 without any."""
+        return self.child_levels / self.child_count if self.child_count else 1.0
 
-    def add_child(self, pressure):
-        """Notes the pressure that a call of this request met."""
-        self.child_pressure += pressure
+    def add_child(self, level):
+        """Notes the level that a call of this request met."""
+        self.child_levels += level
         self.child_count += 1
 
     def on_answer(self, reader):
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -218,14 +218,14 @@
             self._on_failed(attempt, "link-lost", None)
 
     def _on_answer(self, attempt, message):
-        _, _, status, head, length, body, is_last, load, pressure, served_ms = message
+        _, _, status, head, length, body, is_last, load, level, served_ms = message
         call = attempt.call
         target = attempt.peer.target
         target.report(Load(*load))
         if is_last:
             target.served(served_ms / 1000)
             self._dispatcher.forget(attempt)
-        self.policy.report(call, pressure)
+        self.policy.report(call, level)
         if call.is_done:
             return
         for other in list(call.attempts.values()):
@@ -267,11 +267,11 @@
         call.reply.abort()
         self._close(call)
 
-    def _on_not_run(self, attempt, reason, retry_after_ms, load, pressure):
+    def _on_not_run(self, attempt, reason, retry_after_ms, load, level):
         call = attempt.call
         self._dispatcher.forget(attempt)
         attempt.peer.target.report(Load(*load))
-        self.policy.note(call.route, pressure)
+        self.policy.note(call.route, level)
         if call.is_done or call.attempts:
             return
         now = self.now()
@@ -287,7 +287,7 @@
             self._dispatcher.place(call)
         else:
             if call.parent is not None:
-                call.parent.add_child(pressure)
+                call.parent.add_child(level)
             self._end_not_run(call, reason, retry_after_ms / 1000)
 
     def _on_failed(self, attempt, reason, load):
@@ -326,8 +326,8 @@
             self._counters.count(call, "refused")
             retry_after_s = self._pause_s(call, retry_after_s)
             call.refuse(STATUS_NOT_RUN, f"not run: {reason}", retry_after_s)
-        pressure = self.policy.pressure(call.route)
-        log_refused(call, reason, retry_after_s, pressure, self._version, self.now())
+        level = self.policy.level(call.route)
+        log_refused(call, reason, retry_after_s, level, self._version, self.now())
         self._close(call)
 
     def _pause_s(self, call, hint_s):
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -8,11 +8,11 @@
 * ``body``: number, bytes, whether they are the last.
 * ``cancel``: number, whether a running call is to be broken off.
 * ``answer``: number, status, head, length or -1, bytes, whether they are the last,
-  load, pressure, service time in ms.
+  load, level, service time in ms.
 * ``part``: number, bytes, whether they are the last.
 * ``broken``: number; the rest of an answer will not come.
 * ``failed``: number, reason, load. The call may have run.
-* ``not-run``: number, reason, ms until a slot is expected, load, pressure. The call
+* ``not-run``: number, reason, ms until a slot is expected, load, level. The call
   did not run and never will.
 * ``credit``: number, bytes that were passed on to the client.
 * ``load``: load of the owner and its instance, sent when its upstream changes.
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -136,7 +136,7 @@
     def _result(self, key):
         _, number = key
         if key not in self._finished:
-            return (NOT_RUN, number, REASON_LINK, 0, self.load(), 0.0)
+            return (NOT_RUN, number, REASON_LINK, 0, self.load(), 1.0)
         message = self._finished[key]
         return message or (FAILED, number, REASON_LINK, self.load())
 
@@ -298,8 +298,8 @@
                 self._fail(execution, REASON_TIMEOUT)
 
     def _refuse_started(self, execution, reason):
-        pressure = self._pressure(execution.call, self._clock.monotonic())
-        message = (NOT_RUN, execution.number, reason, 0, self.load(), pressure)
+        level = self._level(execution.call, self._clock.monotonic())
+        message = (NOT_RUN, execution.number, reason, 0, self.load(), level)
         self._finish(execution, message)
 
     def _finish(self, execution, message=None, served=False):
@@ -361,14 +361,14 @@
                 self._finish(execution)
 
     def _send_not_run(self, link, number, reason, retry_after_s, call):
-        pressure = self._pressure(call, self._clock.monotonic())
+        level = self._level(call, self._clock.monotonic())
         retry_after_ms = int(retry_after_s * 1000)
-        link.send((NOT_RUN, number, reason, retry_after_ms, self.load(), pressure))
+        link.send((NOT_RUN, number, reason, retry_after_ms, self.load(), level))
 
-    def _pressure(self, call, now, below=0.0):
+    def _level(self, call, now, below=1.0):
         # Requests that start here are refused here, at no cost to services above.
-        own = self._queue.pressure(call.rank, now) if call.is_inner else 0.0
-        return round(max(own, below), 3)
+        own = self._queue.level(call.rank, now) if call.is_inner else 1.0
+        return round(min(own, below), 3)
 
     def _tell_load(self):
         message = (LOAD, self.load(), self.view.instance)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,6 +8,7 @@
 
 from figpick.admission import (
     ENTRY_SHARE,
+    AdmissionLevel,
     AdmissionQueue,
     CrashJudge,
     EntryThrottle,
@@ -112,18 +113,57 @@
         self.until = until
 
 
-def test_throttle_closes_under_pressure_and_opens_again():
+def test_throttle_follows_the_level_and_opens_again():
     throttle = EntryThrottle()
     for step in range(50):
-        throttle.observe(2.0)
+        throttle.observe(0.1)
         throttle.admits(0.5, step * 0.1)
     assert throttle.share < 0.2
     for step in range(50, 100):
-        throttle.observe(0.5)
+        throttle.observe(1.0)
         throttle.admits(0.5, step * 0.1)
+    assert throttle.share > 0.95
+
+
+def test_throttle_opens_without_answers():
+    """Guards against an entry that stays closed since it admits nothing."""
+    throttle = EntryThrottle()
+    for _ in range(100):
+        throttle.observe(0.05)
+    for step in range(60):
+        throttle.admits(0.99, step * 0.1)
     assert throttle.share == 1.0
 
 
+def test_level_settles_at_the_room_there_is_when_pressure_varies():
+    """Guards against a level that closes on noise; there is room for 0.8."""
+    rng = random.Random(11)
+    level = AdmissionLevel()
+    levels = [1.0]
+    for step in range(1, 3000):
+        pressure = levels[-1] / 0.8 * rng.choice((0.4, 1.6))
+        levels.append(level.update(lambda value=pressure: value, step * 0.1))
+    assert 0.7 <= sum(levels[200:]) / len(levels[200:]) <= 0.95
+
+
+def test_entries_do_not_drift_apart():
+    """Guards against entries of which one admits everything and others nothing."""
+    level = AdmissionLevel()
+    entries = [EntryThrottle() for _ in range(12)]
+    rng = random.Random(5)
+    for step in range(1, 600):
+        now = step * 0.1
+        admitted = sum(entry.share for entry in entries) / len(entries)
+        value = level.update(lambda share=admitted: share / 0.6, now)
+        for entry in entries:
+            for _ in range(rng.choice((0, 1, 2, 3))):
+                entry.observe(value * rng.uniform(0.8, 1.2))
+            entry.admits(rng.random(), now)
+    shares = [entry.share for entry in entries]
+    assert max(shares) - min(shares) < 0.25
+    assert 0.45 < sum(shares) / len(shares) < 0.75
+
+
 def test_pressure_counts_what_is_more_urgent_and_the_share_of_entries():
     queue = AdmissionQueue()
     queue.set_slots(20)
@@ -179,7 +219,7 @@
         if outcome is None:
             push(at + 0.03, "done", each)
         elif isinstance(outcome, Refusal):
-            entry.observe(queue.pressure(4, at))
+            entry.observe(queue.level(4, at))
 
     def start(tickets, at):
         for each in tickets:
@@ -202,7 +242,7 @@
             begin_call(request, now)
         elif not request.left:
             whole += 1
-            entry.observe(queue.pressure(4, now))
+            entry.observe(queue.level(4, now))
         start(queue.take_ready(now)[0], now)
         queue.take_late(now)
     possible = 10.0 * queue.limit / (4 * 0.03)
