Test that a request which crashes upstreams is refused everywhere

Cause: the judge of crashes was tested alone, not with nodes, upstreams that end and control processes that pass the reports on. Change: a test in the small fleet; the request runs four times at most and the fourth client attempt reaches no upstream.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -71,13 +71,17 @@
         self.running = 0
         self.most_running = 0
         self.sequence = 0
+        self.is_up = False
         self._server = None
 
     async def start(self):
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: Upstream(self), *self.address)
+        self.is_up = True
 
     def stop(self):
+        """Ends at once; its connections are reset."""
+        self.is_up = False
         self._server.close()
         for connection in list(self.connections):
             connection.transport.abort()
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -310,3 +310,41 @@
         again = encode(make_configuration(4, 1, changed))
         assert await fleet.controls[2].put(again) == 4
         assert (await fleet.controls[1].read()).version == 4
+
+
+@in_loop
+async def test_request_that_crashes_upstreams_is_refused_everywhere(tmp_path):
+    """Guards against a request that takes down one upstream after the other."""
+    async with Fleet(tmp_path) as fleet:
+        hosts = fleet.hosts[1:]
+
+        def crash_on(host):
+            async def behave(connection, request):
+                host.service.note(request)
+                if b"poison" in request.target:
+                    host.service.stop()
+                else:
+                    connection.transport.write(host.service.render(request, b"ok"))
+
+            host.service.behave = behave
+
+        for host in hosts:
+            crash_on(host)
+        address = fleet.hosts[0].settings.call_address
+        for number in range(4):
+            async with Client(address) as client:
+                await client.call(b"/parts/poison", b"p%d" % number)
+            async with Client(address) as client:
+                await client.call(b"/parts/1", b"probe%d" % number)
+            await asyncio.sleep(0.3)
+            for host in hosts:
+                if not host.service.is_up:
+                    host.service.instance += "x"
+                    await host.service.start()
+                    host.node.take_report(host.service.report())
+            await asyncio.sleep(0.1)
+        runs = [run for host in hosts for run in host.service.runs if run[0:2] != "pr"]
+        assert len(runs) <= 4
+        assert "p3" not in runs
+        async with Client(address) as client:
+            assert (await client.call(b"/parts/1", b"last"))[0] == 200
