--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -42,14 +42,13 @@
 MAX_QUEUED = 2000
 
 FULL = "full"
-TOO_LATE = "too-late"
 NO_UPSTREAM = "no-upstream"
 
 
 class Refusal(NamedTuple):
     """Why a call did not run, and when its caller may come back.
 
-    :param reason: ``full``, ``too-late`` or ``no-upstream``.
+    :param reason: ``full`` or ``no-upstream``.
     :param retry_after_s: seconds until a slot is expected.
     """
 
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -44,7 +44,6 @@
 REASON_TIMEOUT = "timeout"
 REASON_WAITED = "waited-too-long"
 REASON_BROKEN = "broken-answer"
-REASON_RESET = "connection-lost"
 REASON_LINK = "link-lost"
 REASON_CRASH = "quarantined"
 REASON_LEAVING = "leaving"
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ..base._logs import logger
+from ..directory import LEFT
 from ..links import Dialer, Link
 from ..placing import Load, Target
 from ._messages import ATTACH, HELLO, LOAD
@@ -74,9 +75,8 @@
     :param token: random number of this start.
     :param directory: :class:`~figpick.directory.Directory`.
     :param clock: :class:`~figpick.base._clock.Clock`.
-    :param on_message: called with the peer and each message.
-    :param on_lost: called with the peer and the attempts whose outcome is unknown.
-    :param on_usable: called with the service when a peer can take calls.
+    :param handlers: the :class:`~figpick.nodes._forwarding.Forwarder`; it gets each
+        message of a peer, lost links and peers, and the services that can be called.
     """
 
     def __init__(self, settings, token, directory, clock, handlers):
@@ -95,9 +95,9 @@
     def __iter__(self):
         return iter(self._peers.values())
 
-    def set_local(self, link, record):
+    def set_local(self, link):
         """Sets the link to the owner in the same process."""
-        self._local = (link, record)
+        self._local = link
 
     def of(self, service):
         """Lists the peers of a service and connects to those that are new."""
@@ -117,12 +117,12 @@
         if peer is not None and (
             peer.record.service != record.service
             or peer.record.address != record.address
-            or record.state == "left"
+            or record.state == LEFT
         ):
             self._remove(peer)
             peer = None
         if peer is None:
-            if record.service in self._services and record.state != "left":
+            if record.service in self._services and record.state != LEFT:
                 peer = self._add(record)
         else:
             peer.record = record
@@ -150,9 +150,8 @@
         )
         self._services.setdefault(record.service, []).append(peer)
         if record.name == self._settings.name:
-            link, _ = self._local
             peer.token = self._token
-            link.send((HELLO, self._settings.name, self._token))
+            self._local.send((HELLO, self._settings.name, self._token))
             return peer
 
         def make_link():
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -309,7 +309,7 @@
         calling.other = owning
         owning.other = calling
         owning.peer = None
-        self._peers.set_local(calling, self._announcer.record)
+        self._peers.set_local(calling)
 
     def _receive_local(self, link, message):
         self._peers.receive_local(link, message)
