Close idle connections before a node that stops looks for the last time

Change: the node closes its listening socket and its idle connections, and ends only when no other is left; closing connections keep what they still have to write; clients get 2.6 s to leave.

--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -162,6 +162,16 @@
             self.flush()
             self.close()
 
+    @property
+    def is_closing(self):
+        """Whether no further request is taken."""
+        return self._is_closing
+
+    def finish(self):
+        """Closes the connection once what was written has left."""
+        self._is_closing = True
+        self._transport.close()
+
     def close(self):
         """Closes the connection at once."""
         self._is_closing = True
@@ -287,12 +297,27 @@
         """Ends each connection after its next answer."""
         self.is_stopping = True
 
+    @property
+    def is_empty(self):
+        """Whether no connection is open on which a request may begin or waits."""
+        return all(connection.is_closing for connection in self.connections)
+
+    def close_idle(self):
+        """Stops to listen and closes the connections without a request."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.finish()
+
     def close(self):
         """Stops to listen and closes all connections."""
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
-            connection.close()
+            # Those that are closing may still have bytes of an answer to write.
+            if not connection.is_closing:
+                connection.close()
 
     def _limits(self):
         configuration = self.forwarder.configuration
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -20,7 +20,7 @@
 REFRESH_PERIOD_S = 1.0
 SUMMARY_PERIOD_S = 5.0
 # Clients leave a node after two readiness checks a second apart.
-CLIENTS_LEAVE_S = 2.3
+CLIENTS_LEAVE_S = 2.6
 # The upstream gets calls of others until shortly before the node ends.
 OWNER_STOPS_S = 1.2
 # What still runs this long before the process is killed is cut off.
@@ -158,7 +158,11 @@
         while (now := self._clock.monotonic()) < end_at:
             is_busy = self._owner.busy or self._forwarder.in_flight
             if now - started_at >= CLIENTS_LEAVE_S and not is_busy:
-                break
+                # A request could still begin on any connection that stays open, so
+                # they close before the last look.
+                self._entry.close_idle()
+                if self._entry.is_empty:
+                    break
             await asyncio.sleep(STOP_POLL_S)
         self._announcer.update(state=LEFT)
         self._controls.announce()
@@ -170,9 +174,10 @@
                 "running": self._owner.busy,
             },
         )
-        await asyncio.sleep(STOP_POLL_S)
         self._entry.close()
         self._controls.finish()
+        # What was written last leaves with the next turns of the loop.
+        await asyncio.sleep(STOP_POLL_S)
 
     def cut_links(self):
         """Closes the links to other nodes; they open again and calls go on."""
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -291,6 +291,46 @@
         await draining
 
 
+@pytest.mark.parametrize("phase_s", [0.0, 0.04, 0.08])
+@in_loop
+async def test_node_that_stops_answers_requests_until_it_closes(tmp_path, phase_s):
+    """Guards against a request that comes in just before the end and is cut.
+
+    Clients that have not left yet send a request each 120 ms until the node closes.
+    """
+    async with Fleet(tmp_path) as fleet:
+        host = fleet.hosts[0]
+        for each in fleet.hosts:
+            each.service.delay_s = 0.07
+        answered = set()
+        sent = set()
+
+        async def one(number):
+            request_id = f"e{number}"
+            try:
+                async with Client(host.settings.call_address) as client:
+                    sent.add(request_id)
+                    status, _, _ = await client.call(
+                        b"/parts/once/1", request_id.encode(), method=b"POST"
+                    )
+                    answered.add(request_id)
+                    return status
+            except (OSError, EOFError):
+                return 0
+
+        draining = asyncio.ensure_future(host.node.drain())
+        calls = []
+        await asyncio.sleep(phase_s)
+        for number in range(30):
+            calls.append(asyncio.ensure_future(one(number)))
+            await asyncio.sleep(0.12)
+        await asyncio.gather(*calls)
+        await draining
+        ran = {run for each in fleet.hosts for run in each.service.runs}
+        assert len(ran) > 15
+        assert ran <= answered
+
+
 @in_loop
 async def test_configuration_is_in_force_everywhere(tmp_path):
     async with Fleet(tmp_path, controls=3) as fleet:
