--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -58,6 +58,7 @@
         "attempts",
         "tried",
         "placements",
+        "level",
         "sent",
         "may_have_run",
         "is_done",
@@ -87,6 +88,8 @@
         self.tried = set()
         # Hosts to which it was handed, and upstreams that may have begun to run it.
         self.placements = 0
+        # Admission level that the last host which refused it reported.
+        self.level = 1.0
         self.sent = 0
         self.may_have_run = False
         self.is_done = False
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -272,6 +272,7 @@
         self._dispatcher.forget(attempt)
         attempt.peer.target.report(Load(*load))
         self.policy.note(call.route, level)
+        call.level = level
         if call.is_done or call.attempts:
             return
         now = self.now()
@@ -286,8 +287,6 @@
         if may_go_on:
             self._dispatcher.place(call)
         else:
-            if call.parent is not None:
-                call.parent.add_child(level)
             self._end_not_run(call, reason, retry_after_ms / 1000)
 
     def _on_failed(self, attempt, reason, load):
@@ -319,6 +318,8 @@
         self._close(call)
 
     def _end_not_run(self, call, reason, retry_after_s):
+        if call.parent is not None:
+            call.parent.add_child(call.level)
         if call.may_have_run:
             self._counters.count(call, "failed")
             call.refuse(STATUS_FAILED, "an earlier attempt may have run")
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -196,6 +196,45 @@
         assert keys[b"k1"] < first
 
 
+@in_loop
+async def test_entry_learns_that_the_only_host_below_is_full(tmp_path):
+    """Guards against an entry that admits what the service below refuses.
+
+    The call of a running request is refused by the only host of its service; there is
+    no other one to try, and the request must still report the level it met.
+    """
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        entry, deep = fleet.hosts
+        deep.service.delay_s = 0.3
+        deep.node.take_report(deep.service.report()._replace(slots=3))
+
+        async def with_call(connection, request):
+            names = DEFAULT_HEADERS
+            inner_id = request.header(names.request_id) + b".1"
+            left_ms = int(request.header(names.deadline_ms))
+            async with Client(entry.settings.call_address) as client:
+                await client.call(b"/parts/1", inner_id, deadline_ms=left_ms)
+            failure = b"500 Internal Server Error"
+            connection.transport.write(entry.service.render(request, b"", failure))
+
+        entry.service.behave = with_call
+
+        async def one(number):
+            async with Client(entry.settings.call_address) as client:
+                await client.call(b"/entries/1", b"root%d" % number)
+
+        lowest = 1.0
+        calls = []
+        for number in range(150):
+            calls.append(asyncio.ensure_future(one(number)))
+            await asyncio.sleep(0.02)
+            shares = entry.node.shares()
+            lowest = min(lowest, shares.get("entries-get", 1.0))
+        await asyncio.gather(*calls)
+        # Three slots of the fifteen that are asked for.
+        assert lowest < 0.3
+
+
 @in_loop
 async def test_draining_upstream_gets_no_more_requests(tmp_path):
     async with Fleet(tmp_path) as fleet:
