--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -183,10 +183,11 @@
         own = use.own + self._work_s.get(rank, 0.0) / (BACKLOG_S * self._limit)
         return own / max(room - kept, MIN_ROOM)
 
-    def expected_wait_s(self, ticket):
+    def expected_wait_s(self, ticket, now):
         """Seconds until a new call is expected to start.
 
         :param ticket: the :class:`Ticket`, which is not queued yet.
+        :param now: monotonic seconds.
         """
         if self._running < self._limit and not self._queued:
             return 0.0
@@ -201,9 +202,8 @@
                 if key <= ticket.key and other.is_queued
             )
             return ahead_s / self._limit
-        ahead_s += self._work_s.get(rank, 0.0)
-        own_share_s = self._entry_work_s / (self._entry_share * self._limit)
-        return min(ahead_s / self._limit, own_share_s)
+        own_s = self._work_s.get(rank, 0.0) / self._entry_room(rank, now)
+        return (ahead_s + own_s) / self._limit
 
     def level(self, rank, now):
         """Part of the keys of a rank for which there is room, from 0.05 to 1.
@@ -216,18 +216,21 @@
             level = self._levels[rank] = AdmissionLevel()
         return level.update(lambda: self._measure(rank, now), now)
 
-    def waits_s(self):
+    def waits_s(self, now):
         """Seconds in which the waiting calls could be worked off.
 
+        :param now: monotonic seconds.
         :return: tuple for calls of running requests and for requests that start
             here.
         """
         if not self._limit or not self._queued:
             return 0.0, 0.0
-        all_s = sum(self._work_s.values())
-        inner_s = (all_s - self._entry_work_s) / self._limit
-        own_share_s = self._entry_work_s / (self._entry_share * self._limit)
-        return inner_s, min(all_s / self._limit, own_share_s)
+        inner_s = sum(self._work_s.values()) - self._entry_work_s
+        entry_s = 0.0
+        if self._entry_work_s > 0.0:
+            rank = max(self._work_s)
+            entry_s = self._entry_work_s / self._entry_room(rank, now)
+        return inner_s / self._limit, (inner_s + entry_s) / self._limit
 
     def offer(self, ticket, now):
         """Takes a call.
@@ -244,7 +247,7 @@
         if self._running < self._limit and not self._queued:
             self._start(ticket, now)
             return None
-        wait_s = self.expected_wait_s(ticket)
+        wait_s = self.expected_wait_s(ticket, now)
         if self._queued >= MAX_QUEUED:
             return Refusal(FULL, max(wait_s, MIN_RETRY_AFTER_S))
         left_s = min(ticket.target_at, ticket.leave_at) - now
@@ -335,6 +338,17 @@
             self._forget(ticket)
         return queued
 
+    def _entry_room(self, rank, now):
+        """Part of the slots for requests of a rank that start here.
+
+        More urgent calls go on to come while such a request waits.
+        """
+        room = 1.0
+        for (each, _), offer in self._offered.items():
+            if each < rank:
+                room -= offer.rate(now) / self._limit
+        return max(room, self._entry_share)
+
     def _measure(self, rank, now):
         if not self._limit:
             return 0.0
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -96,7 +96,7 @@
         """Load as it is reported to calling nodes."""
         queue = self._queue
         limit = 0 if self._is_stopping else queue.limit
-        inner_s, entry_s = queue.waits_s()
+        inner_s, entry_s = queue.waits_s(self._clock.monotonic())
         waits_ms = int(inner_s * 1000), int(entry_s * 1000)
         return (queue.running, queue.queued, limit, *waits_ms)
 
