--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -40,7 +40,7 @@
 PLANNED_SHARE = 0.85
 # A running request makes several calls, one after the other, and holds a slot while
 # it waits for one; it may wait for each this part of the time that is left.
-INNER_WAIT_SHARE = 0.25
+INNER_WAIT_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.15
 MAX_QUEUED = 2000
 
