Pass crash reports on to nodes only

A crash is also known by the start of the upstream, which may start again under the identity that it had; before, two such crashes counted as one.

--- a/src/figpick/admission/_quarantine.py
+++ b/src/figpick/admission/_quarantine.py
@@ -24,7 +24,7 @@
     def accuse(self, crash_id, fingerprints, now):
         """Notes the requests that ran when an upstream crashed.
 
-        :param crash_id: instance that crashed; a repeated report counts once.
+        :param crash_id: start that crashed; a repeated report counts once.
         :param fingerprints: fingerprints of the requests.
         :param now: monotonic seconds.
         """
--- a/src/figpick/control/_messages.py
+++ b/src/figpick/control/_messages.py
@@ -9,7 +9,7 @@
 * ``revision``: revision of the newest configuration of a control process.
 * ``fetch``: asks for that configuration.
 * ``configuration``: its revision and its compressed document.
-* ``crash``: instance of an upstream that crashed, fingerprints of what it ran.
+* ``crash``: start of an upstream that crashed, fingerprints of what it ran.
 * ``identify``: asks another control process who it is.
 * ``identity``: a dict; see :meth:`~figpick.consensus._formation.Formation.learn`.
 * ``quorum``: kind and fields of a message of the replicated log.
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -7,7 +7,7 @@
 from ..base._logs import logger
 from ..base._supervisor import Supervisor
 from ..configuration import ChangeSet, VersionConflictError
-from ..directory import CONTROL, LEFT, Announcer, Directory, HostRecord
+from ..directory import CONTROL, LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Dialer, Link, listen
 from ._member import QuorumMember, text_address
 from ._messages import (
@@ -290,10 +290,16 @@
             document = registry.current.document
             link.send((CONFIGURATION, registry.revision, document))
 
-    def _on_crash(self, link, instance, fingerprints):
+    def _on_crash(self, link, crash_id, fingerprints):
         for other in list(self._accepted):
-            if other is not link:
-                other.send((CRASH, instance, fingerprints))
+            # Nodes report to several control processes; each tells nodes only, or
+            # the report would go round between them for ever.
+            if other is not link and self._is_node(other):
+                other.send((CRASH, crash_id, fingerprints))
+
+    def _is_node(self, link):
+        record = self._directory.get(link.peer)
+        return record is not None and record.role == NODE
 
     def _on_identify(self, link):
         link.send((IDENTITY, self._member.identify()))
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -14,6 +14,9 @@
 from ..directory import CONTROL
 from ..links import Dialer, Link
 
+# Control processes that pass a crash on: one may fail before it does.
+CRASH_COPIES = 2
+
 log = logger("control-links")
 
 
@@ -25,7 +28,7 @@
     :param announcer: :class:`~figpick.directory.Announcer` of the own record.
     :param clock: :class:`~figpick.base._clock.Clock`.
     :param handlers: gets ``on_record(record)``, ``on_configuration(revision,
-        document)`` and ``on_crash_report(instance, fingerprints)``.
+        document)`` and ``on_crash_report(crash_id, fingerprints)``.
     """
 
     def __init__(self, settings, token, announcer, clock, handlers):
@@ -70,9 +73,11 @@
         """Sends the own record to every control process."""
         self._send_all((RECORD, list(self._announcer.record)))
 
-    def report_crash(self, instance, fingerprints):
+    def report_crash(self, crash_id, fingerprints):
         """Tells all nodes what ran when an upstream crashed."""
-        self._send_all((CRASH, instance, fingerprints))
+        links = [dialer.link for dialer in self._dialers.values()]
+        for link in [link for link in links if link is not None][:CRASH_COPIES]:
+            link.send((CRASH, crash_id, fingerprints))
 
     def fetch(self):
         """Asks again for a newer configuration that has not come."""
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -58,7 +58,7 @@
     :param clock: :class:`~figpick.base._clock.Clock`.
     :param judge: :class:`~figpick.admission.CrashJudge`.
     :param on_changed: called when the state of the upstream changes.
-    :param on_crash: called with the instance and the fingerprints that ran.
+    :param on_crash: called with the start that crashed and the fingerprints that ran.
     """
 
     def __init__(self, settings, clock, judge, on_changed, on_crash):
@@ -258,8 +258,10 @@
             "The upstream refuses connections.",
             extra={"instance": self.view.instance, "suspects": len(crashed)},
         )
-        if crashed:
-            self._on_crash(self.view.instance, crashed)
+        if crashed and self.view.report is not None:
+            # An upstream may start again under the identity that it had.
+            instance, started_ms = self.view.report.start
+            self._on_crash(f"{instance} {started_ms}", crashed)
         self.view.lose()
         self._pool.close_idle()
         self.upstream_changed()
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -255,13 +255,13 @@
             },
         )
 
-    def on_crash_report(self, instance, fingerprints):
+    def on_crash_report(self, crash_id, fingerprints):
         """Takes the requests that ran when an upstream crashed."""
-        self._judge.accuse(instance, fingerprints, self._clock.monotonic())
+        self._judge.accuse(crash_id, fingerprints, self._clock.monotonic())
 
-    def _on_crash(self, instance, fingerprints):
-        self.on_crash_report(instance, fingerprints)
-        self._controls.report_crash(instance, fingerprints)
+    def _on_crash(self, crash_id, fingerprints):
+        self.on_crash_report(crash_id, fingerprints)
+        self._controls.report_crash(crash_id, fingerprints)
 
     def _on_upstream_changed(self):
         view = self._owner.view
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -72,6 +72,7 @@
         self.running = 0
         self.most_running = 0
         self.sequence = 0
+        self.started_ms = None
         self.is_up = False
         self._server = None
 
@@ -119,7 +120,7 @@
         self.sequence += 1
         return UpstreamReport(
             self.instance,
-            None,
+            self.started_ms,
             self.sequence,
             self.name,
             self.address,
--- /dev/null
+++ b/tests/test_control_relays.py
@@ -0,0 +1,79 @@
+"""What control processes pass on, and how often."""
+
+import asyncio
+import time
+
+from figpick.base._clock import Clock
+from figpick.control._messages import CRASH, HELLO, RECORD
+from figpick.directory import NODE, HostRecord
+from figpick.links import Link
+
+from .fleet import Client, Fleet, in_loop, until
+
+
+class _Node:
+    """A link of a node that counts the messages that it gets."""
+
+    def __init__(self, name):
+        self.name = name
+        self.kinds = []
+        self.link = Link(self._receive, lambda link: None, Clock())
+
+    def _receive(self, link, message):
+        self.kinds.append(message[0])
+
+    async def open(self, address):
+        loop = asyncio.get_running_loop()
+        await loop.create_connection(lambda: self.link, *address)
+        self.link.send((HELLO, self.name, 1))
+        started_ms = int(time.time() * 1000)
+        record = HostRecord(self.name, started_ms, 0, 1, NODE, "127.0.0.1", 1, "dc")
+        self.link.send((RECORD, list(record)))
+
+    @property
+    def crashes(self):
+        return self.kinds.count(CRASH)
+
+
+@in_loop
+async def test_crash_report_reaches_each_node_once(tmp_path):
+    """Guards against control processes that pass a report on to each other for ever.
+
+    One crash of an upstream then filled the links of all control hosts, and
+    configurations were not accepted for seconds.
+    """
+    async with Fleet(tmp_path, services=("parts",), controls=3) as fleet:
+        addresses = fleet.hosts[0].settings.control_addresses
+        sender, receiver = _Node("sender"), _Node("receiver")
+        await sender.open(addresses[0])
+        await receiver.open(addresses[0])
+        await until(lambda: receiver.kinds.count(RECORD) > 0)
+        sender.link.send((CRASH, "i-1", ["a", "b"]))
+        await until(lambda: receiver.crashes > 0)
+        await asyncio.sleep(0.3)
+        assert receiver.crashes == 1
+        assert sender.crashes == 0
+
+
+@in_loop
+async def test_node_reports_a_crash_to_two_control_processes(tmp_path):
+    """Guards against a report for each pair of a control process and a node."""
+    async with Fleet(tmp_path, services=("parts",), controls=4) as fleet:
+        host = fleet.hosts[0]
+        receiver = _Node("receiver")
+        for address in host.settings.control_addresses:
+            other = _Node(f"receiver-{address[1]}")
+            other.kinds = receiver.kinds
+            await other.open(address)
+        await until(lambda: host.node.state()["controls"] == 4)
+
+        async def crash(connection, request):
+            host.service.stop()
+
+        host.service.behave = crash
+        for request_id in (b"crashes", b"is refused"):
+            async with Client(host.settings.call_address) as client:
+                await client.call(b"/parts/1", request_id)
+        await until(lambda: receiver.crashes > 0)
+        await asyncio.sleep(0.3)
+        assert receiver.crashes == 2
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -305,11 +305,21 @@
         assert (status, len(body)) == (200, size)
 
 
+@pytest.mark.parametrize("keeps_identity", [False, True])
 @in_loop
-async def test_request_that_crashes_upstreams_is_refused_everywhere(tmp_path):
-    """Guards against a request that takes down one upstream after the other."""
-    async with Fleet(tmp_path) as fleet:
+async def test_request_that_crashes_upstreams_is_refused_everywhere(
+    tmp_path, keeps_identity
+):
+    """Guards against a request that takes down one upstream after the other.
+
+    An upstream that starts again may have a new identity or the one that it had.
+    """
+    services = ("entries", "parts") if keeps_identity else ("entries", "parts", "parts")
+    async with Fleet(tmp_path, services) as fleet:
         hosts = fleet.hosts[1:]
+        for host in hosts if keeps_identity else ():
+            host.service.started_ms = 1000
+            host.node.take_report(host.service.report())
 
         def crash_on(host):
             async def behave(connection, request):
@@ -332,7 +342,11 @@
             await asyncio.sleep(0.3)
             for host in hosts:
                 if not host.service.is_up:
-                    host.service.instance += "x"
+                    if keeps_identity:
+                        host.service.started_ms += 1000
+                        host.service.sequence = 0
+                    else:
+                        host.service.instance += "x"
                     await host.service.start()
                     host.node.take_report(host.service.report())
             await asyncio.sleep(0.1)
