--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -21,8 +21,9 @@
 SUMMARY_PERIOD_S = 5.0
 # Clients leave a node after two readiness checks a second apart.
 CLIENTS_LEAVE_S = 2.6
-# The upstream gets calls of others until shortly before the node ends.
-OWNER_STOPS_S = 1.2
+# The upstream gets calls of others until shortly before the node ends: most of them
+# finish in the time that is left.
+OWNER_STOPS_S = 1.8
 # What still runs this long before the process is killed is cut off.
 EXIT_MARGIN_S = 0.8
 STOP_POLL_S = 0.05
