Let the soak hurt the network through loopback proxies

Callers reach nodes, and nodes their upstreams, through proxies that delay, reset, cut one way and silence connections. Overlapping faults of one process no longer start it twice: the second start failed and the first one outlived the run. A process that ends by itself is a finding now.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	$(BIN)/python -m bench $(NAME)
 
 soak: setup
-	$(BIN)/python -m bench.soak $(SEED) $(FOR)
+	$(BIN)/python -m bench.soak $(SEED) $(FOR) network
 
 dist: setup
 	mkdir -p dist
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,10 +1,12 @@
 """A randomised soak: real processes, faults from outside, promises checked meanwhile.
 
-``python -m bench.soak SEED SECONDS`` starts control processes and nodes of the
-platform's folder as separate processes on loopback, with stand-in upstreams and
+``python -m bench.soak SEED SECONDS [network]`` starts control processes and nodes
+of the platform's folder as separate processes on loopback, with stand-in upstreams and
 clients in this one. One seed draws the whole schedule, which is printed first: nodes
 and control processes are killed, paused, stopped and started again, upstreams reset
 their connections or crash and come back, and the configuration changes; faults overlap.
+With ``network``, loopback proxies before the nodes and before the upstreams delay,
+reset, cut one way and silence connections as well.
 What callers and upstreams see is checked against the promises; the exit code is 1 when
 one is broken.
 """
@@ -23,6 +25,7 @@
 
 from bench.soak_checks import Checks
 from bench.soak_parts import Caller, StandIn, fetch, free_ports
+from bench.soak_proxy import Proxy, draw_network_faults
 
 ROOT = Path(__file__).parents[1]
 CONTROLS = 3
@@ -31,6 +34,8 @@
 FAULT_GAP_S = 0.7
 CALL_GAP_S = 0.02
 CHANGE_GAP_S = 1.5
+# A process that was told to end is killed after its grace time of 6 s and a margin.
+EXIT_LIMIT_S = 8.0
 # Longer than the bound of the platform for service after the last fault.
 RECOVERY_S = 15.0
 COLUMNS = ["name", "host", "pathPrefix", "routeType", "timeoutS", "targetLatencyS"]
@@ -85,14 +90,18 @@
     :param name: unique name.
     :param role: ``control`` or ``node``.
     :param settings: text of its settings file.
+    :param checks: :class:`~bench.soak_checks.Checks`.
     """
 
-    def __init__(self, folder, name, role, settings):
+    def __init__(self, folder, name, role, settings, checks):
         self.name = name
         self._role = role
         self._path = folder / f"{name}.toml"
         self._path.write_text(settings)
         self._log = (folder / f"{name}.log").open("ab")
+        self._checks = checks
+        # Faults that keep it down; the last one to pass starts it again.
+        self._holds = 0
         self.process = None
 
     async def start(self):
@@ -107,29 +116,39 @@
         )
 
     async def hurt(self, fault):
-        """Applies a fault and undoes it."""
+        """Applies a fault and undoes it; faults may overlap."""
+        if self.process.returncode is not None and not self._holds:
+            self._checks.ended(self.name, self.process.returncode)
         if fault.kind == "pause":
-            self.process.send_signal(signal.SIGSTOP)
+            self._signal(signal.SIGSTOP)
             await asyncio.sleep(fault.for_s)
-            self.process.send_signal(signal.SIGCONT)
+            self._signal(signal.SIGCONT)
             return
-        is_stop = fault.kind == "stop"
-        self.process.send_signal(signal.SIGTERM if is_stop else signal.SIGKILL)
+        self._holds += 1
+        self._signal(signal.SIGTERM if fault.kind == "stop" else signal.SIGKILL)
         try:
-            async with asyncio.timeout(8.0):
+            async with asyncio.timeout(EXIT_LIMIT_S):
                 await self.process.wait()
         except TimeoutError:
-            self.process.kill()
+            self._signal(signal.SIGKILL)
             await self.process.wait()
         await asyncio.sleep(fault.for_s)
-        await self.start()
+        self._holds -= 1
+        if not self._holds:
+            await self.start()
+
+    def _signal(self, number):
+        if self.process.returncode is None:
+            self.process.send_signal(number)
 
     async def end(self):
         """Ends the process for good."""
         if self.process.returncode is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
+            self._signal(signal.SIGCONT)
+            self._signal(signal.SIGKILL)
             await self.process.wait()
+        else:
+            self._checks.ended(self.name, self.process.returncode)
         self._log.close()
 
 
@@ -139,9 +158,10 @@
     :param seed: draws the schedule and the requests.
     :param seconds: time of traffic with faults.
     :param folder: folder for settings, logs and data.
+    :param hurts_network: whether proxies hurt the connections of callers and upstreams.
     """
 
-    def __init__(self, seed, seconds, folder):
+    def __init__(self, seed, seconds, folder, hurts_network=False):
         self._source = random.Random(seed + 1)
         self._seconds = seconds
         self._folder = folder
@@ -151,12 +171,17 @@
         self._ports = dict(zip(names, free_ports(len(names)), strict=True))
         self._programs = []
         self._upstreams = []
+        self._proxies = []
+        self._network_faults = []
+        if hurts_network:
+            count = 2 * len(SERVICES)
+            self._network_faults = draw_network_faults(seed, seconds, count)
         self._version = 0
         self._document = None
 
     async def run(self):
         """Plays the schedule; :attr:`checks` then holds what was seen."""
-        for fault in self._faults:
+        for fault in (*self._faults, *self._network_faults):
             print(json.dumps(fault._asdict()), flush=True)
         await self._start()
         try:
@@ -164,8 +189,8 @@
         finally:
             for program in self._programs:
                 await program.end()
-            for upstream in self._upstreams:
-                upstream.stop()
+            for part in (*self._proxies, *self._upstreams):
+                part.stop()
 
     async def _start(self):
         for number in range(CONTROLS + len(SERVICES)):
@@ -175,19 +200,35 @@
             name = f"{role}-{number}"
             ip = f"127.1.{number}.1"
             text = self._settings(name, role, ip, service)
-            self._programs.append(Program(self._folder, name, role, text))
+            self._programs.append(Program(self._folder, name, role, text, self.checks))
             if not is_control:
-                address = (ip, self._ports["app"])
-                control = (ip, self._ports["control"])
-                upstream = StandIn(service, address, control, self.checks)
-                await upstream.start()
-                self._upstreams.append(upstream)
+                await self._start_upstream(number, ip, service)
         await asyncio.gather(*(program.start() for program in self._programs))
         async with asyncio.timeout(SETTLE_S):
             while not await self._change():
                 await asyncio.sleep(0.1)
         await asyncio.sleep(2.0)
 
+    async def _start_upstream(self, number, ip, service):
+        app = (ip, self._ports["app"])
+        real = app
+        if self._network_faults:
+            real = (f"127.2.{number}.1", self._ports["app"])
+            entry = (ip, self._ports["outbound"])
+            before_node = Proxy(self._entry(number), entry)
+            for proxy in (before_node, Proxy(app, real)):
+                await proxy.start()
+                self._proxies.append(proxy)
+        control = (ip, self._ports["control"])
+        upstream = StandIn(service, real, app, control, self.checks)
+        await upstream.start()
+        self._upstreams.append(upstream)
+
+    def _entry(self, number):
+        """Address at which callers reach a node."""
+        network = 2 if self._network_faults else 1
+        return (f"127.{network}.{number}.1", self._ports["outbound"])
+
     def _settings(self, name, role, ip, service):
         seeds = [
             f'"127.1.{each}.1:{self._ports["control"]}"' for each in range(CONTROLS)
@@ -221,6 +262,10 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         tasks = [asyncio.ensure_future(self._hurt(fault)) for fault in self._faults]
+        tasks += [
+            asyncio.ensure_future(self._hurt_network(fault))
+            for fault in self._network_faults
+        ]
         tasks.append(asyncio.ensure_future(self._change_often(began)))
         callers = []
         number = 0
@@ -241,9 +286,13 @@
         else:
             await self._programs[fault.target].hurt(fault)
 
+    async def _hurt_network(self, fault):
+        await asyncio.sleep(fault.at_s)
+        await self._proxies[fault.target].hurt(fault)
+
     async def _call(self, number):
         host = CONTROLS + self._source.randrange(len(SERVICES))
-        caller = Caller((f"127.1.{host}.1", self._ports["outbound"]), self.checks)
+        caller = Caller(self._entry(host), self.checks)
         once = self._source.random() < 0.4
         service = self._source.choice(("front", "deep"))
         await caller.call(f"a{number}", service, once)
@@ -299,7 +348,7 @@
         number = 0
         while streak < 20 and loop.time() - began < RECOVERY_S:
             host = CONTROLS + number % len(SERVICES)
-            caller = Caller((f"127.1.{host}.1", self._ports["outbound"]), self.checks)
+            caller = Caller(self._entry(host), self.checks)
             status = await caller.call(f"r{number}", "deep", False)
             streak = streak + 1 if status == 200 else 0
             number += 1
@@ -314,14 +363,14 @@
                 self.checks.read_back(version)
 
 
-def main(seed, seconds):
+def main(seed, seconds, hurts_network):
     """Runs one seed and prints its verdict.
 
     :return: exit code.
     """
     began = time.time()
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
-        soak = Soak(seed, seconds, Path(name))
+        soak = Soak(seed, seconds, Path(name), hurts_network)
         asyncio.run(soak.run())
         broken = soak.checks.broken()
         if broken and (kept := os.environ.get("SOAK_KEEP")):
@@ -332,4 +381,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), float(sys.argv[2])))
+    sys.exit(main(int(sys.argv[1]), float(sys.argv[2]), "network" in sys.argv[3:]))
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -35,6 +35,13 @@
         if is_once:
             self._answers[request_id] = status
 
+    def ended(self, name, code):
+        """Notes a process that ended by itself.
+
+        :param code: its exit code.
+        """
+        self._faults.append(f"{name} ended by itself with {code}")
+
     def acknowledged(self, version):
         """Notes that a configuration was acknowledged."""
         self._acknowledged = max(self._acknowledged, version)
--- a/bench/soak_parts.py
+++ b/bench/soak_parts.py
@@ -94,13 +94,15 @@
 
     :param service: service of the upstream.
     :param address: where it listens.
+    :param announced: where its node reaches it.
     :param control: where its node takes heartbeats.
     :param checks: :class:`~bench.soak_checks.Checks`.
     """
 
-    def __init__(self, service, address, control, checks):
+    def __init__(self, service, address, announced, control, checks):
         self._service = service
         self._address = address
+        self._announced = announced
         self._control = control
         self._checks = checks
         self._instance = ""
@@ -164,7 +166,7 @@
     async def _report(self):
         while True:
             self._sequence += 1
-            ip, port = self._address
+            ip, port = self._announced
             report = {
                 "service": self._service,
                 "address": f"{ip}:{port}",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak: its schedule, its checks, and a short run with real processes."""
 
+import asyncio
 import subprocess
 import sys
 from pathlib import Path
@@ -8,6 +9,8 @@
 
 from bench.soak import CONTROLS, draw_schedule
 from bench.soak_checks import Checks
+from bench.soak_parts import free_ports
+from bench.soak_proxy import NetworkFault, Proxy, draw_network_faults
 
 ROOT = Path(__file__).parents[1]
 
@@ -27,6 +30,49 @@
             ends_at = fault.at_s + fault.for_s
 
 
+def test_network_faults_leave_the_other_faults_of_a_seed():
+    """Guards against kept seeds that no longer play what they found."""
+    before = draw_schedule(7, 30.0)
+    assert draw_network_faults(7, 30.0, 8) == draw_network_faults(7, 30.0, 8)
+    assert draw_schedule(7, 30.0) == before
+
+
+@pytest.mark.parametrize("kind", ["cut-in", "cut-out", "silence", "delay", "reset"])
+def test_proxy_hurts_connections_and_mends_them(kind):
+    """Guards against a proxy whose faults do nothing, or never end."""
+
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def play():
+        back, front = (("127.0.0.1", port) for port in free_ports(2))
+        server = await asyncio.start_server(echo, *back)
+        proxy = Proxy(front, back)
+        await proxy.start()
+        reader, writer = await asyncio.open_connection(*front)
+        writer.write(b"a")
+        assert await reader.read(1) == b"a"
+        fault = NetworkFault(0.0, kind, 0, 0.3)
+        hurting = asyncio.ensure_future(proxy.hurt(fault))
+        await asyncio.sleep(0)
+        writer.write(b"b")
+        try:
+            async with asyncio.timeout(0.1):
+                early = await reader.read(1)
+        except (TimeoutError, ConnectionResetError):
+            early = b""
+        assert early == b""
+        await hurting
+        if kind != "reset":
+            assert await reader.read(1) == b"b"
+        proxy.stop()
+        server.close()
+
+    asyncio.run(play())
+
+
 def run_twice(checks):
     checks.ran("a1", True)
     checks.ran("a1", True)
@@ -50,13 +96,25 @@
     checks.refused_change(412, "r8")
 
 
+def ended_alone(checks):
+    checks.ended("node-3", 1)
+
+
 def no_recovery(checks):
     checks.recovered(False, 15.0)
 
 
 @pytest.mark.parametrize(
     "see",
-    [run_twice, false_refusal, foreign_body, lost_change, refused_change, no_recovery],
+    [
+        run_twice,
+        false_refusal,
+        foreign_body,
+        lost_change,
+        refused_change,
+        ended_alone,
+        no_recovery,
+    ],
 )
 def test_each_broken_promise_is_caught(see):
     """Guards against a soak that cannot fail."""
