Avoid upstreams that fail what they get while they say they are well

Owners report the share of their upstream's own failures with the load, callers count it into the cost of a host, and a request that may run again is sent to another host after a failure, within the budget of retries.

--- a/src/figpick/nodes/_answering.py
+++ b/src/figpick/nodes/_answering.py
@@ -2,6 +2,7 @@
 
 from ..base._logs import logger
 from ..wire import render_answer
+from ._calls import STATUS_TIMEOUT
 from ._decisions import log_broke, log_unrun
 from ._executions import fingerprint, is_whole
 from ._messages import (
@@ -19,6 +20,12 @@
 # can be asked for again.
 WHOLE_ANSWER_BYTES = 64 * 1024
 MISDIRECTED = 421
+# Mean admission level of its calls below which a request failed for want of room.
+OWN_FAILURE_LEVEL = 0.95
+# Callers that have not sent anything lately also learn of an upstream that fails most
+# of what it gets, but not with each answer.
+TOLD_FAILURE_SHARE = 0.3
+TOLD_PERIOD_S = 0.2
 
 log = logger("owner")
 
@@ -72,6 +79,7 @@
         if not is_whole(reader, self._names):
             self.on_lost(execution, "not the upstream's answer")
             return
+        self._note_outcome(execution, reader.status, now)
         body = reader.take_chunks()
         served_ms = int((now - execution.sent_at) * 1000)
         message = (
@@ -89,6 +97,20 @@
         self._release(execution, reader, now)
         self._finish(execution, message, served=reader.status < 500)
 
+    def _note_outcome(self, execution, status, now):
+        # Where services below had no room, the failure is not the upstream's own.
+        if status >= 500 and execution.level < OWN_FAILURE_LEVEL:
+            return
+        failed = status >= 500 and status != STATUS_TIMEOUT
+        self._failures.note(failed, now)
+        if (
+            failed
+            and self._failures.value(now) > TOLD_FAILURE_SHARE
+            and now - self._failures_told_at > TOLD_PERIOD_S
+        ):
+            self._failures_told_at = now
+            self._tell_load()
+
     def _release(self, execution, reader, now):
         connection, execution.connection = execution.connection, None
         # A body that the upstream did not wait for may still be on its way.
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -58,6 +58,13 @@
             )
         return budget
 
+    def has_other(self, call):
+        """Whether a host takes calls to which a call was not handed before."""
+        return any(
+            peer.takes_calls and peer.name not in call.tried
+            for peer in self.peers.of(call.service)
+        )
+
     def place(self, call):
         """Hands a call to a host that it was not handed to before, or lets it wait."""
         now = self._calls.now()
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -31,6 +31,8 @@
 # The owner and the upstream answer at the deadline; this node only if they do not.
 TIMER_MARGIN_S = 0.06
 MAX_PLACEMENTS = 3
+# Where services below are short of room, the next host would fail as well.
+REPEAT_LEVEL = 0.95
 MAX_INNER_PLACEMENTS = 6
 # A lost link is open again after a few milliseconds unless its host has gone.
 REATTACH_WAIT_S = 0.5
@@ -221,13 +223,21 @@
         _, _, status, head, length, body, is_last, load, level, served_ms = message
         call = attempt.call
         target = attempt.peer.target
-        target.report(Load(*load))
+        now = self.now()
+        target.report(Load(*load), now)
         if is_last:
-            target.served(served_ms / 1000)
+            if status < 500:
+                target.served(served_ms / 1000, now)
             self._dispatcher.forget(attempt)
         self.policy.report(call, level)
         if call.is_done:
             return
+        if self._may_repeat(call, status, level, now):
+            call.sent += 1
+            call.may_have_run = True
+            self._log_attempt("Call sent again.", attempt, str(status), now)
+            self._dispatcher.place(call)
+            return
         for other in list(call.attempts.values()):
             if other is not attempt:
                 self._dispatcher.cancel(other)
@@ -241,11 +251,25 @@
                 "Upstream answered with a failure.",
                 attempt,
                 str(status),
-                self.now(),
+                now,
             )
         call.reply.answer(status, head, length, body, True)
         self._close(call)
 
+    def _may_repeat(self, call, status, level, now):
+        """Whether another host is asked after a failure of the upstream itself."""
+        return (
+            status >= 500
+            and status != STATUS_TIMEOUT
+            and level >= REPEAT_LEVEL
+            and call.route.is_idempotent
+            and not call.attempts
+            and call.sent + 1 < call.route.attempts
+            and now < call.answer_by
+            and self._dispatcher.has_other(call)
+            and self._dispatcher.budget(call.service).take(now)
+        )
+
     def _on_part(self, attempt, body, is_last):
         call = attempt.call
         if is_last:
@@ -270,12 +294,12 @@
     def _on_not_run(self, attempt, reason, retry_after_ms, load, level):
         call = attempt.call
         self._dispatcher.forget(attempt)
-        attempt.peer.target.report(Load(*load))
+        now = self.now()
+        attempt.peer.target.report(Load(*load), now)
         self.policy.note(call.route, level)
         call.level = level
         if call.is_done or call.attempts:
             return
-        now = self.now()
         limit = MAX_INNER_PLACEMENTS if call.is_inner else MAX_PLACEMENTS
         # A call of a running request waits a part of its time only at each host.
         is_final = reason == REASON_CRASH or (
@@ -293,9 +317,9 @@
         call = attempt.call
         self._dispatcher.forget(attempt)
         target = attempt.peer.target
-        if load is not None:
-            target.report(Load(*load))
         now = self.now()
+        if load is not None:
+            target.report(Load(*load), now)
         target.failed(now)
         call.may_have_run = True
         if call.is_done or call.attempts:
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -10,6 +10,7 @@
 from ..admission import AdmissionQueue, Refusal
 from ..base._logs import logger
 from ..directory import UpstreamView
+from ..placing import FailureShare, Load
 from ._answering import Answering
 from ._executions import (
     LEAVE_MARGIN_S,
@@ -75,6 +76,8 @@
         self._finished = {}
         self.running = RunningRequests()
         self._broken = deque(maxlen=MAX_SUSPECTS)
+        self._failures = FailureShare()
+        self._failures_told_at = 0.0
         self._tasks = set()
         self._late_timer = None
         self._is_stopping = False
@@ -95,10 +98,16 @@
     def load(self):
         """Load as it is reported to calling nodes."""
         queue = self._queue
-        limit = 0 if self._is_stopping else queue.limit
-        inner_s, entry_s = queue.waits_s(self._clock.monotonic())
-        waits_ms = int(inner_s * 1000), int(entry_s * 1000)
-        return (queue.running, queue.queued, limit, *waits_ms)
+        now = self._clock.monotonic()
+        inner_s, entry_s = queue.waits_s(now)
+        return Load(
+            running=queue.running,
+            queued=queue.queued,
+            limit=0 if self._is_stopping else queue.limit,
+            inner_wait_ms=int(inner_s * 1000),
+            entry_wait_ms=int(entry_s * 1000),
+            failure_percent=int(self._failures.value(now) * 100),
+        )
 
     def add_link(self, link):
         """Starts to report changes of the load on a link."""
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -128,7 +128,7 @@
             peer.record = record
             if peer.link is None:
                 peer.instance = record.instance
-                peer.target.load = Load(0, 0, record.slots)
+                peer.target.report(Load(0, 0, record.slots), now)
         if peer is not None and record.cold_s > 0:
             peer.target.cold_until = now + record.cold_s
 
@@ -201,7 +201,7 @@
 
     def take_load(self, peer, load, instance):
         """Takes the load that an owner reports with its instance."""
-        peer.target.load = Load(*load)
+        peer.target.report(Load(*load), self._clock.monotonic())
         if instance:
             peer.instance = instance
         if peer.takes_calls:
--- a/src/figpick/placing/_targets.py
+++ b/src/figpick/placing/_targets.py
@@ -7,6 +7,8 @@
 
 from typing import NamedTuple
 
+from ._failures import FailureShare
+
 # Expected seconds by which a host of the same data centre may be slower than one of
 # another before calls leave the data centre.
 DATA_CENTER_PENALTY_S = 0.06
@@ -18,11 +20,8 @@
 # A host with room goes before a full one, wherever it is; bytes between data centres
 # cost less than work that is refused while slots are free.
 FULL_PENALTY_S = 0.25
-FAILURE_WEIGHT = 0.1
 # Cost of an attempt that fails: the time until it shows and the second attempt.
 FAILURE_COST_S = 0.5
-# A host that is avoided gets no attempts that could show that it works again.
-FAILURE_HALF_LIFE_S = 0.7
 
 
 class Load(NamedTuple):
@@ -33,6 +32,8 @@
     :param limit: calls that may hold a slot, 0 when no upstream takes calls.
     :param inner_wait_ms: expected wait of a call of a running request.
     :param entry_wait_ms: expected wait of a request that starts at the service.
+    :param failure_percent: share of the recent answers of the upstream that were
+        failures of its own.
     """
 
     running: int
@@ -40,6 +41,7 @@
     limit: int
     inner_wait_ms: int = 0
     entry_wait_ms: int = 0
+    failure_percent: int = 0
 
 
 class Target:
@@ -57,7 +59,7 @@
         "service_s",
         "cold_until",
         "_failures",
-        "_failed_at",
+        "_reported_failures",
     )
 
     def __init__(self, name, is_near):
@@ -68,37 +70,40 @@
         self.sent = 0
         self.service_s = DEFAULT_SERVICE_S
         self.cold_until = 0.0
-        self._failures = 0.0
-        self._failed_at = 0.0
+        self._failures = FailureShare()
+        self._reported_failures = FailureShare()
 
     def __repr__(self):
         return f"<Target {self.name} {self.load}>"
 
-    def report(self, load):
-        """Takes a newer report of the owner."""
+    def report(self, load, now):
+        """Takes a newer report of the owner.
+
+        :param load: :class:`Load`.
+        :param now: monotonic seconds.
+        """
         self.load = load
         self.sent = 0
+        self._reported_failures.learn(load.failure_percent / 100, now)
 
-    def served(self, seconds):
-        """Notes how long an upstream worked on a call."""
+    def served(self, seconds, now):
+        """Notes how long an upstream worked on a call that it served.
+
+        :param now: monotonic seconds.
+        """
         self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
-        self._failures -= FAILURE_WEIGHT * self._failures
+        self._failures.note(False, now)
 
     def failed(self, now):
         """Notes an attempt without an answer of the upstream.
 
         :param now: monotonic seconds.
         """
-        failures = self.failure_share(now)
-        self._failures = failures + FAILURE_WEIGHT * (1.0 - failures)
-        self._failed_at = now
+        self._failures.note(True, now)
 
     def failure_share(self, now):
-        """Share of the recent attempts that failed, which fades with time."""
-        if not self._failures:
-            return 0.0
-        age = (now - self._failed_at) / FAILURE_HALF_LIFE_S
-        return self._failures * 0.5**age
+        """Share of the recent attempts that failed, here or by the owner's report."""
+        return max(self._failures.value(now), self._reported_failures.value(now))
 
     def cost_s(self, is_inner, now):
         """Expected seconds to an answer, with penalties.
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -32,7 +32,7 @@
     for _ in range(30):
         chosen = choose(hosts, True, 0.0)
         running[chosen.name] += 1
-        chosen.report(Load(running[chosen.name], 0, 36))
+        chosen.report(Load(running[chosen.name], 0, 36), 0.0)
     assert abs(running["a"] - running["b"]) <= 2
 
 
@@ -56,6 +56,14 @@
     assert choose([bad, good], True, 10.0) is bad
 
 
+def test_host_that_its_owner_reports_as_failing_is_avoided():
+    """Guards against callers that each find out for themselves, by failed calls."""
+    bad, good = target("bad"), target("good", is_near=False, running=20)
+    bad.report(Load(0, 0, 35, failure_percent=90), 0.0)
+    assert choose([bad, good], True, 0.0) is good
+    assert choose([bad, good], True, 10.0) is bad
+
+
 def test_host_that_fails_rarely_keeps_its_share():
     """Guards against a queue at one host while another one has room.
 
@@ -70,7 +78,7 @@
         if number % 50 == 0:
             flaky.failed(now)
         else:
-            flaky.served(0.05)
+            flaky.served(0.05, now)
     assert chosen >= 490
 
 
