Read the messages of control processes into types and dispatch on them

A kind of message named any method that began with _on_; kinds that are not known are refused by the decoder now. No change of behaviour otherwise.

--- a/src/figpick/control/_member.py
+++ b/src/figpick/control/_member.py
@@ -22,7 +22,7 @@
 from ..consensus._replica import Replica
 from ..consensus._storage import Storage
 from ..consensus._waiting import wait_for
-from ._messages import IDENTIFY, QUORUM
+from ._messages import Identify, Quorum
 
 FORM_PERIOD_S = 0.1
 # A disk that is full or failing is tried again after this time.
@@ -126,7 +126,7 @@
             self._form_if_known()
             for seed in seeds:
                 if seed != self._name:
-                    self._send(seed, (IDENTIFY,))
+                    self._send(seed, Identify())
             await asyncio.sleep(FORM_PERIOD_S)
 
     def identify(self):
@@ -252,7 +252,7 @@
             kind = KINDS.get(type(message))
             if kind is None:
                 kind = REPLY_KINDS[type(message)] + "-reply"
-            self._send(address, (QUORUM, kind, encode(message)))
+            self._send(address, Quorum(kind, encode(message)))
         if self._replica.deadline < self._planned:
             self._wake.set()
         self._on_applied()
--- a/src/figpick/control/_messages.py
+++ b/src/figpick/control/_messages.py
@@ -1,31 +1,160 @@
 """Messages between control processes, and between them and nodes.
 
-Each message is a list whose first item is its kind. The other items:
-
-* ``hello``: name and token of the process that sends it; first on each link, from
-  both ends.
-* ``record``: fields of a :class:`~figpick.directory.HostRecord`.
-* ``table``: list of all records that a control process knows.
-* ``revision``: revision of the newest configuration of a control process.
-* ``fetch``: asks for that configuration.
-* ``configuration``: its revision and its compressed document.
-* ``crash``: start of an upstream that crashed, fingerprints of what it ran.
-* ``identify``: asks another control process who it is.
-* ``identity``: a dict; see :meth:`~figpick.consensus._formation.Formation.learn`.
-* ``quorum``: kind and fields of a message of the replicated log.
-* ``ask``: number, kind and value of a request to the leader.
-* ``told``: number, error name or empty, and value of its answer.
+On a link each message is a list of its kind and its fields; see :func:`encode`.
 """
 
-HELLO = "hello"
-RECORD = "record"
-TABLE = "table"
-REVISION = "revision"
-FETCH = "fetch"
-CONFIGURATION = "configuration"
-CRASH = "crash"
-IDENTIFY = "identify"
-IDENTITY = "identity"
-QUORUM = "quorum"
-ASK = "ask"
-TOLD = "told"
+from typing import NamedTuple
+
+from ..base._errors import PeerError
+
+
+class Hello(NamedTuple):
+    """First message on each link, from both ends.
+
+    :param name: name of the process that sends it.
+    :param token: random number of its start.
+    """
+
+    name: str
+    token: int
+
+
+class Record(NamedTuple):
+    """News of one process.
+
+    :param fields: fields of a :class:`~figpick.directory.HostRecord`.
+    """
+
+    fields: list
+
+
+class Table(NamedTuple):
+    """All that a control process knows of others.
+
+    :param records: list of the fields of records.
+    """
+
+    records: list
+
+
+class Revision(NamedTuple):
+    """News of a configuration.
+
+    :param revision: revision of the newest one of a control process.
+    """
+
+    revision: int
+
+
+class Fetch(NamedTuple):
+    """Asks for the newest configuration."""
+
+
+class CurrentConfiguration(NamedTuple):
+    """The newest configuration of a control process.
+
+    :param revision: its revision.
+    :param document: its compressed document.
+    """
+
+    revision: int
+    document: str
+
+
+class Crash(NamedTuple):
+    """What ran when an upstream crashed.
+
+    :param crash_id: start of the upstream that crashed.
+    :param fingerprints: fingerprints of the requests that it ran.
+    """
+
+    crash_id: str
+    fingerprints: list
+
+
+class Identify(NamedTuple):
+    """Asks another control process who it is."""
+
+
+class Identity(NamedTuple):
+    """Answers :class:`Identify`.
+
+    :param answer: dict; see :meth:`~figpick.consensus._formation.Formation.learn`.
+    """
+
+    answer: dict
+
+
+class Quorum(NamedTuple):
+    """A message of the replicated log.
+
+    :param kind: its kind.
+    :param fields: its fields.
+    """
+
+    kind: str
+    fields: list
+
+
+class Ask(NamedTuple):
+    """A request to the leader.
+
+    :param number: number that its answer repeats.
+    :param kind: ``put`` or ``read``.
+    :param value: fields of a change set, or ``None``.
+    """
+
+    number: int
+    kind: str
+    value: dict
+
+
+class Told(NamedTuple):
+    """The answer of the leader.
+
+    :param number: number of the request.
+    :param error: ``conflict``, ``no-quorum`` or empty.
+    :param value: fields of the error, or the result.
+    """
+
+    number: int
+    error: str
+    value: object
+
+
+KINDS = {
+    "hello": Hello,
+    "record": Record,
+    "table": Table,
+    "revision": Revision,
+    "fetch": Fetch,
+    "configuration": CurrentConfiguration,
+    "crash": Crash,
+    "identify": Identify,
+    "identity": Identity,
+    "quorum": Quorum,
+    "ask": Ask,
+    "told": Told,
+}
+NAMES = {type_: kind for kind, type_ in KINDS.items()}
+
+
+def encode(message):
+    """Gives a message as it is sent on a link."""
+    return (NAMES[type(message)], *message)
+
+
+def decode(items):
+    """Reads a message of a link.
+
+    :param items: list of its kind and its fields.
+    :raises PeerError: when its kind is unknown or fields are missing.
+    """
+    kind, *fields = items
+    type_ = KINDS.get(kind)
+    if type_ is None:
+        raise PeerError(f"unknown kind of message {kind!r}")
+    try:
+        return type_(*fields)
+    except TypeError as error:
+        raise PeerError(f"message {kind}: {error}") from error
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
+from functools import singledispatchmethod
 
-from ..base._errors import ConflictError, FigpickError, NoQuorumError
+from ..base._errors import ConflictError, FigpickError, NoQuorumError, PeerError
 from ..base._logs import logger
 from ..base._supervisor import Supervisor
 from ..configuration import ChangeSet, VersionConflictError
@@ -11,15 +12,20 @@
 from ..links import Dialer, Link, listen
 from ._member import QuorumMember, text_address
 from ._messages import (
-    ASK,
-    CONFIGURATION,
-    CRASH,
-    HELLO,
-    IDENTITY,
-    RECORD,
-    REVISION,
-    TABLE,
-    TOLD,
+    Ask,
+    Crash,
+    CurrentConfiguration,
+    Fetch,
+    Hello,
+    Identify,
+    Identity,
+    Quorum,
+    Record,
+    Revision,
+    Table,
+    Told,
+    decode,
+    encode,
 )
 from ._repair import describe, next_members
 
@@ -194,7 +200,7 @@
         future = asyncio.get_running_loop().create_future()
         self._asked[number] = future
         try:
-            link.send((ASK, number, kind, value))
+            link.send(encode(Ask(number, kind, value)))
             return await future
         finally:
             del self._asked[number]
@@ -235,8 +241,8 @@
         dialer.start()
 
     def _on_open(self, link):
-        link.send((HELLO, self._settings.name, self._token))
-        link.send((RECORD, list(self._announcer.record)))
+        link.send(encode(Hello(self._settings.name, self._token)))
+        link.send(encode(Record(list(self._announcer.record))))
 
     def _send_to(self, address, message):
         dialer = self._dialers.get(address)
@@ -245,73 +251,87 @@
             self._dial((ip, int(port)))
             return
         if dialer.link is not None:
-            dialer.link.send(message)
+            dialer.link.send(encode(message))
 
-    def _receive(self, link, message):
-        kind, *values = message
+    def _receive(self, link, items):
         try:
-            handler = getattr(self, "_on_" + kind, None)
-            if handler is None:
-                log.warning("Message of unknown kind {!r}.", kind)
-                return
-            handler(link, *values)
+            self._take(decode(items), link)
         except (FigpickError, TypeError, ValueError) as error:
-            log.warning("Message {!r} cannot be used: {}.", kind, error)
+            log.warning("Message {!r} cannot be used: {}.", items[0], error)
 
-    def _on_hello(self, link, name, token):
-        link.peer = name
+    @singledispatchmethod
+    def _take(self, message, link):
+        """Takes a message of another process."""
+        raise PeerError(f"{type(message).__name__} is not for control processes")
+
+    @_take.register
+    def _take_hello(self, message: Hello, link):
+        link.peer = message.name
         if link not in self._accepted and not self._is_dialled(link):
             self._accepted.add(link)
-            link.send((HELLO, self._settings.name, self._token))
-            link.send((TABLE, [list(record) for record in self._directory]))
-            link.send((REVISION, self._member.registry.revision))
+            link.send(encode(Hello(self._settings.name, self._token)))
+            records = [list(record) for record in self._directory]
+            link.send(encode(Table(records)))
+            link.send(encode(Revision(self._member.registry.revision)))
 
     def _is_dialled(self, link):
         return any(dialer.link is link for dialer in self._dialers.values())
 
-    def _on_record(self, link, fields):
+    @_take.register
+    def _take_record(self, message: Record, link):
+        self._learn(message.fields)
+
+    def _learn(self, fields):
         record = self._announcer.take(fields)
         if record is None:
             return
         if record.role == CONTROL and record.name != self._settings.name:
             self._dial(record.address)
-        self._broadcast((RECORD, list(record)))
+        self._broadcast(Record(list(record)))
 
-    def _on_table(self, link, table):
-        for fields in table:
-            self._on_record(link, fields)
+    @_take.register
+    def _take_table(self, message: Table, link):
+        for fields in message.records:
+            self._learn(fields)
 
-    def _on_revision(self, link, revision):
+    @_take.register
+    def _take_revision(self, message: Revision, link):
         """Other control processes hold the same log."""
 
-    def _on_fetch(self, link):
+    @_take.register
+    def _take_fetch(self, message: Fetch, link):
         registry = self._member.registry
         if registry.current is not None:
             document = registry.current.document
-            link.send((CONFIGURATION, registry.revision, document))
+            link.send(encode(CurrentConfiguration(registry.revision, document)))
 
-    def _on_crash(self, link, crash_id, fingerprints):
+    @_take.register
+    def _take_crash(self, message: Crash, link):
         for other in list(self._accepted):
             # Nodes report to several control processes; each tells nodes only, or
             # the report would go round between them for ever.
             if other is not link and self._is_node(other):
-                other.send((CRASH, crash_id, fingerprints))
+                other.send(encode(message))
 
     def _is_node(self, link):
         record = self._directory.get(link.peer)
         return record is not None and record.role == NODE
 
-    def _on_identify(self, link):
-        link.send((IDENTITY, self._member.identify()))
+    @_take.register
+    def _take_identify(self, message: Identify, link):
+        link.send(encode(Identity(self._member.identify())))
 
-    def _on_identity(self, link, answer):
-        self._member.learn(answer)
+    @_take.register
+    def _take_identity(self, message: Identity, link):
+        self._member.learn(message.answer)
 
-    def _on_quorum(self, link, kind, fields):
-        self._member.receive(kind, fields)
+    @_take.register
+    def _take_quorum(self, message: Quorum, link):
+        self._member.receive(message.kind, message.fields)
 
-    def _on_ask(self, link, number, kind, value):
-        task = asyncio.ensure_future(self._answer(link, number, kind, value))
+    @_take.register
+    def _take_ask(self, message: Ask, link):
+        task = asyncio.ensure_future(self._answer(link, *message))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -321,13 +341,16 @@
                 raise NoQuorumError("no quorum: this process does not lead")
             answer = await self._answer_as_leader(kind, value)
         except ConflictError as error:
-            link.send((TOLD, number, "conflict", [str(error), error.current]))
+            told = Told(number, "conflict", [str(error), error.current])
         except FigpickError as error:
-            link.send((TOLD, number, "no-quorum", [str(error)]))
+            told = Told(number, "no-quorum", [str(error)])
         else:
-            link.send((TOLD, number, "", answer))
+            told = Told(number, "", answer)
+        link.send(encode(told))
 
-    def _on_told(self, link, number, error, value):
+    @_take.register
+    def _take_told(self, message: Told, link):
+        number, error, value = message
         future = self._asked.get(number)
         if future is None or future.done():
             return
@@ -342,17 +365,17 @@
         revision = self._member.registry.revision
         if revision > self._told_revision:
             self._told_revision = revision
-            self._broadcast((REVISION, revision))
+            self._broadcast(Revision(revision))
 
     def _broadcast(self, message):
         for link in list(self._accepted):
-            link.send(message)
+            link.send(encode(message))
 
     def _announce(self):
-        message = (RECORD, list(self._announcer.record))
+        message = Record(list(self._announcer.record))
         for dialer in self._dialers.values():
             if dialer.link is not None:
-                dialer.link.send(message)
+                dialer.link.send(encode(message))
         self._broadcast(message)
 
     async def _repair(self):
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -1,15 +1,19 @@
 """Links of a node to the control processes: records, configurations, crashes."""
 
+from functools import singledispatchmethod
+
 from ..base._errors import PeerError
 from ..base._logs import logger
 from ..control._messages import (
-    CONFIGURATION,
-    CRASH,
-    FETCH,
-    HELLO,
-    RECORD,
-    REVISION,
-    TABLE,
+    Crash,
+    CurrentConfiguration,
+    Fetch,
+    Hello,
+    Record,
+    Revision,
+    Table,
+    decode,
+    encode,
 )
 from ..directory import CONTROL
 from ..links import Dialer, Link
@@ -71,13 +75,13 @@
 
     def announce(self):
         """Sends the own record to every control process."""
-        self._send_all((RECORD, list(self._announcer.record)))
+        self._send_all(Record(list(self._announcer.record)))
 
     def report_crash(self, crash_id, fingerprints):
         """Tells all nodes what ran when an upstream crashed."""
         links = [dialer.link for dialer in self._dialers.values()]
         for link in [link for link in links if link is not None][:CRASH_COPIES]:
-            link.send((CRASH, crash_id, fingerprints))
+            link.send(encode(Crash(crash_id, fingerprints)))
 
     def fetch(self):
         """Asks again for a newer configuration that has not come."""
@@ -85,13 +89,13 @@
             if not link.is_open:
                 del self._revisions[link]
             elif revision > self.revision:
-                link.send((FETCH,))
+                link.send(encode(Fetch()))
                 return
 
     def _send_all(self, message):
         for dialer in self._dialers.values():
             if dialer.link is not None:
-                dialer.link.send(message)
+                dialer.link.send(encode(message))
 
     def _dial(self, address):
         address = tuple(address)
@@ -106,40 +110,54 @@
         dialer.start()
 
     def _on_open(self, link):
-        link.send((HELLO, self._settings.name, self._token))
-        link.send((RECORD, list(self._announcer.record)))
+        link.send(encode(Hello(self._settings.name, self._token)))
+        link.send(encode(Record(list(self._announcer.record))))
 
     def _on_closed(self, link):
         self._revisions.pop(link, None)
         log.notice("Link to control {} is lost.", link.peer)
 
-    def _receive(self, link, message):
-        kind, *values = message
+    def _receive(self, link, items):
         try:
-            if kind == RECORD:
-                self._take_record(values[0])
-            elif kind == TABLE:
-                for fields in values[0]:
-                    self._take_record(fields)
-            elif kind == REVISION:
-                self._take_revision(link, values[0])
-            elif kind == CONFIGURATION:
-                self._handlers.on_configuration(*values)
-            elif kind == CRASH:
-                self._handlers.on_crash_report(*values)
-            elif kind == HELLO:
-                log.notice("Link to control {} is open.", values[0])
+            self._take(decode(items), link)
         except (PeerError, TypeError, ValueError) as error:
             log.warning(
-                "Message {!r} of {} cannot be used: {}.", kind, link.peer, error
+                "Message {!r} of {} cannot be used: {}.", items[0], link.peer, error
             )
 
-    def _take_revision(self, link, revision):
-        self._revisions[link] = revision
-        if revision > self.revision:
-            link.send((FETCH,))
+    @singledispatchmethod
+    def _take(self, message, link):
+        """Takes a message of a control process."""
+        raise PeerError(f"{type(message).__name__} is not for nodes")
+
+    @_take.register
+    def _take_hello(self, message: Hello, link):
+        log.notice("Link to control {} is open.", message.name)
+
+    @_take.register
+    def _take_record(self, message: Record, link):
+        self._learn(message.fields)
+
+    @_take.register
+    def _take_table(self, message: Table, link):
+        for fields in message.records:
+            self._learn(fields)
+
+    @_take.register
+    def _take_revision(self, message: Revision, link):
+        self._revisions[link] = message.revision
+        if message.revision > self.revision:
+            link.send(encode(Fetch()))
+
+    @_take.register
+    def _take_configuration(self, message: CurrentConfiguration, link):
+        self._handlers.on_configuration(message.revision, message.document)
+
+    @_take.register
+    def _take_crash(self, message: Crash, link):
+        self._handlers.on_crash_report(message.crash_id, message.fingerprints)
 
-    def _take_record(self, fields):
+    def _learn(self, fields):
         record = self._announcer.take(fields)
         if record is None:
             return
--- a/tests/test_control_relays.py
+++ b/tests/test_control_relays.py
@@ -3,8 +3,11 @@
 import asyncio
 import time
 
+import pytest
+
 from figpick.base._clock import Clock
-from figpick.control._messages import CRASH, HELLO, RECORD
+from figpick.base._errors import PeerError
+from figpick.control._messages import Crash, Hello, Record, decode, encode
 from figpick.directory import NODE, HostRecord
 from figpick.links import Link
 
@@ -25,14 +28,14 @@
     async def open(self, address):
         loop = asyncio.get_running_loop()
         await loop.create_connection(lambda: self.link, *address)
-        self.link.send((HELLO, self.name, 1))
+        self.link.send(encode(Hello(self.name, 1)))
         started_ms = int(time.time() * 1000)
         record = HostRecord(self.name, started_ms, 0, 1, NODE, "127.0.0.1", 1, "dc")
-        self.link.send((RECORD, list(record)))
+        self.link.send(encode(Record(list(record))))
 
     @property
     def crashes(self):
-        return self.kinds.count(CRASH)
+        return self.kinds.count("crash")
 
 
 @in_loop
@@ -47,8 +50,8 @@
         sender, receiver = _Node("sender"), _Node("receiver")
         await sender.open(addresses[0])
         await receiver.open(addresses[0])
-        await until(lambda: receiver.kinds.count(RECORD) > 0)
-        sender.link.send((CRASH, "i-1", ["a", "b"]))
+        await until(lambda: receiver.kinds.count("record") > 0)
+        sender.link.send(encode(Crash("i-1", ["a", "b"])))
         await until(lambda: receiver.crashes > 0)
         await asyncio.sleep(0.3)
         assert receiver.crashes == 1
@@ -77,3 +80,17 @@
         await until(lambda: receiver.crashes > 0)
         await asyncio.sleep(0.3)
         assert receiver.crashes == 2
+
+
+@pytest.mark.parametrize(
+    "items", [["no-such-kind"], ["crash"], ["crash", "i-1", [], "more"]]
+)
+def test_unreadable_message_is_refused(items):
+    """Guards against a message of another version that ends its link."""
+    with pytest.raises(PeerError):
+        decode(items)
+
+
+def test_messages_are_read_as_they_were_sent():
+    message = Crash("i-1", ["a", "b"])
+    assert decode(list(encode(message))) == message
