--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -335,6 +335,7 @@
             log.warning("Message of {} cannot be used: {}.", link.peer, error)
 
     def _handle(self, link, message):
+        # Every call passes here: plain lists, compared in the order of their frequency.
         kind = message[0]
         if kind == CALL:
             _, number, *fields = message
