--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -216,6 +216,14 @@
             level = self._levels[rank] = AdmissionLevel()
         return level.update(lambda: self._measure(rank, now), now)
 
+    def levels(self):
+        """Gives the last level of each rank that is below 1."""
+        return {
+            rank: round(level.value, 2)
+            for rank, level in self._levels.items()
+            if level.value < 1.0
+        }
+
     def waits_s(self, now):
         """Seconds in which the waiting calls could be worked off.
 
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -303,6 +303,7 @@
                     "seconds": SUMMARY_PERIOD_S,
                     "counts": counts,
                     "load": list(self._owner.load()),
+                    "levels": self._owner.queue.levels(),
                     "shares": self.shares(),
                     "revision": self.revision,
                     "controls": self._controls.open_count,
