Know the usual time of a call by route when a host is chosen

One smoothed time for all routes of a service mixed calls of 39 ms with requests of 480 ms, so that a slow host looked slower for calls than it is: in the played load it stayed idle beside a fast host with a queue, and the entries refused for it.

--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -74,7 +74,7 @@
             self._wait_or_refuse(call, usable, now)
             return
         targets = {peer.target: peer for peer in fresh}
-        peer = targets[choose(list(targets), call.is_inner, now)]
+        peer = targets[choose(list(targets), call.route.name, call.is_inner, now)]
         self._send(call, peer, now)
 
     def _wait_or_refuse(self, call, usable, now):
@@ -133,7 +133,9 @@
             is_last = start + PART_BYTES >= len(body)
             peer.link.send((BODY, attempt.number, part, is_last))
         if call.route.is_idempotent and call.sent == 0 and call.route.attempts > 1:
-            wait_s = max(MIN_HEDGE_S, HEDGE_FACTOR * peer.target.service_s)
+            wait_s = max(
+                MIN_HEDGE_S, HEDGE_FACTOR * peer.target.expected_s(call.route.name)
+            )
             if now + wait_s < call.answer_by:
                 loop = asyncio.get_running_loop()
                 call.hedge_timer = loop.call_later(wait_s, self._hedge, call, attempt)
@@ -158,7 +160,11 @@
         call.sent += 1
         self._calls.on_hedged(attempt, now)
         targets = {peer.target: peer for peer in others}
-        self._send(call, targets[choose(list(targets), call.is_inner, now)], now)
+        self._send(
+            call,
+            targets[choose(list(targets), call.route.name, call.is_inner, now)],
+            now,
+        )
 
     def forget(self, attempt):
         """Drops an attempt that has ended."""
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -227,7 +227,7 @@
         target.report(Load(*load), now)
         if is_last:
             if status < 500:
-                target.served(served_ms / 1000, now)
+                target.served(call.route.name, served_ms / 1000, now)
             self._dispatcher.forget(attempt)
         self.policy.report(call, level)
         if call.is_done:
--- a/src/figpick/placing/_targets.py
+++ b/src/figpick/placing/_targets.py
@@ -56,7 +56,7 @@
         "is_near",
         "load",
         "sent",
-        "service_s",
+        "_service_s",
         "cold_until",
         "_failures",
         "_reported_failures",
@@ -68,7 +68,8 @@
         self.load = None
         # Calls sent since the last report, which cannot include them.
         self.sent = 0
-        self.service_s = DEFAULT_SERVICE_S
+        # By route: those of one service may take ten times as long as others.
+        self._service_s = {}
         self.cold_until = 0.0
         self._failures = FailureShare()
         self._reported_failures = FailureShare()
@@ -86,12 +87,21 @@
         self.sent = 0
         self._reported_failures.learn(load.failure_percent / 100, now)
 
-    def served(self, seconds, now):
+    def expected_s(self, route):
+        """Usual seconds that the upstream works on a call.
+
+        :param route: name of the route.
+        """
+        return self._service_s.get(route, DEFAULT_SERVICE_S)
+
+    def served(self, route, seconds, now):
         """Notes how long an upstream worked on a call that it served.
 
+        :param route: name of the route.
         :param now: monotonic seconds.
         """
-        self.service_s += SERVICE_WEIGHT * (seconds - self.service_s)
+        known_s = self._service_s.get(route, seconds)
+        self._service_s[route] = known_s + SERVICE_WEIGHT * (seconds - known_s)
         self._failures.note(False, now)
 
     def failed(self, now):
@@ -105,13 +115,14 @@
         """Share of the recent attempts that failed, here or by the owner's report."""
         return max(self._failures.value(now), self._reported_failures.value(now))
 
-    def cost_s(self, is_inner, now):
+    def cost_s(self, route, is_inner, now):
         """Expected seconds to an answer, with penalties.
 
+        :param route: name of the route.
         :param is_inner: whether the call is one of a running request.
         :param now: monotonic seconds.
         """
-        service_s = self.service_s
+        service_s = self.expected_s(route)
         if now < self.cold_until:
             service_s *= COLD_FACTOR
         cost_s = service_s + self.failure_share(now) * FAILURE_COST_S
@@ -130,12 +141,15 @@
         return cost_s
 
 
-def choose(targets, is_inner, now):
+def choose(targets, route, is_inner, now):
     """Chooses among the hosts that can be reached.
 
     :param targets: list of :class:`Target`.
+    :param route: name of the route.
     :param is_inner: whether the call is one of a running request.
     :param now: monotonic seconds.
     :return: the target with the least cost, or ``None`` without targets.
     """
-    return min(targets, key=lambda target: target.cost_s(is_inner, now), default=None)
+    return min(
+        targets, key=lambda target: target.cost_s(route, is_inner, now), default=None
+    )
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -10,19 +10,19 @@
 ):
     each = Target(name, is_near)
     each.load = Load(running, queued, limit, wait_ms, wait_ms)
-    each.service_s = service_s
+    each.served("r", service_s, 0.0)
     return each
 
 
 def test_near_host_with_room_is_chosen():
     near, far = target("near", running=10), target("far", is_near=False)
-    assert choose([far, near], True, 0.0) is near
+    assert choose([far, near], "r", True, 0.0) is near
 
 
 def test_calls_spill_over_when_the_near_host_is_full():
     near = target("near", running=35, queued=60, service_s=0.1, wait_ms=170)
     far = target("far", is_near=False, service_s=0.1)
-    assert choose([near, far], True, 0.0) is far
+    assert choose([near, far], "r", True, 0.0) is far
 
 
 def test_equal_hosts_share_the_calls():
@@ -30,7 +30,7 @@
     hosts = [target(name, is_near=False, limit=36) for name in "ab"]
     running = dict.fromkeys("ab", 0)
     for _ in range(30):
-        chosen = choose(hosts, True, 0.0)
+        chosen = choose(hosts, "r", True, 0.0)
         running[chosen.name] += 1
         chosen.report(Load(running[chosen.name], 0, 36), 0.0)
     assert abs(running["a"] - running["b"]) <= 2
@@ -44,7 +44,7 @@
     """
     near = target("near", running=36, queued=13, limit=36, wait_ms=2)
     far = target("far", is_near=False, running=9, limit=36)
-    assert choose([near, far], True, 0.0) is far
+    assert choose([near, far], "r", True, 0.0) is far
 
 
 def test_failing_host_is_avoided_and_tried_again():
@@ -52,16 +52,16 @@
     bad, good = target("bad"), target("good", is_near=False)
     for _ in range(10):
         bad.failed(0.0)
-    assert choose([bad, good], True, 0.0) is good
-    assert choose([bad, good], True, 10.0) is bad
+    assert choose([bad, good], "r", True, 0.0) is good
+    assert choose([bad, good], "r", True, 10.0) is bad
 
 
 def test_host_that_its_owner_reports_as_failing_is_avoided():
     """Guards against callers that each find out for themselves, by failed calls."""
     bad, good = target("bad"), target("good", is_near=False, running=20)
     bad.report(Load(0, 0, 35, failure_percent=90), 0.0)
-    assert choose([bad, good], True, 0.0) is good
-    assert choose([bad, good], True, 10.0) is bad
+    assert choose([bad, good], "r", True, 0.0) is good
+    assert choose([bad, good], "r", True, 10.0) is bad
 
 
 def test_host_that_fails_rarely_keeps_its_share():
@@ -73,19 +73,19 @@
     chosen = 0
     for number in range(500):
         now = number * 0.005
-        best = choose([flaky, full], True, now)
+        best = choose([flaky, full], "r", True, now)
         chosen += best is flaky
         if number % 50 == 0:
             flaky.failed(now)
         else:
-            flaky.served(0.05, now)
+            flaky.served("r", 0.05, now)
     assert chosen >= 490
 
 
 def test_cold_host_gets_less():
     cold, warm = target("cold", service_s=0.1), target("warm", service_s=0.1)
     cold.cold_until = 5.0
-    assert choose([cold, warm], True, 1.0) is warm
+    assert choose([cold, warm], "r", True, 1.0) is warm
 
 
 def test_wait_counts_for_the_kind_of_call():
@@ -93,8 +93,8 @@
     fast, slow = target("fast", service_s=0.02), target("slow", service_s=0.04)
     fast.load = Load(36, 80, 36, inner_wait_ms=5, entry_wait_ms=900)
     slow.load = Load(36, 80, 36, inner_wait_ms=5, entry_wait_ms=100)
-    assert choose([fast, slow], True, 0.0) is fast
-    assert choose([fast, slow], False, 0.0) is slow
+    assert choose([fast, slow], "r", True, 0.0) is fast
+    assert choose([fast, slow], "r", False, 0.0) is slow
 
 
 def test_calls_sent_since_the_report_count():
@@ -102,7 +102,7 @@
     hosts = [target("a", limit=10), target("b", limit=10)]
     taken = Counter()
     for _ in range(40):
-        chosen = choose(hosts, True, 0.0)
+        chosen = choose(hosts, "r", True, 0.0)
         chosen.sent += 1
         taken[chosen.name] += 1
     assert abs(taken["a"] - taken["b"]) <= 10
