--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -208,7 +208,7 @@
             request.method, request.target, request.headers, self._own_headers
         )
         call.body = b"".join(request.body)
-        self._dispatcher.budget(call.service).count_request(now)
+        self._dispatcher.budget(call.service).count_request(now, call.is_repeat)
         loop = asyncio.get_running_loop()
         due = loop.time() + call.answer_by - now + TIMER_MARGIN_S
         call.timer = loop.call_at(due, self._time_out, call)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -16,6 +16,7 @@
     RetryBudget,
     Ticket,
 )
+from figpick.admission._budget import FLOOR
 
 
 def ticket(name, rank, is_inner=False, target_at=10.0, leave_at=10.0, route="r"):
@@ -292,20 +293,51 @@
     assert whole >= 0.8 * begun
 
 
-def test_retries_stay_within_the_ratio_in_every_window():
-    """Guards against retries that bury a slow service."""
-    budget = RetryBudget(ratio=0.2, window_s=10.0)
+def test_retries_of_a_call_graph_stay_within_the_ratio_in_every_window():
+    """Guards against retries that bury a slow service.
+
+    Each of five services in a row loses half of the answers and would repeat them;
+    what a repeated request calls is a repetition for all services below.
+    """
+    budgets = [RetryBudget(ratio=0.2, window_s=10.0) for _ in range(5)]
     rng = random.Random(1)
-    times = []
+    firsts = [[] for _ in budgets]
+    repeats = [[] for _ in budgets]
+
+    def visit(level, is_repeat, now):
+        if level == len(budgets):
+            return
+        budgets[level].count_request(now, is_repeat)
+        (repeats if is_repeat else firsts)[level].append(now)
+        visit(level + 1, is_repeat, now)
+        if rng.random() < 0.5 and budgets[level].take(now):
+            repeats[level].append(now)
+            visit(level + 1, True, now)
+
+    for step in range(4000):
+        visit(0, False, step * 0.01)
+    for level in range(len(budgets)):
+        for start in range(31):
+            asked = sum(start <= at < start + 10.0 for at in firsts[level])
+            again = sum(start <= at < start + 10.0 for at in repeats[level])
+            assert again <= 0.2 * asked + FLOOR
+
+
+def test_lost_answers_of_one_service_are_asked_for_again():
+    """Guards against failed requests while the bound has room.
+
+    A tenth of the answers of one service are lost; no other service repeats.
+    """
+    budget = RetryBudget(ratio=0.2, window_s=10.0)
+    rng = random.Random(2)
+    lost = repeated = 0
     for step in range(4000):
         now = step * 0.01
         budget.count_request(now)
-        if rng.random() < 0.8 and budget.take(now):
-            times.append(now)
-    for start in times:
-        within = sum(start <= at < start + 10.0 for at in times)
-        assert within <= 0.2 * 1000 / 5 + 1 + 4
-    assert len(times) > 100
+        if rng.random() < 0.1:
+            lost += 1
+            repeated += budget.take(now)
+    assert repeated >= 0.95 * lost
 
 
 def test_request_that_ran_in_two_crashes_is_guilty():
