Take an upstream that turns slow for a failing one before its answers come

A slow upstream showed only by its answers: calls that run once waited there until the time of their route was over, and an answer at the deadline was not counted as slow at all. The owner now looks ten times a second at how long calls run; callers learn of a share of slow ones as of failures.

--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -158,6 +158,10 @@
         """Sets the number of slots that the upstream announced, 0 for none."""
         self._limit = max(1, int(slots * LIMIT_SHARE)) if slots > 0 else 0
 
+    def knows(self, route):
+        """Whether a call on a route has been served."""
+        return route in self._service_s
+
     def expected_service_s(self, route):
         """Usual seconds that a call on a route holds a slot."""
         return self._service_s.get(route, DEFAULT_SERVICE_S)
--- a/src/figpick/nodes/_answering.py
+++ b/src/figpick/nodes/_answering.py
@@ -1,6 +1,9 @@
 """How the owner passes on what the upstream answers."""
 
+import asyncio
+
 from ..base._logs import logger
+from ..placing import slow_share
 from ..wire import render_answer
 from ._calls import STATUS_TIMEOUT
 from ._decisions import log_broke, log_unrun
@@ -26,6 +29,7 @@
 # of what it gets, but not with each answer.
 TOLD_FAILURE_SHARE = 0.3
 TOLD_PERIOD_S = 0.2
+SLOW_CHECK_S = 0.1
 
 log = logger("owner")
 
@@ -103,14 +107,37 @@
             return
         failed = status >= 500 and status != STATUS_TIMEOUT
         self._failures.note(failed, now)
+        if failed:
+            self._tell_failures(now)
+
+    def _tell_failures(self, now):
         if (
-            failed
-            and self._failures.value(now) > TOLD_FAILURE_SHARE
+            self._failures.value(now) > TOLD_FAILURE_SHARE
             and now - self._failures_told_at > TOLD_PERIOD_S
         ):
             self._failures_told_at = now
             self._tell_load()
 
+    def _watch_slow(self):
+        if self._slow_timer is None:
+            loop = asyncio.get_running_loop()
+            self._slow_timer = loop.call_later(SLOW_CHECK_S, self._check_slow)
+
+    def _check_slow(self):
+        self._slow_timer = None
+        now = self._clock.monotonic()
+        running = [
+            (now - each.sent_at, self._queue.expected_service_s(each.call.route))
+            for each in self._executions.values()
+            if each.sent_at is not None and self._queue.knows(each.call.route)
+        ]
+        share = slow_share(running)
+        if share > self._failures.value(now):
+            self._failures.learn(share, now)
+            self._tell_failures(now)
+        if self._executions:
+            self._watch_slow()
+
     def _release(self, execution, reader, now):
         connection, execution.connection = execution.connection, None
         # A body that the upstream did not wait for may still be on its way.
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -226,7 +226,8 @@
         now = self.now()
         target.report(Load(*load), now)
         if is_last:
-            if status < 500:
+            # At the end of its time the upstream was at work all the while.
+            if status < 500 or status == STATUS_TIMEOUT:
                 target.served(call.route.name, served_ms / 1000, now)
             self._dispatcher.forget(attempt)
         self.policy.report(call, level)
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -78,6 +78,7 @@
         self._broken = deque(maxlen=MAX_SUSPECTS)
         self._failures = FailureShare()
         self._failures_told_at = 0.0
+        self._slow_timer = None
         self._tasks = set()
         self._late_timer = None
         self._is_stopping = False
@@ -183,6 +184,7 @@
             self._send_not_run(link, number, outcome.reason, retry_after_s, call)
             return
         self._executions[peer, number] = execution
+        self._watch_slow()
         if outcome is None:
             self._start(execution)
         else:
--- a/src/figpick/placing/__init__.py
+++ b/src/figpick/placing/__init__.py
@@ -1,7 +1,7 @@
 """Choice of the host that serves a call."""
 
-from ._failures import FailureShare
+from ._failures import FailureShare, slow_share
 from ._split import SplitCounter
 from ._targets import Load, Target, choose
 
-__all__ = ["FailureShare", "Load", "SplitCounter", "Target", "choose"]
+__all__ = ["FailureShare", "Load", "SplitCounter", "Target", "choose", "slow_share"]
--- a/src/figpick/placing/_failures.py
+++ b/src/figpick/placing/_failures.py
@@ -1,13 +1,33 @@
-"""How often a host fails, from its last answers.
+"""How often a host fails, from its last answers and from calls that do not end.
 
 It answers the load of an upstream that says it is well and fails what it gets, often
-faster than others serve: by its free slots alone it would get most of the calls.
+faster than others serve: by its free slots alone it would get most of the calls. It
+also answers an upstream that turns slow: its answers show that only when they come.
 """
 
 # Weight of one answer: some ten tell a failing host from one that failed by chance.
 WEIGHT = 0.1
 # A host that is avoided gives no answers that could show that it works again.
 HALF_LIFE_S = 0.7
+# Service times vary by a factor of three within one route.
+SLOW_FACTOR = 4.0
+MIN_SLOW_S = 0.3
+# With fewer running calls, one long one would look like a slow upstream.
+MIN_RUNNING = 4
+
+
+def slow_share(running):
+    """Share of the running calls that take much longer than usual.
+
+    :param running: list of tuples of the seconds that a call has run and the seconds
+        that its route usually takes.
+    """
+    if len(running) < MIN_RUNNING:
+        return 0.0
+    slow = sum(
+        ran_s > max(MIN_SLOW_S, SLOW_FACTOR * usual_s) for ran_s, usual_s in running
+    )
+    return slow / len(running)
 
 
 class FailureShare:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -2,7 +2,9 @@
 
 from collections import Counter
 
-from figpick.placing import Load, SplitCounter, Target, choose
+import pytest
+
+from figpick.placing import Load, SplitCounter, Target, choose, slow_share
 
 
 def target(
@@ -64,6 +66,20 @@
     assert choose([bad, good], "r", True, 10.0) is bad
 
 
+@pytest.mark.parametrize(
+    ("running", "share"),
+    [
+        ([(0.2, 0.1)] * 8, 0.0),
+        ([(1.0, 0.1)] * 6 + [(0.1, 0.1)] * 2, 0.75),
+        ([(0.25, 0.01)] * 8, 0.0),
+        ([(9.0, 0.1)] * 3, 0.0),
+    ],
+)
+def test_upstream_that_turns_slow_shows_by_its_running_calls(running, share):
+    """Guards against a slow upstream that is known only once its answers come."""
+    assert slow_share(running) == share
+
+
 def test_host_that_fails_rarely_keeps_its_share():
     """Guards against a queue at one host while another one has room.
 
