--- a/bench/soak.py
+++ b/bench/soak.py
@@ -31,6 +31,8 @@
 CONTROLS = 3
 SERVICES = ("front", "front", "deep", "deep")
 SETTLE_S = 8.0
+# Loopback networks 127.1 to 127.100 for processes, the next hundred behind proxies.
+NETWORKS = 100
 FAULT_GAP_S = 0.7
 CALL_GAP_S = 0.02
 CHANGE_GAP_S = 1.5
@@ -163,6 +165,8 @@
 
     def __init__(self, seed, seconds, folder, hurts_network=False):
         self._source = random.Random(seed + 1)
+        # Runs of different seeds at the same time share no addresses.
+        self._network = 1 + seed % NETWORKS
         self._seconds = seconds
         self._folder = folder
         self._faults = draw_schedule(seed, seconds)
@@ -183,9 +187,11 @@
         """Plays the schedule; :attr:`checks` then holds what was seen."""
         for fault in (*self._faults, *self._network_faults):
             print(json.dumps(fault._asdict()), flush=True)
-        await self._start()
         try:
+            await self._start()
             await self._traffic()
+        except TimeoutError:
+            self.checks.never_started(SETTLE_S)
         finally:
             for program in self._programs:
                 await program.end()
@@ -198,7 +204,7 @@
             role = "control" if is_control else "node"
             service = "" if is_control else SERVICES[number - CONTROLS]
             name = f"{role}-{number}"
-            ip = f"127.1.{number}.1"
+            ip = self._ip(number)
             text = self._settings(name, role, ip, service)
             self._programs.append(Program(self._folder, name, role, text, self.checks))
             if not is_control:
@@ -213,7 +219,7 @@
         app = (ip, self._ports["app"])
         real = app
         if self._network_faults:
-            real = (f"127.2.{number}.1", self._ports["app"])
+            real = (self._ip(number, NETWORKS), self._ports["app"])
             entry = (ip, self._ports["outbound"])
             before_node = Proxy(self._entry(number), entry)
             for proxy in (before_node, Proxy(app, real)):
@@ -226,12 +232,15 @@
 
     def _entry(self, number):
         """Address at which callers reach a node."""
-        network = 2 if self._network_faults else 1
-        return (f"127.{network}.{number}.1", self._ports["outbound"])
+        offset = NETWORKS if self._network_faults else 0
+        return (self._ip(number, offset), self._ports["outbound"])
+
+    def _ip(self, number, offset=0):
+        return f"127.{self._network + offset}.{number}.1"
 
     def _settings(self, name, role, ip, service):
         seeds = [
-            f'"127.1.{each}.1:{self._ports["control"]}"' for each in range(CONTROLS)
+            f'"{self._ip(each)}:{self._ports["control"]}"' for each in range(CONTROLS)
         ]
         listen = {key: f"{ip}:{self._ports[key]}" for key in ("ready", "control")}
         lines = [
@@ -339,7 +348,7 @@
         }
 
     def _control(self, number):
-        return (f"127.1.{number}.1", self._ports["control"])
+        return (self._ip(number), self._ports["control"])
 
     async def _recover(self):
         loop = asyncio.get_running_loop()
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -42,6 +42,12 @@
         """
         self._faults.append(f"{name} ended by itself with {code}")
 
+    def never_started(self, after_s):
+        """Notes that no configuration was taken after the start of all processes."""
+        self._faults.append(
+            f"no configuration was taken {after_s:.0f} s after the start"
+        )
+
     def acknowledged(self, version):
         """Notes that a configuration was acknowledged."""
         self._acknowledged = max(self._acknowledged, version)
--- a/bench/soak_parts.py
+++ b/bench/soak_parts.py
@@ -111,6 +111,8 @@
         self._beats = None
         self._connections = set()
         self._tasks = set()
+        # The last of overlapping crashes to pass starts it again.
+        self._crashes = 0
 
     async def start(self):
         """Listens and reports under a new identity."""
@@ -134,10 +136,13 @@
             connection.transport.abort()
 
     async def crash(self, for_s):
-        """Ends at once and starts again under a new identity."""
+        """Ends at once and starts again under a new identity; crashes may overlap."""
+        self._crashes += 1
         self.stop()
         await asyncio.sleep(for_s)
-        await self.start()
+        self._crashes -= 1
+        if not self._crashes:
+            await self.start()
 
     def opened(self, connection):
         """Notes a connection."""
--- a/src/figpick/nodes/_answering.py
+++ b/src/figpick/nodes/_answering.py
@@ -111,10 +111,19 @@
             self._tell_failures(now)
 
     def _tell_failures(self, now):
-        if (
-            self._failures.value(now) > TOLD_FAILURE_SHARE
-            and now - self._failures_told_at > TOLD_PERIOD_S
-        ):
+        share = self._failures.value(now)
+        is_failing = share > TOLD_FAILURE_SHARE
+        if is_failing != self._is_failing:
+            self._is_failing = is_failing
+            log.notice(
+                "Upstream fails." if is_failing else "Upstream fails no longer.",
+                extra={
+                    "instance": self.view.instance,
+                    "failure_share": round(share, 2),
+                    "load": list(self.load()),
+                },
+            )
+        if is_failing and now - self._failures_told_at > TOLD_PERIOD_S:
             self._failures_told_at = now
             self._tell_load()
 
@@ -134,7 +143,7 @@
         share = slow_share(running)
         if share > self._failures.value(now):
             self._failures.learn(share, now)
-            self._tell_failures(now)
+        self._tell_failures(now)
         if self._executions:
             self._watch_slow()
 
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -78,6 +78,7 @@
         self._broken = deque(maxlen=MAX_SUSPECTS)
         self._failures = FailureShare()
         self._failures_told_at = 0.0
+        self._is_failing = False
         self._slow_timer = None
         self._tasks = set()
         self._late_timer = None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -100,6 +100,10 @@
     checks.ended("node-3", 1)
 
 
+def never_started(checks):
+    checks.never_started(8.0)
+
+
 def no_recovery(checks):
     checks.recovered(False, 15.0)
 
@@ -113,6 +117,7 @@
         lost_change,
         refused_change,
         ended_alone,
+        never_started,
         no_recovery,
     ],
 )
