Show why a process of the test fleet does not start; keep its ports to itself

A start that fails raises its error in the test now. Ports of 127.0.0.1 can be taken by connections of other programs between choice and use; the fleet uses other loopback addresses. That this was the cause is not shown.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import random
 import socket
 import zlib
 from functools import wraps
@@ -27,9 +28,13 @@
 
 
 def free_address():
-    """Gives a loopback address that nothing listens on."""
+    """Gives a loopback address that nothing listens on.
+
+    Other programs on the machine connect from 127.0.0.1 and could take its ports.
+    """
+    ip = f"127.{random.randint(210, 250)}.{random.randint(1, 250)}.1"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((ip, 0))
         return probe.getsockname()
 
 
@@ -236,15 +241,29 @@
             await host.service.start()
             self.start_node(host)
         await self.accept(make_configuration())
-        await until(lambda: all(host.node.is_ready for host in self.hosts))
+        await self._until(lambda: all(host.node.is_ready for host in self.hosts))
         for host in self.hosts:
             host.node.take_report(host.service.report())
         count = len(self.hosts) + len(self.controls)
-        await until(
+        await self._until(
             lambda: all(len(host.node.state()["hosts"]) == count for host in self.hosts)
         )
         return self
 
+    async def _until(self, condition):
+        """Waits until a condition holds; a process that ends raises its error here."""
+
+        def check():
+            self._raise_errors()
+            return condition()
+
+        await until(check)
+
+    def _raise_errors(self):
+        for task in (*self._tasks, *(host.task for host in self.hosts)):
+            if task.done():
+                task.result()
+
     async def __aexit__(self, *error):
         for host in self.hosts:
             host.task.cancel()
@@ -269,6 +288,7 @@
                 except Exception as error:
                     if "no quorum" not in str(error):
                         raise
+                    self._raise_errors()
                     await asyncio.sleep(0.05)
 
 
