--- a/src/figpick/nodes/_answering.py
+++ b/src/figpick/nodes/_answering.py
@@ -28,6 +28,7 @@
 # Callers that have not sent anything lately also learn of an upstream that fails most
 # of what it gets, but not with each answer.
 TOLD_FAILURE_SHARE = 0.3
+CALM_FAILURE_SHARE = 0.1
 TOLD_PERIOD_S = 0.2
 SLOW_CHECK_S = 0.1
 
@@ -112,7 +113,8 @@
 
     def _tell_failures(self, now):
         share = self._failures.value(now)
-        is_failing = share > TOLD_FAILURE_SHARE
+        limit = CALM_FAILURE_SHARE if self._is_failing else TOLD_FAILURE_SHARE
+        is_failing = share > limit
         if is_failing != self._is_failing:
             self._is_failing = is_failing
             log.notice(
