--- a/src/figpick/base/_logs.py
+++ b/src/figpick/base/_logs.py
@@ -14,7 +14,7 @@
 from ._clock import Clock
 
 # A node under overload refuses some hundred calls a second; a sample of them tells
-
+# the cause. A line costs some 70 microseconds, one that is left out less than one.
 LINES_PER_S = 30.0
 BURST_LINES = 200.0
 
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -161,7 +161,7 @@
 
 @pytest.mark.parametrize("level", ["info", "warning"])
 def test_lines_of_calls_are_those_of_the_log_library(level):
-    """Guards against lines of calls that differ from all others, or ignore the level."""
+    """Guards against lines of calls that differ from others, or ignore the level."""
 
     def lines(write_line):
         read, write = os.pipe()
