--- a/src/figpick/admission/__init__.py
+++ b/src/figpick/admission/__init__.py
@@ -1,9 +1,11 @@
 """Decisions on load: which calls run, wait or are refused, and what may be retried."""
 
 from ._budget import RetryBudget
+from ._offers import ENTRY_SHARE
 from ._quarantine import CrashJudge
-from ._queue import ENTRY_SHARE, AdmissionQueue, Refusal, Ticket
+from ._queue import AdmissionQueue
 from ._throttle import AdmissionLevel, EntryThrottle
+from ._tickets import Refusal, Ticket
 
 __all__ = [
     "ENTRY_SHARE",
--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -11,30 +11,20 @@
 """
 
 from heapq import heappop, heappush
-from math import exp
-from typing import NamedTuple
 
+from ._offers import ENTRY_SHARE, OfferedWork, entry_share
 from ._throttle import AdmissionLevel
+from ._tickets import DEFAULT_SERVICE_S, Refusal
 
 # Upstreams slow down when nearly full, and connects or health checks may hold a slot.
 LIMIT_SHARE = 0.95
-# Use of the slots by calls of running requests above which fewer are to be admitted.
-TARGET_USE = 0.95
-# Time over which the offered work is averaged: longer than the gaps between calls,
-# shorter than the time of a request.
-OFFER_WINDOW_S = 0.3
 MIN_ROOM = 0.05
 # Time in which a backlog is to be worked off. Services above hold their slots for the
 # calls that wait here and then send no more, so that the offered work alone hides it.
 BACKLOG_S = 0.3
-# Calls of running requests may not take every slot: requests that start here keep up
-# to this share of the slots while they wait.
-ENTRY_SHARE = 0.2
 # Part of the difference between the slots that requests that start here should have
 # and those that they use, by which what is kept for them changes ten times a second.
 ENTRY_USE_WEIGHT = 0.1
-# Assumed until a route has been served.
-DEFAULT_SERVICE_S = 0.1
 SERVICE_WEIGHT = 0.1
 # Part of the time to its target that a call may plan to use: service times vary.
 PLANNED_SHARE = 0.85
@@ -48,77 +38,6 @@
 NO_UPSTREAM = "no-upstream"
 
 
-class Refusal(NamedTuple):
-    """Why a call did not run, and when its caller may come back.
-
-    :param reason: ``full`` or ``no-upstream``.
-    :param retry_after_s: seconds until a slot is expected.
-    """
-
-    reason: str
-    retry_after_s: float
-
-
-class Ticket:
-    """One call before or in a slot.
-
-    :param call: value of the owner.
-    :param rank: the lowest number runs first.
-    :param is_inner: whether a running request needs the answer.
-    :param route: name of the route, for its usual service time.
-    :param target_at: monotonic seconds by which its answer is worth most.
-    :param leave_at: monotonic seconds after which it must not start.
-    :param key: number that orders calls of running requests with one rank.
-    """
-
-    __slots__ = (
-        "call",
-        "rank",
-        "is_inner",
-        "route",
-        "target_at",
-        "leave_at",
-        "key",
-        "queued_at",
-        "started_at",
-        "is_queued",
-        "expected_s",
-    )
-
-    def __init__(self, call, rank, is_inner, route, target_at, leave_at, key=0.0):
-        self.call = call
-        self.rank = rank
-        self.is_inner = is_inner
-        self.route = route
-        self.target_at = target_at
-        self.leave_at = leave_at
-        self.key = key
-        self.queued_at = 0.0
-        self.started_at = None
-        self.is_queued = False
-        self.expected_s = DEFAULT_SERVICE_S
-
-    def __repr__(self):
-        return f"<Ticket {self.route} rank {self.rank}>"
-
-
-def entry_share(entries, inner, room):
-    """Divides slots between two kinds of calls of one urgency.
-
-    Requests that start here and calls of running requests get the same part of what
-    they ask for, as far as :data:`ENTRY_SHARE` allows. All values are parts of the
-    slots.
-
-    :param entries: slots that the requests that start here would use.
-    :param inner: slots that the calls of running requests would use.
-    :param room: slots that more urgent calls leave.
-    :return: slots for the requests that start here.
-    """
-    reserve = min(ENTRY_SHARE, entries)
-    room = max(room, reserve)
-    return min(reserve, entries * room / max(entries + inner, room))
-
-
 class AdmissionQueue:
     """Tickets that run and wait at one upstream."""
 
@@ -132,7 +51,7 @@
         self._entry_work_s = 0.0
         self._entry_share = ENTRY_SHARE
         self._service_s = {}
-        self._offered = {}
+        self._offered = OfferedWork()
         self._levels = {}
         self._number = 0
 
@@ -177,7 +96,7 @@
         """
         if not self._limit:
             return 0.0
-        use = self._use(rank, now)
+        use = self._offered.use(rank, self._limit, now)
         beside = min(self._entry_share, self._fair_share(rank, use))
         kept = min(ENTRY_SHARE, use.below + beside)
         room = use.room
@@ -255,7 +174,7 @@
             return Refusal(NO_UPSTREAM, MIN_RETRY_AFTER_S)
         ticket.expected_s = self.expected_service_s(ticket.route)
         ticket.queued_at = now
-        self._note_offer(ticket, now)
+        self._offered.add(ticket, now)
         if self._running < self._limit and not self._queued:
             self._start(ticket, now)
             return None
@@ -351,20 +270,14 @@
         return queued
 
     def _entry_room(self, rank, now):
-        """Part of the slots for requests of a rank that start here.
-
-        More urgent calls go on to come while such a request waits.
-        """
-        room = 1.0
-        for (each, _), offer in self._offered.items():
-            if each < rank:
-                room -= offer.rate(now) / self._limit
+        """Part of the slots for requests of a rank that start here."""
+        room = self._offered.room_for(rank, self._limit, now)
         return max(room, self._entry_share)
 
     def _measure(self, rank, now):
         if not self._limit:
             return 0.0
-        use = self._use(rank, now)
+        use = self._offered.use(rank, self._limit, now)
         if use.entries:
             # They also take the slots that fall free between the calls of running
             # requests, and keep them for long: fewer are kept for them then.
@@ -374,22 +287,6 @@
             self._entry_share = min(ENTRY_SHARE, max(MIN_ROOM, kept))
         return self.pressure(rank, now)
 
-    def _use(self, rank, now):
-        """Gives the :class:`_Use` of the slots as a rank of inner calls sees it."""
-        room = TARGET_USE
-        own = entries = below = 0.0
-        for (each, is_inner), offer in self._offered.items():
-            use = offer.rate(now) / self._limit
-            if each // 2 < rank // 2:
-                room -= use
-            elif is_inner and each == rank:
-                own = use
-            elif not is_inner and each // 2 == rank // 2:
-                entries += use
-            elif not is_inner:
-                below += use
-        return _Use(room, own, entries, below)
-
     def _fair_share(self, rank, use):
         """Slots for requests that start here with the urgency of a rank."""
         level = self._levels.get(rank)
@@ -431,42 +328,3 @@
         self._running += 1
         if not ticket.is_inner:
             self._running_entries += 1
-
-    def _note_offer(self, ticket, now):
-        kind = ticket.rank, ticket.is_inner
-        offer = self._offered.get(kind)
-        if offer is None:
-            offer = self._offered[kind] = _Offer()
-        offer.add(ticket.expected_s, now)
-
-
-class _Use(NamedTuple):
-    """Offered use of the slots, in parts of them.
-
-    :param room: part that more urgent calls leave.
-    :param own: calls of running requests of the rank.
-    :param entries: requests that start here and are as urgent.
-    :param below: requests that start here and are less urgent.
-    """
-
-    room: float
-    own: float
-    entries: float
-    below: float
-
-
-class _Offer:
-    """Seconds of work that are offered a second, averaged over a short time."""
-
-    __slots__ = ("_rate", "_at")
-
-    def __init__(self):
-        self._rate = 0.0
-        self._at = 0.0
-
-    def add(self, work_s, now):
-        self._rate = self.rate(now) + work_s / OFFER_WINDOW_S
-        self._at = now
-
-    def rate(self, now):
-        return self._rate * exp((self._at - now) / OFFER_WINDOW_S)
