--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -4,12 +4,13 @@
 import random
 from functools import singledispatchmethod
 
-from ..base._errors import ConflictError, FigpickError, NoQuorumError, PeerError
+from ..base._errors import FigpickError, PeerError
 from ..base._logs import logger
 from ..base._supervisor import Supervisor
-from ..configuration import ChangeSet, VersionConflictError
+from ..configuration import ChangeSet
 from ..directory import CONTROL, LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Dialer, Link, listen
+from ._leader import PUT, READ, LeaderCalls
 from ._member import QuorumMember, text_address
 from ._messages import (
     Ask,
@@ -29,13 +30,7 @@
 )
 from ._repair import describe, next_members
 
-# Operators turn to another process after a second.
-ANSWER_TIMEOUT_S = 0.9
-LEADER_POLL_S = 0.03
 REPAIR_PERIOD_S = 0.3
-PUT = "put"
-READ = "read"
-
 log = logger("control")
 
 
@@ -64,8 +59,7 @@
         self._member = QuorumMember(settings, clock, self._send_to, self._on_applied)
         self._dialers = {}
         self._accepted = set()
-        self._asked = {}
-        self._asked_number = 0
+        self._leader = LeaderCalls(self._member, self._leader_link)
         self._told_revision = 0
         self._tasks = set()
         self._metrics = None
@@ -154,7 +148,7 @@
         :raises VersionConflictError: when it does not build on the current version.
         :raises NoQuorumError: when the outcome is not known.
         """
-        version = await self._at_leader(PUT, change._asdict())
+        version = await self._leader.ask(PUT, change._asdict())
         log.notice(
             "Configuration accepted.",
             extra={
@@ -171,57 +165,13 @@
         :return: :class:`~figpick.configuration.ChangeSet`, ``None`` before the first.
         :raises NoQuorumError: when no quorum confirms it.
         """
-        fields = await self._at_leader(READ, None)
+        fields = await self._leader.ask(READ, None)
         return ChangeSet(**fields) if fields else None
 
-    async def _at_leader(self, kind, value):
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                return await self._ask_leader(kind, value)
-        except TimeoutError as error:
-            raise NoQuorumError("no quorum: the leader did not answer") from error
-
-    async def _ask_leader(self, kind, value):
-        while True:
-            if self._member.is_leader:
-                return await self._answer_as_leader(kind, value)
-            link = self._leader_link()
-            if link is not None:
-                return await self._ask(link, kind, value)
-            await asyncio.sleep(LEADER_POLL_S)
-
     def _leader_link(self):
         dialer = self._dialers.get(self._member.leader_address)
         return dialer.link if dialer is not None else None
 
-    async def _ask(self, link, kind, value):
-        self._asked_number += 1
-        number = self._asked_number
-        future = asyncio.get_running_loop().create_future()
-        self._asked[number] = future
-        try:
-            link.send(encode(Ask(number, kind, value)))
-            return await future
-        finally:
-            del self._asked[number]
-
-    async def _answer_as_leader(self, kind, value):
-        registry = self._member.registry
-        if kind == READ:
-            await self._member.confirm()
-            current = registry.current
-            return current._asdict() if current else None
-        change = ChangeSet(**value)
-        if registry.is_accepted(change.digest):
-            return change.version
-        try:
-            registry.check(change)
-        except VersionConflictError:
-            # A leader that was cut off could show an old conflict.
-            await self._member.confirm()
-            registry.check(change)
-        return await self._member.propose(change)
-
     def _make_accepted(self):
         return Link(self._receive, self._accepted_closed, self._clock)
 
@@ -331,35 +281,13 @@
 
     @_take.register
     def _take_ask(self, message: Ask, link):
-        task = asyncio.ensure_future(self._answer(link, *message))
+        task = asyncio.ensure_future(self._leader.answer(link, message))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _answer(self, link, number, kind, value):
-        try:
-            if not self._member.is_leader:
-                raise NoQuorumError("no quorum: this process does not lead")
-            answer = await self._answer_as_leader(kind, value)
-        except ConflictError as error:
-            told = Told(number, "conflict", [str(error), error.current])
-        except FigpickError as error:
-            told = Told(number, "no-quorum", [str(error)])
-        else:
-            told = Told(number, "", answer)
-        link.send(encode(told))
-
     @_take.register
     def _take_told(self, message: Told, link):
-        number, error, value = message
-        future = self._asked.get(number)
-        if future is None or future.done():
-            return
-        if not error:
-            future.set_result(value)
-        elif error == "conflict":
-            future.set_exception(VersionConflictError(*value))
-        else:
-            future.set_exception(NoQuorumError(*value))
+        self._leader.take(message)
 
     def _on_applied(self):
         revision = self._member.registry.revision
