--- a/tests/test_placing_under_load.py
+++ b/tests/test_placing_under_load.py
@@ -18,7 +18,7 @@
 MEASURED_FROM_S = 5.0
 
 
-def play(asked, asked_by_entries):
+class Play:
     """Plays two kinds of requests of one urgency against hosts of different speed.
 
     One kind starts above and makes four calls, the other one starts at the service.
@@ -26,112 +26,128 @@
 
     :param asked: what the calls ask for, in parts of what the hosts can serve.
     :param asked_by_entries: what the requests that start there ask for.
-    :return: tuple of the served parts of both kinds and of the use of the slots.
     """
-    rng = random.Random(4)
-    queues = [AdmissionQueue(), AdmissionQueue()]
-    for queue in queues:
-        queue.set_slots(38)
-    capacity = sum(
-        queue.limit / (CALLS * service_s)
-        for queue, service_s in zip(queues, SERVICE_S, strict=True)
-    )
-    callers = [
-        SimpleNamespace(
-            targets=[Target("slow", near_slow), Target("fast", not near_slow)],
-            throttle=EntryThrottle(),
+
+    def __init__(self, asked, asked_by_entries):
+        self._rng = random.Random(4)
+        self._queues = [AdmissionQueue(), AdmissionQueue()]
+        for queue in self._queues:
+            queue.set_slots(38)
+        capacity = sum(
+            queue.limit / (CALLS * service_s)
+            for queue, service_s in zip(self._queues, SERVICE_S, strict=True)
         )
-        for near_slow in (True, True, True, False)
-    ]
-    events, number = [], 0
-    served, used_s = {"calls": 0, "entry": 0}, 0.0
-
-    def push(at, kind, subject):
-        nonlocal number
-        number += 1
-        heapq.heappush(events, (at, number, kind, subject))
-
-    def load(index, now):
-        queue = queues[index]
-        inner_s, entry_s = queue.waits_s(now)
-        waits = int(inner_s * 1000), int(entry_s * 1000)
-        return Load(queue.running, queue.queued, queue.limit, *waits)
+        # Requests a second.
+        self._rates = {
+            "calls": asked * capacity,
+            "entry": asked_by_entries * capacity * CALLS / ENTRY_CALLS,
+        }
+        self._callers = [
+            SimpleNamespace(
+                targets=[Target("slow", near_slow), Target("fast", not near_slow)],
+                throttle=EntryThrottle(),
+            )
+            for near_slow in (True, True, True, False)
+        ]
+        self._events = []
+        self._number = 0
+        self._served = {"calls": 0, "entry": 0}
+        self._used_s = 0.0
+
+    def run(self):
+        """Plays to the end.
+
+        :return: tuple of the served parts of both kinds and of the use of the slots.
+        """
+        for kind in self._rates:
+            self._push(0.0, kind, None)
+        while self._events and self._events[0][0] < SECONDS:
+            now, _, kind, ticket = heapq.heappop(self._events)
+            if kind == "done":
+                self._finish(ticket, now)
+            else:
+                self._arrive(kind, now)
+        seconds = SECONDS - MEASURED_FROM_S
+        calls, entries = (
+            self._served[kind] / (rate * seconds) for kind, rate in self._rates.items()
+        )
+        slots = sum(queue.limit for queue in self._queues)
+        return calls, entries, self._used_s / (slots * seconds)
 
-    def end(request, index, now):
-        request.levels.append(queues[index].level(4, now))
-        request.caller.targets[index].report(load(index, now), now)
+    def _push(self, at, kind, subject):
+        self._number += 1
+        heapq.heappush(self._events, (at, self._number, kind, subject))
 
-    def service_s(request, index):
-        return SERVICE_S[index] * (1 if request.is_inner else ENTRY_CALLS)
+    def _arrive(self, kind, now):
+        self._push(now + self._rng.expovariate(self._rates[kind]), kind, None)
+        caller, key = self._rng.choice(self._callers), self._rng.random()
+        is_inner = kind == "calls"
+        if is_inner and not caller.throttle.admits(key, now):
+            return
+        request = SimpleNamespace(
+            kind=kind,
+            is_inner=is_inner,
+            caller=caller,
+            key=key,
+            left=CALLS if is_inner else 1,
+            end=now + 1.2,
+            levels=[],
+        )
+        self._begin_call(request, now)
 
-    def begin_call(request, now):
-        is_inner = request.is_inner
-        rank, route = (4, "deep") if is_inner else (5, "entry")
-        target = choose(request.caller.targets, route, is_inner, now)
-        index = request.caller.targets.index(target)
+    def _begin_call(self, request, now):
+        is_inner, targets = request.is_inner, request.caller.targets
+        target = choose(targets, request.kind, is_inner, now)
         target.sent += 1
-        end_at = request.end
-        ticket = Ticket(request, rank, is_inner, route, end_at, end_at, request.key)
-        outcome = queues[index].offer(ticket, now)
-        ticket.call = (request, index)
+        index = targets.index(target)
+        rank, end = 4 if is_inner else 5, request.end
+        subject = request, index
+        ticket = Ticket(subject, rank, is_inner, request.kind, end, end, request.key)
+        outcome = self._queues[index].offer(ticket, now)
         if outcome is None:
-            push(now + service_s(request, index), "done", ticket)
+            self._push(now + self._service_s(request, index), "done", ticket)
         elif isinstance(outcome, Refusal):
-            fail(request, index, now)
+            self._fail(request, index, now)
 
-    def fail(request, index, now):
-        end(request, index, now)
-        observe(request)
+    def _service_s(self, request, index):
+        return SERVICE_S[index] * (1 if request.is_inner else ENTRY_CALLS)
+
+    def _report(self, request, index, now):
+        queue = self._queues[index]
+        request.levels.append(queue.level(4, now))
+        inner_s, entry_s = queue.waits_s(now)
+        waits = int(inner_s * 1000), int(entry_s * 1000)
+        load = Load(queue.running, queue.queued, queue.limit, *waits)
+        request.caller.targets[index].report(load, now)
+
+    def _fail(self, request, index, now):
+        self._report(request, index, now)
+        self._observe(request)
 
-    def observe(request):
+    def _observe(self, request):
         if request.is_inner:
             level = sum(request.levels) / len(request.levels)
             request.caller.throttle.observe(level)
 
-    def arrive(kind, now):
-        rate = asked * capacity
-        if kind == "entry":
-            rate = asked_by_entries * capacity * CALLS / ENTRY_CALLS
-        push(now + rng.expovariate(rate), kind, None)
-        caller, key = rng.choice(callers), rng.random()
-        is_inner = kind == "calls"
-        if not is_inner or caller.throttle.admits(key, now):
-            request = SimpleNamespace(caller=caller, key=key, end=now + 1.2, levels=[])
-            request.is_inner = is_inner
-            request.left = CALLS if is_inner else 1
-            begin_call(request, now)
-
-    push(0.0, "calls", None)
-    push(0.0, "entry", None)
-    while events and events[0][0] < SECONDS:
-        now, _, kind, ticket = heapq.heappop(events)
-        if kind != "done":
-            arrive(kind, now)
-            continue
+    def _finish(self, ticket, now):
         request, index = ticket.call
-        queues[index].finish(ticket, now)
+        queue, service_s = self._queues[index], self._service_s(request, index)
+        queue.finish(ticket, now)
         is_measured = now > MEASURED_FROM_S
-        used_s += service_s(request, index) if is_measured else 0.0
-        target = request.caller.targets[index]
-        target.served(ticket.route, service_s(request, index), now)
-        end(request, index, now)
+        self._used_s += service_s if is_measured else 0.0
+        request.caller.targets[index].served(request.kind, service_s, now)
+        self._report(request, index, now)
         request.left -= 1
         if not request.left:
-            served["calls" if request.is_inner else "entry"] += is_measured
-            observe(request)
+            self._served[request.kind] += is_measured
+            self._observe(request)
         elif now < request.end:
-            begin_call(request, now)
-        for started in queues[index].take_ready(now)[0]:
-            push(now + service_s(started.call[0], index), "done", started)
-        for late in queues[index].take_late(now):
-            fail(*late.call, now)
-    seconds = SECONDS - MEASURED_FROM_S
-    entries = served["entry"] * ENTRY_CALLS / CALLS
-    return (
-        served["calls"] / (asked * capacity * seconds),
-        entries / (asked_by_entries * capacity * seconds),
-        used_s / (sum(queue.limit for queue in queues) * seconds),
-    )
+            self._begin_call(request, now)
+        for started in queue.take_ready(now)[0]:
+            due = now + self._service_s(started.call[0], index)
+            self._push(due, "done", started)
+        for late in queue.take_late(now):
+            self._fail(*late.call, now)
 
 
 @pytest.mark.parametrize(
@@ -143,11 +159,11 @@
     Requests that start at the service take long; counted into the usual time of a
     call they made the slow host look slower for calls than it is.
     """
-    calls, entries, use = play(asked, asked_by_entries)
+    calls, entries, use = Play(asked, asked_by_entries).run()
     assert use >= 0.95
     assert min(calls, entries) >= 0.25
 
 
 def test_nothing_is_refused_below_the_capacity():
-    calls, entries, _ = play(0.5, 0.3)
+    calls, entries, _ = Play(0.5, 0.3).run()
     assert min(calls, entries) >= 0.97
