--- a/src/figpick/nodes/_answering.py
+++ b/src/figpick/nodes/_answering.py
@@ -28,6 +28,7 @@
 # Callers that have not sent anything lately also learn of an upstream that fails most
 # of what it gets, but not with each answer.
 TOLD_FAILURE_SHARE = 0.3
+# It counts as failing until the share is well below that.
 CALM_FAILURE_SHARE = 0.1
 TOLD_PERIOD_S = 0.2
 SLOW_CHECK_S = 0.1
