--- a/bench/soak.py
+++ b/bench/soak.py
@@ -165,8 +165,8 @@
 
     def __init__(self, seed, seconds, folder, hurts_network=False):
         self._source = random.Random(seed + 1)
-        # Runs of different seeds at the same time share no addresses.
-        self._network = 1 + seed % NETWORKS
+        # Runs at the same time share no addresses: the metrics port is a fixed one.
+        self._network = 1 + os.getpid() % NETWORKS
         self._seconds = seconds
         self._folder = folder
         self._faults = draw_schedule(seed, seconds)
