--- a/bench/soak.py
+++ b/bench/soak.py
@@ -188,10 +188,8 @@
         for fault in (*self._faults, *self._network_faults):
             print(json.dumps(fault._asdict()), flush=True)
         try:
-            await self._start()
-            await self._traffic()
-        except TimeoutError:
-            self.checks.never_started(SETTLE_S)
+            if await self._start():
+                await self._traffic()
         finally:
             for program in self._programs:
                 await program.end()
@@ -199,6 +197,7 @@
                 part.stop()
 
     async def _start(self):
+        """Starts all processes; tells whether they take a configuration."""
         for number in range(CONTROLS + len(SERVICES)):
             is_control = number < CONTROLS
             role = "control" if is_control else "node"
@@ -210,10 +209,15 @@
             if not is_control:
                 await self._start_upstream(number, ip, service)
         await asyncio.gather(*(program.start() for program in self._programs))
-        async with asyncio.timeout(SETTLE_S):
-            while not await self._change():
-                await asyncio.sleep(0.1)
+        try:
+            async with asyncio.timeout(SETTLE_S):
+                while not await self._change():
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            self.checks.never_started(SETTLE_S)
+            return False
         await asyncio.sleep(2.0)
+        return True
 
     async def _start_upstream(self, number, ip, service):
         app = (ip, self._ports["app"])
