--- a/src/figpick/control/_messages.py
+++ b/src/figpick/control/_messages.py
@@ -5,7 +5,7 @@
 
 from typing import NamedTuple
 
-from ..base._errors import PeerError
+from ..base._errors import FigpickError, PeerError
 
 
 class Hello(NamedTuple):
@@ -158,3 +158,18 @@
         return type_(*fields)
     except TypeError as error:
         raise PeerError(f"message {kind}: {error}") from error
+
+
+def deliver(take, link, items, log):
+    """Reads a message of a link and hands it on; one that cannot be used is logged.
+
+    :param take: called with the message and the link.
+    :param items: list of its kind and its fields.
+    :param log: logger of the component.
+    """
+    try:
+        take(decode(items), link)
+    except (FigpickError, TypeError, ValueError) as error:
+        log.warning(
+            "Message {!r} of {} cannot be used: {}.", items[0], link.peer, error
+        )
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -4,7 +4,7 @@
 import random
 from functools import singledispatchmethod
 
-from ..base._errors import FigpickError, PeerError
+from ..base._errors import PeerError
 from ..base._logs import logger
 from ..base._supervisor import Supervisor
 from ..configuration import ChangeSet
@@ -25,7 +25,7 @@
     Revision,
     Table,
     Told,
-    decode,
+    deliver,
     encode,
 )
 from ._repair import describe, next_members
@@ -204,10 +204,7 @@
             dialer.link.send(encode(message))
 
     def _receive(self, link, items):
-        try:
-            self._take(decode(items), link)
-        except (FigpickError, TypeError, ValueError) as error:
-            log.warning("Message {!r} cannot be used: {}.", items[0], error)
+        deliver(self._take, link, items, log)
 
     @singledispatchmethod
     def _take(self, message, link):
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -12,7 +12,7 @@
     Record,
     Revision,
     Table,
-    decode,
+    deliver,
     encode,
 )
 from ..directory import CONTROL
@@ -118,12 +118,7 @@
         log.notice("Link to control {} is lost.", link.peer)
 
     def _receive(self, link, items):
-        try:
-            self._take(decode(items), link)
-        except (PeerError, TypeError, ValueError) as error:
-            log.warning(
-                "Message {!r} of {} cannot be used: {}.", items[0], link.peer, error
-            )
+        deliver(self._take, link, items, log)
 
     @singledispatchmethod
     def _take(self, message, link):
