Pin the schedule of a kept soak seed in its test

The test compared the schedule with itself and could not fail; it now holds the faults of seed 2 as they were played when it found its fault.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,17 @@
 from bench.soak_proxy import NetworkFault, Proxy, draw_network_faults
 
 ROOT = Path(__file__).parents[1]
+# The schedule of a seed that is kept for what it found, see KNOWN-RED.txt.
+KEPT_SEED_2 = [
+    (1.0, "kill", 2),
+    (2.26, "stop", 3),
+    (2.87, "pause", 5),
+    (3.22, "crash", 3),
+    (3.71, "kill", 6),
+    (5.59, "reset", 1),
+    (6.17, "pause", 1),
+    (6.44, "pause", 4),
+]
 
 
 def test_schedule_follows_from_the_seed():
@@ -32,9 +43,9 @@
 
 def test_network_faults_leave_the_other_faults_of_a_seed():
     """Guards against kept seeds that no longer play what they found."""
-    before = draw_schedule(7, 30.0)
-    assert draw_network_faults(7, 30.0, 8) == draw_network_faults(7, 30.0, 8)
-    assert draw_schedule(7, 30.0) == before
+    assert draw_network_faults(2, 30.0, 8) == draw_network_faults(2, 30.0, 8)
+    kept = [(fault.at_s, fault.kind, fault.target) for fault in draw_schedule(2, 8.0)]
+    assert kept == KEPT_SEED_2
 
 
 @pytest.mark.parametrize("kind", ["cut-in", "cut-out", "silence", "delay", "reset"])
