Share what was written twice on the way of a call

Which hosts a call may still go to stood in three places, the level below which services are short of room in three constants, and each look at the pressure worked out the use of the slots twice. Failure shares that have faded are 0 again, so that a choice does not compute powers for them.

--- a/src/figpick/admission/__init__.py
+++ b/src/figpick/admission/__init__.py
@@ -4,11 +4,12 @@
 from ._offers import ENTRY_SHARE
 from ._quarantine import CrashJudge
 from ._queue import AdmissionQueue
-from ._throttle import AdmissionLevel, EntryThrottle
+from ._throttle import ROOM_LEVEL, AdmissionLevel, EntryThrottle
 from ._tickets import Refusal, Ticket
 
 __all__ = [
     "ENTRY_SHARE",
+    "ROOM_LEVEL",
     "AdmissionLevel",
     "AdmissionQueue",
     "CrashJudge",
--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -96,15 +96,7 @@
         """
         if not self._limit:
             return 0.0
-        use = self._offered.use(rank, self._limit, now)
-        beside = min(self._entry_share, self._fair_share(rank, use))
-        kept = min(ENTRY_SHARE, use.below + beside)
-        room = use.room
-        if use.entries:
-            # More urgent calls are held to what this leaves.
-            room = max(room, min(ENTRY_SHARE, use.entries))
-        own = use.own + self._work_s.get(rank, 0.0) / (BACKLOG_S * self._limit)
-        return own / max(room - kept, MIN_ROOM)
+        return self._pressure(rank, self._offered.use(rank, self._limit, now))
 
     def expected_wait_s(self, ticket, now):
         """Seconds until a new call is expected to start.
@@ -285,7 +277,17 @@
             share = self._fair_share(rank, use)
             kept = self._entry_share + ENTRY_USE_WEIGHT * (share - used)
             self._entry_share = min(ENTRY_SHARE, max(MIN_ROOM, kept))
-        return self.pressure(rank, now)
+        return self._pressure(rank, use)
+
+    def _pressure(self, rank, use):
+        beside = min(self._entry_share, self._fair_share(rank, use))
+        kept = min(ENTRY_SHARE, use.below + beside)
+        room = use.room
+        if use.entries:
+            # More urgent calls are held to what this leaves.
+            room = max(room, min(ENTRY_SHARE, use.entries))
+        own = use.own + self._work_s.get(rank, 0.0) / (BACKLOG_S * self._limit)
+        return own / max(room - kept, MIN_ROOM)
 
     def _fair_share(self, rank, use):
         """Slots for requests that start here with the urgency of a rank."""
--- a/src/figpick/nodes/_answering.py
+++ b/src/figpick/nodes/_answering.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ..admission import ROOM_LEVEL
 from ..base._logs import logger
 from ..placing import slow_share
 from ..wire import render_answer
@@ -23,8 +24,6 @@
 # can be asked for again.
 WHOLE_ANSWER_BYTES = 64 * 1024
 MISDIRECTED = 421
-# Mean admission level of its calls below which a request failed for want of room.
-OWN_FAILURE_LEVEL = 0.95
 # Callers that have not sent anything lately also learn of an upstream that fails most
 # of what it gets, but not with each answer.
 TOLD_FAILURE_SHARE = 0.3
@@ -105,7 +104,7 @@
 
     def _note_outcome(self, execution, status, now):
         # Where services below had no room, the failure is not the upstream's own.
-        if status >= 500 and execution.level < OWN_FAILURE_LEVEL:
+        if status >= 500 and execution.level < ROOM_LEVEL:
             return
         failed = status >= 500 and status != STATUS_TIMEOUT
         self._failures.note(failed, now)
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..admission import RetryBudget
+from ..admission import ROOM_LEVEL, RetryBudget
 from ..placing import choose
 from ._calls import Attempt
 from ._messages import BODY, CALL, CANCEL, PART_BYTES, CallMessage
@@ -12,8 +12,6 @@
 # A call that takes this many times the usual time has probably lost its answer.
 HEDGE_FACTOR = 4.0
 MIN_HEDGE_S = 0.3
-# A second attempt while services below are short of room only adds to the load.
-HEDGE_LEVEL = 0.95
 # Until a node that has just started knows the configuration and its hosts.
 START_PAUSE_S = 0.8
 
@@ -60,24 +58,31 @@
 
     def has_other(self, call):
         """Whether a host takes calls to which a call was not handed before."""
-        return any(
-            peer.takes_calls and peer.name not in call.tried
-            for peer in self.peers.of(call.service)
-        )
+        return bool(self._untried(call))
 
     def place(self, call):
         """Hands a call to a host that it was not handed to before, or lets it wait."""
         now = self._calls.now()
-        usable = [peer for peer in self.peers.of(call.service) if peer.takes_calls]
-        fresh = [peer for peer in usable if peer.name not in call.tried]
-        if not fresh:
-            self._wait_or_refuse(call, usable, now)
-            return
-        targets = {peer.target: peer for peer in fresh}
-        peer = targets[choose(list(targets), call.route.name, call.is_inner, now)]
-        self._send(call, peer, now)
+        peers = self._untried(call)
+        if peers:
+            self._send(call, self._choose(call, peers, now), now)
+        else:
+            self._wait_or_refuse(call, now)
+
+    def _untried(self, call):
+        return [
+            peer
+            for peer in self.peers.of(call.service)
+            if peer.takes_calls and peer.name not in call.tried
+        ]
 
-    def _wait_or_refuse(self, call, usable, now):
+    def _choose(self, call, peers, now):
+        targets = [peer.target for peer in peers]
+        target = choose(targets, call.route.name, call.is_inner, now)
+        return peers[targets.index(target)]
+
+    def _wait_or_refuse(self, call, now):
+        usable = any(peer.takes_calls for peer in self.peers.of(call.service))
         if usable and call.placements:
             self._calls.on_unplaced(call, "every host of the service is full", 0.0)
             return
@@ -146,25 +151,17 @@
         if call.is_done or attempt.number not in call.attempts or attempt.is_streaming:
             return
         level = self._policy.level(call.route)
-        if target.load.queued or level < HEDGE_LEVEL:
+        # A second attempt while services below are short of room only adds to the load.
+        if target.load.queued or level < ROOM_LEVEL:
             return
         now = self._calls.now()
-        others = [
-            peer
-            for peer in self.peers.of(call.service)
-            if peer.takes_calls and peer.name not in call.tried
-        ]
+        others = self._untried(call)
         if not others or not self.budget(call.service).take(now):
             return
         target.failed(now)
         call.sent += 1
         self._calls.on_hedged(attempt, now)
-        targets = {peer.target: peer for peer in others}
-        self._send(
-            call,
-            targets[choose(list(targets), call.route.name, call.is_inner, now)],
-            now,
-        )
+        self._send(call, self._choose(call, others, now), now)
 
     def forget(self, attempt):
         """Drops an attempt that has ended."""
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from ..admission import ROOM_LEVEL
 from ..configuration import RoutingTable
 from ..placing import Load, SplitCounter
 from ..wire import render_request
@@ -31,8 +32,6 @@
 # The owner and the upstream answer at the deadline; this node only if they do not.
 TIMER_MARGIN_S = 0.06
 MAX_PLACEMENTS = 3
-# Where services below are short of room, the next host would fail as well.
-REPEAT_LEVEL = 0.95
 MAX_INNER_PLACEMENTS = 6
 # A lost link is open again after a few milliseconds unless its host has gone.
 REATTACH_WAIT_S = 0.5
@@ -258,11 +257,14 @@
         self._close(call)
 
     def _may_repeat(self, call, status, level, now):
-        """Whether another host is asked after a failure of the upstream itself."""
+        """Whether another host is asked after a failure of the upstream itself.
+
+        Where services below are short of room, the next host would fail as well.
+        """
         return (
             status >= 500
             and status != STATUS_TIMEOUT
-            and level >= REPEAT_LEVEL
+            and level >= ROOM_LEVEL
             and call.route.is_idempotent
             and not call.attempts
             and call.sent + 1 < call.route.attempts
--- a/src/figpick/placing/_failures.py
+++ b/src/figpick/placing/_failures.py
@@ -9,6 +9,7 @@
 WEIGHT = 0.1
 # A host that is avoided gives no answers that could show that it works again.
 HALF_LIFE_S = 0.7
+MIN_SHARE = 0.001
 # Service times vary by a factor of three within one route.
 SLOW_FACTOR = 4.0
 MIN_SLOW_S = 0.3
@@ -49,7 +50,9 @@
         :param now: monotonic seconds.
         """
         share = self.value(now)
-        self._share = share + WEIGHT * (failed - share)
+        share += WEIGHT * (failed - share)
+        # Each choice reads the share of every host; that of most is to stay 0.
+        self._share = share if share >= MIN_SHARE else 0.0
         self._at = now
 
     def learn(self, share, now):
