--- a/src/figpick/control/_reconfiguration.py
+++ b/src/figpick/control/_reconfiguration.py
@@ -9,17 +9,26 @@
 from ..consensus._consensus_messages import Membership
 from ..consensus._formation import name_of
 
-# A member that sends no reply for this long is removed, unless it is one of the last
-# MIN_VOTERS voters. A partition of a few seconds must not reduce the number of copies
+# A member that sends no reply for this long is removed, unless the remaining voters
+# would be too few. A partition of a few seconds must not reduce the number of copies
 # of the log.
 MAX_SILENCE_S = 20.0
-MAX_VOTERS = 7
-MIN_VOTERS = 3
+# A majority of all control hosts must be able to commit, so all of them vote up to the
+# size of the largest deployments.
+MAX_VOTERS = 11
 # A learner becomes a voter when it lacks at most this many entries.
 MAX_LAG_ENTRIES = 8
 
 
-def next_members(members, own_id, candidates, progress, last_index, now):
+def required_voters(tolerated_losses):
+    """Returns the number of voters of which a majority survives the stated losses.
+
+    :param tolerated_losses: control hosts that may be lost at the same time.
+    """
+    return 2 * tolerated_losses + 1
+
+
+def next_members(members, own_id, candidates, progress, last_index, min_voters, now):
     """Returns the next membership that the leader should propose.
 
     :param members: active
@@ -30,6 +39,7 @@
     :param progress: dict of identity to
         :class:`~figpick.consensus._consensus_leader.Progress`.
     :param last_index: last index of the log.
+    :param min_voters: number of voters below which no silent voter is removed.
     :param now: monotonic seconds.
     :return: :class:`Membership`, or ``None`` when no change is needed.
     """
@@ -37,7 +47,7 @@
         _without_replaced(members, own_id, candidates)
         or _with_promoted(members, progress, last_index, now)
         or _with_new(members, candidates)
-        or _without_silent(members, own_id, progress, now)
+        or _without_silent(members, own_id, progress, min_voters, now)
     )
 
 
@@ -76,7 +86,7 @@
     return None
 
 
-def _without_silent(members, own_id, progress, now):
+def _without_silent(members, own_id, progress, min_voters, now):
     for identity in sorted(members.addresses):
         member_progress = progress.get(identity)
         if (
@@ -85,7 +95,7 @@
             or now - member_progress.last_reply_at < MAX_SILENCE_S
         ):
             continue
-        if identity in members.voters and len(members.voters) <= MIN_VOTERS:
+        if identity in members.voters and len(members.voters) <= min_voters:
             continue
         return _without_member(members, identity)
     return None
--- a/src/figpick/control/_settings.py
+++ b/src/figpick/control/_settings.py
@@ -13,6 +13,8 @@
         the whole system they must be the same in all control processes.
     :param may_form_quorum: whether this is the first start of the whole system.
     :param data_folder: folder for durable state.
+    :param tolerated_losses: control hosts that may be lost at the same time without
+        the loss of an acknowledged change.
     """
 
     name: str
@@ -21,3 +23,4 @@
     seeds: tuple
     may_form_quorum: bool
     data_folder: str
+    tolerated_losses: int = 1
