Deliver committed configurations before a leader is elected

Cause: after a loss of power nodes refused requests until a leader was elected and had committed an entry of its term, although the disks held configurations that were known to be committed. Attempts to reach a process that starts a little later were too far apart.

Change: each synced write of the log also stores the commit index, and a restarted process delivers the entries up to it at once. The delay and the timeout of attempts to connect grow by a quarter instead of doubling.

--- a/src/figpick/consensus/_consensus_core.py
+++ b/src/figpick/consensus/_consensus_core.py
@@ -34,6 +34,7 @@
     :param messages: messages to send once these records are synced.
     :param committed: entries to apply.
     :param reads: requests of the reads that a quorum has confirmed.
+    :param commit_index: index up to which entries are known to be committed.
     """
 
     snapshot: Snapshot | None
@@ -43,6 +44,7 @@
     messages: tuple
     committed: tuple
     reads: tuple
+    commit_index: int = 0
 
 
 class Core:
@@ -60,7 +62,11 @@
         self._term, self._vote = stored.state
         self._log = Log(stored.snapshot, stored.entries)
         self._synced_index = self._log.last_index
-        self._commit_index = self._delivered_index = self._log.base_index
+        # Committed entries are delivered before a leader is known, so that a process
+        # has its registry soon after a restart.
+        self._delivered_index = self._log.base_index
+        known_index = min(stored.commit_index, self._log.last_index)
+        self._commit_index = max(self._delivered_index, known_index)
         self._role = FOLLOWER
         self._leader = None
         self._last_leader_message_at = now - MAX_ELECTION_S
@@ -145,6 +151,7 @@
             messages=tuple(self._messages),
             committed=tuple(committed),
             reads=tuple(self._confirmed_reads),
+            commit_index=last,
         )
         self._delivered_index = last
         self._new_snapshot = None
--- a/src/figpick/consensus/_consensus_messages.py
+++ b/src/figpick/consensus/_consensus_messages.py
@@ -82,11 +82,16 @@
 
 
 class StoredState(NamedTuple):
-    """Durable state that a process loads from its disk at its start."""
+    """Durable state that a process loads from its disk at its start.
+
+    :param commit_index: index up to which entries were known to be committed when the
+        disk was last written; later ones may be committed, too.
+    """
 
     state: VoteState
     snapshot: Snapshot
     entries: tuple
+    commit_index: int = 0
 
 
 class Vote(NamedTuple):
--- a/src/figpick/consensus/_storage.py
+++ b/src/figpick/consensus/_storage.py
@@ -54,6 +54,7 @@
         self._files = files
         self._identity = None
         self._state = VoteState(0, None)
+        self._commit_index = 0
         self._log_bytes = 0
         files.lock()
 
@@ -88,7 +89,7 @@
         elif header.base_index > snapshot.index:
             path = self._files.path(SNAPSHOT)
             raise StorageError(f"{path}: missing or older than the log")
-        return StoredState(self._state, snapshot, entries)
+        return StoredState(self._state, snapshot, entries, self._commit_index)
 
     def create(self, identity, entries=(), state=None):
         """Creates the log in a new folder.
@@ -105,6 +106,8 @@
     def write(self, output):
         """Writes and syncs the records of an output.
 
+        The commit index is added only to records that must be written anyway.
+
         :param output: :class:`~figpick.consensus._consensus_core.Output`.
         :raises StorageError: when a write or sync fails; the content of the disk is
             then unknown, and no further writes are allowed.
@@ -115,6 +118,8 @@
             records.append(["state", *output.state])
         records.extend(["entry", *entry] for entry in output.entries)
         if records:
+            self._commit_index = max(self._commit_index, output.commit_index)
+            records.append(["commit", self._commit_index])
             line = _format_line(records)
             self._call_files(self._files.append, LOG, line)
             self._log_bytes += len(line)
@@ -138,7 +143,11 @@
         self._rewrite(header, entries)
 
     def _rewrite(self, header, entries):
-        records = [["header", *header], ["state", *self._state]]
+        records = [
+            ["header", *header],
+            ["state", *self._state],
+            ["commit", self._commit_index],
+        ]
         records.extend(["entry", *entry] for entry in entries)
         line = _format_line(records)
         self._call_files(self._files.replace, LOG, line)
@@ -173,6 +182,8 @@
         for kind, *fields in records:
             if kind == "state":
                 self._state = VoteState(*fields)
+            elif kind == "commit":
+                self._commit_index = fields[0]
             elif kind == "entry":
                 entry = Entry(*fields)
                 while entries and entries[-1].index >= entry.index:
--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -7,7 +7,7 @@
 
 # A host without power does not answer, and a lost opening packet is sent again only
 # after a second, so the first attempts are short. Later ones allow for a slow link.
-MIN_CONNECT_TIMEOUT_S = 0.2
+MIN_CONNECT_TIMEOUT_S = 0.15
 MAX_CONNECT_TIMEOUT_S = 1.0
 # Limits the memory for unsent messages to a peer that does not read.
 WRITE_HIGH_WATER_BYTES = 2 * 1024 * 1024
@@ -17,6 +17,9 @@
 SILENCE_TIMEOUT_S = 1.6
 MIN_RECONNECT_DELAY_S = 0.05
 MAX_RECONNECT_DELAY_S = 0.8
+# Hosts that lost power together return within a second, so the first attempts are close
+# to each other.
+BACKOFF_FACTOR = 1.25
 
 PING = "ping"
 PONG = "pong"
@@ -173,8 +176,8 @@
                 await self._ping_until_closed()
             self.failed_at = self._clock.monotonic()
             await asyncio.sleep(delay_s)
-            delay_s = min(2 * delay_s, MAX_RECONNECT_DELAY_S)
-            timeout_s = min(2 * timeout_s, MAX_CONNECT_TIMEOUT_S)
+            delay_s = min(BACKOFF_FACTOR * delay_s, MAX_RECONNECT_DELAY_S)
+            timeout_s = min(BACKOFF_FACTOR * timeout_s, MAX_CONNECT_TIMEOUT_S)
 
     async def _connect(self, timeout_s):
         loop = asyncio.get_running_loop()
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -283,3 +283,20 @@
         process.start()
     simulation.run_until(simulation.now + 0.45)
     assert sum(process.replica.raft.is_leader for process in processes) == 1
+
+
+def test_committed_entries_are_known_right_after_a_restart():
+    """Guards against nodes without a configuration until a leader is elected.
+
+    Of three entries the first two were known to be committed when the last was written.
+    """
+    members = Membership({"a#1": "a", "b#1": "b", "c#1": "c"}, {})
+    entries = (
+        Entry(1, 1, "members", members._asdict()),
+        Entry(2, 1, "command", {"text": "first"}),
+        Entry(3, 1, "command", {"text": "second"}),
+    )
+    stored = StoredState(VoteState(1, None), NO_SNAPSHOT, entries, 2)
+    raft = Raft("a#1", stored, random.Random(1), 0.0)
+    assert raft.leader is None
+    assert [entry.index for entry in raft.take_output().committed] == [1, 2]
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -46,6 +46,16 @@
     assert stored.entries == tuple(entry(index) for index in range(1, 6))
 
 
+def test_commit_index_is_stored_with_the_next_entry(tmp_path):
+    """Guards against a restart that forgets which entries are committed."""
+    storage = Storage(Files(str(tmp_path)))
+    storage.load()
+    storage.create("a#1")
+    storage.write(output(entry(1)))
+    storage.write(output(entry(2))._replace(commit_index=1))
+    assert reopen(tmp_path).commit_index == 1
+
+
 @pytest.mark.parametrize("cut", [1, 7, 300, 650])
 def test_torn_tail_is_truncated(folder, cut):
     """Guards against a start that fails after a power loss during a write."""
