Try hosts again that were slow once

Cause: the service time of a host that makes nested calls includes their waits. After an overload a calling node kept that time for hosts that it no longer used, and sent all calls to the one of its own data centre: at 11 s of a played burst one host of the deepest service had 34 calls waiting while another used 8 of 19 slots, and the most urgent requests were refused.

Change: without responses, what the service time of a host exceeds that of the fastest one by halves each second.

--- a/src/figpick/placing/_targets.py
+++ b/src/figpick/placing/_targets.py
@@ -15,6 +15,10 @@
 COLD_FACTOR = 2.0
 DEFAULT_SERVICE_S = 0.05
 SERVICE_TIME_WEIGHT = 0.1
+# A host that was slow once is avoided, so no response shows when it is no longer slow.
+# Without responses, what its service time exceeds that of the fastest host by halves in
+# this time.
+SERVICE_TIME_HALF_LIFE_S = 1.0
 # Share of used slots from which a host counts as full: its calls wait or soon will.
 FULL_SHARE = 0.9
 # A host with free capacity is preferred to a full one in any data centre: traffic
@@ -58,6 +62,7 @@
         "load",
         "sent_since_report",
         "_service_times_s",
+        "_served_at",
         "cold_until",
         "_failures",
         "_reported_failures",
@@ -71,6 +76,7 @@
         self.sent_since_report = 0
         # By route: some routes of a service take ten times as long as others.
         self._service_times_s = {}
+        self._served_at = {}
         self.cold_until = 0.0
         self._failures = FailureShare()
         self._reported_failures = FailureShare()
@@ -95,6 +101,20 @@
         """
         return self._service_times_s.get(route, DEFAULT_SERVICE_S)
 
+    def _aged_service_s(self, route, fastest_s, now):
+        """Returns the service time to expect after a time without a response.
+
+        :param fastest_s: service time of the fastest host.
+        """
+        service_s = self._service_times_s.get(route)
+        if service_s is None:
+            return DEFAULT_SERVICE_S
+        if service_s <= fastest_s:
+            return service_s
+        age_s = now - self._served_at[route]
+        fading = 0.5 ** (age_s / SERVICE_TIME_HALF_LIFE_S)
+        return fastest_s + (service_s - fastest_s) * fading
+
     def record_success(self, route, seconds, now):
         """Records how long the upstream worked on a call that it served.
 
@@ -106,6 +126,7 @@
         self._service_times_s[route] = average_s + SERVICE_TIME_WEIGHT * (
             seconds - average_s
         )
+        self._served_at[route] = now
         self._failures.record(False, now)
 
     def record_failure(self, now):
@@ -122,14 +143,15 @@
         """
         return max(self._failures.value(now), self._reported_failures.value(now))
 
-    def cost_s(self, route, is_nested, now):
+    def cost_s(self, route, is_nested, fastest_s, now):
         """Returns the expected seconds to a response, with penalties.
 
         :param route: name of the route.
         :param is_nested: whether the call is a nested call.
+        :param fastest_s: service time of the fastest host of the service.
         :param now: monotonic seconds.
         """
-        service_s = self.expected_service_s(route)
+        service_s = self._aged_service_s(route, fastest_s, now)
         if now < self.cold_until:
             service_s *= COLD_FACTOR
         cost_s = service_s + self.failure_share(now) * FAILURE_COST_S
@@ -157,6 +179,9 @@
     :param now: monotonic seconds.
     :return: the target with the lowest cost, or ``None`` if there are no targets.
     """
+    if not targets:
+        return None
+    fastest_s = min(target.expected_service_s(route) for target in targets)
     return min(
-        targets, key=lambda target: target.cost_s(route, is_nested, now), default=None
+        targets, key=lambda target: target.cost_s(route, is_nested, fastest_s, now)
     )
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -134,3 +134,25 @@
     services = WeightedRoundRobin({"a": 90, "b": 10, "c": 0})
     counts = Counter(services.next() for _ in range(200))
     assert counts == {"a": 180, "b": 20}
+
+
+def test_host_that_was_slow_once_is_tried_again():
+    """Guards against a host that is avoided for ever after an overload.
+
+    The service time of a host that makes nested calls includes their waits. A host that
+    got no call afterwards kept the time that it had needed during the overload, and the
+    host of the same data centre got all calls until its slots were full.
+    """
+    near = target("near", running=30)
+    far = target("far", is_same_data_center=False, service_s=0.9)
+    assert choose([near, far], "r", True, 0.1) is near
+    near.record_success("r", 0.2, 6.0)
+    near.update_load(Load(35, 0, 35), 6.0)
+    assert choose([near, far], "r", True, 6.0) is far
+
+
+def test_host_of_another_data_center_is_not_tried_without_need():
+    """Guards against traffic between data centres that serves no caller."""
+    near = target("near", service_s=0.1)
+    far = target("far", is_same_data_center=False, service_s=0.2)
+    assert choose([near, far], "r", True, 60.0) is near
