Derive the admission level from the recent levels

Cause: the owner of the deepest service corrected its level ten times a second, while the requests that were admitted before went on with their calls. The level fell to its minimum, and slots were free for 1.5 s of each 3.8 s of an overload, and for 2 s after a loss of power.

Change: the level is the average of the levels of the last 0.3 s divided by the pressure.

--- a/src/figpick/admission/_throttle.py
+++ b/src/figpick/admission/_throttle.py
@@ -6,10 +6,12 @@
 follows the levels that the responses to its requests report.
 """
 
+from math import exp
+
 UPDATE_PERIOD_S = 0.1
-# Power of the pressure by which an owner corrects its level in each period. A change
-# takes effect some tenths of a second later, so a full correction would overshoot.
-GAIN = 0.5
+# Time in which a change of the level takes effect: requests that were admitted before
+# continue to make calls.
+REACTION_TIME_S = 0.3
 # Equal steps up and down, so that fluctuating pressure alone does not close the entry.
 MIN_FACTOR = 0.8
 MAX_FACTOR = 1 / MIN_FACTOR
@@ -25,12 +27,19 @@
 
 
 class AdmissionLevel:
-    """Share of the key range, from 0 up, for which an owner has capacity."""
+    """Share of the key range, from 0 up, for which an owner has capacity.
+
+    The pressure that an owner sees comes from requests that were admitted at earlier
+    levels, so it is divided into the average of the recent levels. Corrections of the
+    current level would add up until the first of them takes effect, and the slots would
+    be empty afterwards.
+    """
 
-    __slots__ = ("_level", "_updated_at")
+    __slots__ = ("_level", "_effective_level", "_updated_at")
 
     def __init__(self):
         self._level = 1.0
+        self._effective_level = 1.0
         self._updated_at = 0.0
 
     def __repr__(self):
@@ -51,10 +60,14 @@
         :return: the level, from 0.05 to 1.
         """
         if now - self._updated_at >= UPDATE_PERIOD_S:
+            weight = 1.0 - exp((self._updated_at - now) / REACTION_TIME_S)
+            self._effective_level += weight * (self._level - self._effective_level)
             self._updated_at = now
-            factor = max(pressure(), 0.01) ** -GAIN
-            factor = min(MAX_FACTOR, max(MIN_FACTOR, factor))
-            self._level = min(1.0, max(MIN_LEVEL, self._level * factor))
+            target = self._effective_level / max(pressure(), 0.01)
+            target = min(
+                self._level * MAX_FACTOR, max(self._level * MIN_FACTOR, target)
+            )
+            self._level = min(1.0, max(MIN_LEVEL, target))
         return self._level
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -147,6 +147,24 @@
     assert 0.7 <= sum(levels[200:]) / len(levels[200:]) <= 0.95
 
 
+@pytest.mark.parametrize("overload", [1.3, 2.0, 4.0])
+def test_level_does_not_overshoot_when_it_takes_effect_late(overload):
+    """Guards against slots that stay empty after each correction of the level.
+
+    Requests that were admitted go on with their calls for half a second. Corrections
+    that added up meanwhile closed the entry to a twentieth, and opened it only seconds
+    after the backlog was gone.
+    """
+    level = AdmissionLevel()
+    levels = [1.0]
+    for step in range(1, 200):
+        recent = levels[-6:]
+        pressure = overload * sum(recent) / len(recent)
+        levels.append(level.update(lambda value=pressure: value, step * 0.1))
+    assert min(levels) >= 0.6 / overload
+    assert sum(levels[50:]) / len(levels[50:]) == pytest.approx(1 / overload, rel=0.1)
+
+
 def test_entries_do_not_drift_apart():
     """Guards against one entry that admits everything while others admit nothing."""
     level = AdmissionLevel()
