Do not retry in upper layers what fails below

When the deepest service rejects calls, all hosts above it fail, and each layer retried the failures at another host. A call that an upstream had rejected was not marked as a retry at the next one, so its nested calls were not counted.

Change: a failed call is retried only if a host that mostly succeeds has not been tried; each call that an upstream has received before is marked as a retry.

--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -60,6 +60,7 @@
         "placements",
         "level",
         "used_attempts",
+        "was_at_upstream",
         "may_have_run",
         "is_done",
         "timer",
@@ -92,6 +93,8 @@
         self.level = 1.0
         # Number of attempts that failed or got no response, and may have begun to run.
         self.used_attempts = 0
+        # Whether an upstream has received the call, so that it is sent as a retry.
+        self.was_at_upstream = False
         self.may_have_run = False
         self.is_done = False
         self.timer = None
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -12,6 +12,8 @@
 # A call that takes this many times the typical time has probably lost its response.
 HEDGE_FACTOR = 4.0
 MIN_HEDGE_S = 0.3
+# Hosts above this share of failed calls get no retries.
+MAX_RETRY_FAILURE_SHARE = 0.5
 # Time in which a node that has just started learns the configuration and the hosts.
 STARTUP_WAIT_S = 0.8
 
@@ -56,9 +58,18 @@
             )
         return budget
 
-    def has_untried_host(self, call):
-        """Returns whether a host to which the call was not sent yet accepts calls."""
-        return bool(self._untried_peers(call))
+    def has_sound_untried_host(self, call, now):
+        """Returns whether a host that mostly succeeds has not been tried yet.
+
+        Where every host fails, the cause is usually a service below, which the retries
+        of each layer above would load once more.
+
+        :param now: monotonic seconds.
+        """
+        return any(
+            peer.target.failure_share(now) < MAX_RETRY_FAILURE_SHARE
+            for peer in self._untried_peers(call)
+        )
 
     def place(self, call):
         """Sends a call to a host not tried before, or queues or refuses it."""
@@ -124,7 +135,7 @@
             key=call.key,
             is_nested=call.is_nested,
             is_idempotent=call.route.is_idempotent,
-            is_retry=call.is_retry or call.used_attempts > 0,
+            is_retry=call.is_retry or call.was_at_upstream,
             remaining_ms=max(0, int((call.respond_by - now) * 1000)),
             target_ms=max(0, int((call.target_at - now) * 1000)),
             route=call.route.name,
@@ -169,6 +180,7 @@
             return
         target.record_failure(now)
         call.used_attempts += 1
+        call.was_at_upstream = True
         self._forwarder.on_hedged(attempt, now)
         self._send(call, self._choose(call, others, now), now)
 
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -248,7 +248,7 @@
             return
         if self._may_retry(call, status, level, now):
             call.used_attempts += 1
-            call.may_have_run = True
+            call.was_at_upstream = call.may_have_run = True
             self._log_attempt("Call sent again.", attempt, str(status), now)
             self._dispatcher.place(call)
             return
@@ -283,7 +283,7 @@
             and not call.attempts
             and call.used_attempts + 1 < call.route.attempts
             and now < call.respond_by
-            and self._dispatcher.has_untried_host(call)
+            and self._dispatcher.has_sound_untried_host(call, now)
             and self._dispatcher.retry_budget(call.service).take(now)
         )
 
@@ -327,6 +327,7 @@
             not is_final and call.placements < limit and now < call.respond_by
         )
         if may_place_again and reason in REASONS_AT_UPSTREAM:
+            call.was_at_upstream = True
             may_place_again = self._dispatcher.retry_budget(call.service).take(now)
         if may_place_again:
             self._dispatcher.place(call)
@@ -341,7 +342,7 @@
         if load is not None:
             target.update_load(Load(*load), now)
         target.record_failure(now)
-        call.may_have_run = True
+        call.was_at_upstream = call.may_have_run = True
         if call.is_done or call.attempts:
             return
         call.used_attempts += 1
--- a/tests/test_failing_upstreams.py
+++ b/tests/test_failing_upstreams.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from figpick.wire import DEFAULT_HEADERS
+
 from .fleet import Client, Fleet, async_test
 
 # Time in which all calling nodes learn of a slow upstream, with a margin of 0.17 s for
@@ -72,3 +74,64 @@
         await asyncio.gather(*calls)
         assert len(late_ids) > 10
         assert not set(late_ids) & set(slow.upstream.runs)
+
+
+@async_test
+async def test_requests_are_not_retried_while_every_host_fails(tmp_path):
+    """Guards against retries that multiply over the layers of a call graph.
+
+    When a service below fails, all hosts of the service above fail as well. Retries at
+    another of them make the nested calls once more, and each layer adds its own.
+    """
+
+    def make_handler(upstream):
+        async def fail(connection, request):
+            upstream.record_run(request)
+            data = upstream.render(request, b"no", b"500 Internal Server Error")
+            connection.transport.write(data)
+
+        return fail
+
+    async with Fleet(tmp_path) as fleet:
+        upstreams = [host.upstream for host in fleet.hosts[1:]]
+        for upstream in upstreams:
+            upstream.handler = make_handler(upstream)
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            for number in range(150):
+                await client.call(b"/parts/1", b"a%d" % number)
+        runs = upstreams[0].runs + upstreams[1].runs
+        late = [run for run in runs if int(run[1:]) >= 100]
+        assert len(late) == 50
+
+
+@async_test
+async def test_call_that_an_upstream_rejected_is_marked_as_a_retry(tmp_path):
+    """Guards against nested calls of retries that are not counted as retries.
+
+    An upstream that rejects a call has received it, so the next one runs a retry.
+    """
+    async with Fleet(tmp_path) as fleet:
+        rejecting, running = fleet.hosts[1:]
+        received = []
+
+        async def reject(connection, request):
+            extra = b"%b: 1\r\n" % DEFAULT_HEADERS.not_run
+            status = b"503 Service Unavailable"
+            connection.transport.write(
+                rejecting.upstream.render(request, b"", status, extra)
+            )
+
+        rejecting.upstream.handler = reject
+        owner = running.node.owner
+        handle_call = owner.handle_call
+
+        def record(link, peer, number, call):
+            received.append((call.request_id, call.is_retry))
+            handle_call(link, peer, number, call)
+
+        owner.handle_call = record
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            for number in range(40):
+                await client.call(b"/parts/1", b"a%d" % number)
+        assert sum(is_retry for _, is_retry in received) > 0
+        assert len(received) == len({request_id for request_id, _ in received})
