Keep entry requests in their data centre within their target

Change: the penalty of another data centre is at least 0.15 of the time to the target of an entry request. Nested calls keep 60 ms, since several of them add up.

--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -89,7 +89,8 @@
 
     def _choose(self, call, peers, now):
         targets = [peer.target for peer in peers]
-        target = choose(targets, call.route.name, call.is_nested, now)
+        target_s = call.target_at - now
+        target = choose(targets, call.route.name, call.is_nested, now, target_s)
         return peers[targets.index(target)]
 
     def _wait_or_refuse(self, call, now):
--- a/src/figpick/placing/_targets.py
+++ b/src/figpick/placing/_targets.py
@@ -12,6 +12,9 @@
 # Expected seconds by which a host of the same data centre may be slower than a host of
 # another one before calls leave the data centre.
 DATA_CENTER_PENALTY_S = 0.06
+# A response has its full value until the target of its request, so a request leaves the
+# data centre only to gain a larger part of that time.
+DATA_CENTER_TARGET_SHARE = 0.15
 COLD_FACTOR = 2.0
 DEFAULT_SERVICE_S = 0.05
 SERVICE_TIME_WEIGHT = 0.1
@@ -143,12 +146,13 @@
         """
         return max(self._failures.value(now), self._reported_failures.value(now))
 
-    def cost_s(self, route, is_nested, fastest_s, now):
+    def cost_s(self, route, is_nested, fastest_s, penalty_s, now):
         """Returns the expected seconds to a response, with penalties.
 
         :param route: name of the route.
         :param is_nested: whether the call is a nested call.
         :param fastest_s: service time of the fastest host of the service.
+        :param penalty_s: penalty of another data centre, in seconds.
         :param now: monotonic seconds.
         """
         service_s = self._aged_service_s(route, fastest_s, now)
@@ -166,22 +170,28 @@
         else:
             cost_s += service_s * 0.02 * self.sent_since_report
         if not self.is_same_data_center:
-            cost_s += DATA_CENTER_PENALTY_S
+            cost_s += penalty_s
         return cost_s
 
 
-def choose(targets, route, is_nested, now):
+def choose(targets, route, is_nested, now, target_s=0.0):
     """Selects one of the reachable hosts.
 
     :param targets: list of :class:`Target`.
     :param route: name of the route.
     :param is_nested: whether the call is a nested call.
     :param now: monotonic seconds.
+    :param target_s: seconds within which the response to an entry request has its full
+        value.
     :return: the target with the lowest cost, or ``None`` if there are no targets.
     """
     if not targets:
         return None
     fastest_s = min(target.expected_service_s(route) for target in targets)
+    penalty_s = DATA_CENTER_PENALTY_S
+    if not is_nested:
+        penalty_s = max(penalty_s, DATA_CENTER_TARGET_SHARE * target_s)
     return min(
-        targets, key=lambda target: target.cost_s(route, is_nested, fastest_s, now)
+        targets,
+        key=lambda target: target.cost_s(route, is_nested, fastest_s, penalty_s, now),
     )
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -156,3 +156,17 @@
     near = target("near", service_s=0.1)
     far = target("far", is_same_data_center=False, service_s=0.2)
     assert choose([near, far], "r", True, 60.0) is near
+
+
+def test_entry_request_stays_in_its_data_center_within_its_target():
+    """Guards against traffic between data centres that serves no caller.
+
+    A response that arrives before the target of its request has its full value, so a
+    faster host of another data centre does not help the caller.
+    """
+    near = target("near", service_s=0.24)
+    far = target("far", is_same_data_center=False, service_s=0.08)
+    assert choose([near, far], "r", False, 0.0, target_s=1.5) is near
+    assert choose([near, far], "r", False, 0.0, target_s=0.3) is far
+    near.update_load(Load(35, 20, 35, 400, 400), 0.0)
+    assert choose([near, far], "r", False, 0.0, target_s=1.5) is far
