Avoid hosts that do not respond, and refuse what needs them

Cause: after a loss of power of hosts their links are closed as silent after 1.6 s.

Change: a host that owes a response and sends nothing for 0.15 s or 1.5 times the service time is probed; without a reply within 0.15 s it gets no calls while another one responds, and the idempotent calls that wait for it are sent to others within the retry budget. A nested call whose host is lost, or for which no host responds, reports level 0, so that the entry refuses requests that need the service.

--- a/src/figpick/admission/__init__.py
+++ b/src/figpick/admission/__init__.py
@@ -4,12 +4,18 @@
 from ._quarantine import CrashQuarantine
 from ._queue import AdmissionQueue
 from ._retry_budget import RetryBudget
-from ._throttle import FREE_CAPACITY_LEVEL, AdmissionLevel, EntryThrottle
+from ._throttle import (
+    FREE_CAPACITY_LEVEL,
+    NO_CAPACITY_LEVEL,
+    AdmissionLevel,
+    EntryThrottle,
+)
 from ._tickets import Refusal, Ticket
 
 __all__ = [
     "ENTRY_SHARE",
     "FREE_CAPACITY_LEVEL",
+    "NO_CAPACITY_LEVEL",
     "AdmissionLevel",
     "AdmissionQueue",
     "CrashQuarantine",
--- a/src/figpick/admission/_throttle.py
+++ b/src/figpick/admission/_throttle.py
@@ -24,6 +24,9 @@
 # Mean level of the nested calls of a request below which the called services lack free
 # capacity: a failure is then due to that, and a retry would only add to the load.
 FREE_CAPACITY_LEVEL = 0.95
+# Level of a service of which no host responds. Requests that need it are refused at the
+# entry, so that their clients can return, instead of failing halfway.
+NO_CAPACITY_LEVEL = 0.0
 
 
 class AdmissionLevel:
--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -99,6 +99,10 @@
         if self._is_open:
             self._transport.write(encode_frame(message))
 
+    def probe(self):
+        """Requests a message from the peer, which updates ``last_received_at``."""
+        self.send((PING,))
+
     def close(self):
         """Closes the connection at once and discards unsent data."""
         if self._is_open:
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..admission import FREE_CAPACITY_LEVEL, RetryBudget
+from ..admission import FREE_CAPACITY_LEVEL, NO_CAPACITY_LEVEL, RetryBudget
 from ..placing import choose
 from ._calls import Attempt
 from ._messages import BODY_PART, BODY_PART_BYTES, CALL, CANCEL, CallMessage
@@ -88,6 +88,10 @@
         ]
 
     def _choose(self, call, peers, now):
+        for peer in peers:
+            if peer.check_silence(now):
+                loop = asyncio.get_running_loop()
+                loop.call_soon(self._hedge_silent, peer)
         targets = [peer.target for peer in peers]
         target_s = call.target_at - now
         target = choose(targets, call.route.name, call.is_nested, now, target_s)
@@ -116,6 +120,7 @@
         waiting = self._waiting_calls.get(call.service)
         if waiting and call in waiting:
             waiting.remove(call)
+        call.level = NO_CAPACITY_LEVEL
         self._forwarder.on_placement_failed(
             call, "no host of the service can be reached", STARTUP_WAIT_S
         )
@@ -166,14 +171,25 @@
                 loop = asyncio.get_running_loop()
                 call.hedge_timer = loop.call_later(wait_s, self._hedge, call, attempt)
 
+    def _hedge_silent(self, peer):
+        """Sends the calls that wait for a suspected host to other hosts."""
+        self._forwarder.on_suspected(peer)
+        for attempt in list(peer.attempts.values()):
+            call = attempt.call
+            if call.hedge_timer is not None:
+                call.hedge_timer.cancel()
+                self._hedge(call, attempt)
+
     def _hedge(self, call, attempt):
         call.hedge_timer = None
         target = attempt.peer.target
         if call.is_done or attempt.number not in call.attempts or attempt.is_streaming:
             return
         level = self._policy.level(call.route)
-        # While the called services lack free capacity, a second attempt only adds load.
-        if target.load.queued or level < FREE_CAPACITY_LEVEL:
+        # While the called services lack free capacity, a second attempt only adds load,
+        # unless the first one is probably lost.
+        lacks_capacity = target.load.queued or level < FREE_CAPACITY_LEVEL
+        if lacks_capacity and not attempt.peer.is_suspected:
             return
         now = self._forwarder.now()
         others = self._untried_peers(call)
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 
-from ..admission import FREE_CAPACITY_LEVEL
+from ..admission import FREE_CAPACITY_LEVEL, NO_CAPACITY_LEVEL
+from ..base._logs import logger
 from ..configuration import RoutingTable
 from ..placing import Load, WeightedRoundRobin
 from ..wire import render_request
@@ -25,6 +26,7 @@
     CREDIT,
     FAILED,
     NOT_RUN,
+    REASON_LINK_LOST,
     REASON_QUARANTINED,
     REASON_QUEUE_TIMEOUT,
     REASON_TIMEOUT,
@@ -34,9 +36,13 @@
     RESPONSE_PART,
 )
 
+log = logger("calls")
+
 # The owner and the upstream report a timeout at the deadline. This node responds itself
 # only if no such report arrives within this margin.
 TIMEOUT_MARGIN_S = 0.06
+REASON_OWNER_LOST = "owner-lost"
+HOST_LOST_REASONS = frozenset((REASON_OWNER_LOST, REASON_LINK_LOST))
 MAX_PLACEMENTS = 3
 MAX_NESTED_PLACEMENTS = 6
 # A lost link is open again after a few milliseconds unless its host is gone.
@@ -154,6 +160,14 @@
         text = "Call sent again, no answer yet."
         self._log_attempt(text, attempt, "silent", now)
 
+    def on_suspected(self, peer):
+        """Logs that a host does not respond and that its calls go to other hosts."""
+        log.notice(
+            "Host {} does not respond.",
+            peer.name,
+            extra={"host": peer.name, "awaited": len(peer.attempts)},
+        )
+
     def abandon(self, call):
         """Ends a call whose client has disconnected."""
         if not call.is_done:
@@ -183,7 +197,7 @@
     def on_peer_lost(self, peer, attempts):
         """Fails the attempts at an owner that is gone; they may have run."""
         for attempt in attempts:
-            self._on_failed(attempt, "owner-lost", None)
+            self._on_failed(attempt, REASON_OWNER_LOST, None)
 
     def on_peer_message(self, peer, message):
         """Handles a message of an owner on a call."""
@@ -230,7 +244,7 @@
     def _fail_if_unattached(self, attempt):
         peer = attempt.peer
         if peer.link is None and peer.attempts.pop(attempt.number, None) is not None:
-            self._on_failed(attempt, "link-lost", None)
+            self._on_failed(attempt, REASON_LINK_LOST, None)
 
     def _on_response(self, attempt, message):
         _, _, status, head, length, body, is_last, load, level, served_ms = message
@@ -345,6 +359,8 @@
         call.was_at_upstream = call.may_have_run = True
         if call.is_done or call.attempts:
             return
+        if reason in HOST_LOST_REASONS:
+            call.level = NO_CAPACITY_LEVEL
         call.used_attempts += 1
         can_retry = (
             call.route.is_idempotent
@@ -356,6 +372,7 @@
             self._log_attempt("Call sent again.", attempt, reason, now)
             self._dispatcher.place(call)
             return
+        self._report_lost_host(call)
         self._log_attempt("Call failed.", attempt, reason, now)
         self._counters.count(call, "failed")
         status = STATUS_TIMEOUT if reason == REASON_TIMEOUT else STATUS_FAILED
@@ -390,6 +407,9 @@
         if any(attempt.is_streaming for attempt in attempts):
             # The client is still reading; its own deadline ends the response.
             return
+        if all(attempt.peer.is_suspected for attempt in attempts):
+            call.level = NO_CAPACITY_LEVEL
+        self._report_lost_host(call)
         log_timed_out(call, attempts, self.now())
         self._counters.count(call, "timeout")
         if attempts or call.may_have_run:
@@ -398,6 +418,11 @@
             call.send_error(STATUS_NOT_RUN, "no host took the call in time", 0.5)
         self._finish_call(call)
 
+    def _report_lost_host(self, call):
+        """Reports a nested call whose host does not respond to its request."""
+        if call.parent is not None and call.level == NO_CAPACITY_LEVEL:
+            call.parent.add_child_level(call.level)
+
     def _finish_call(self, call):
         call.is_done = True
         self._open_calls -= 1
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -7,6 +7,7 @@
 from ..links import Dialer, Link
 from ..placing import Load, Target
 from ._messages import ATTACH, HELLO, LOAD
+from ._silence import SilenceDetector
 
 log = logger("peers")
 
@@ -53,6 +54,7 @@
         self.token = None
         self.instance = record.instance
         self.attempts = {}
+        self._silence = SilenceDetector()
 
     def __repr__(self):
         return f"<Peer {self.name} {'open' if self.link else 'closed'}>"
@@ -62,6 +64,36 @@
         """Name of the node."""
         return self.record.name
 
+    @property
+    def is_suspected(self):
+        """Whether the node did not respond when last checked, although it should."""
+        return self._silence.is_suspected
+
+    def reset_silence(self):
+        """Ends the suspicion, since a new link is open."""
+        self._silence = SilenceDetector()
+        self.target.is_suspected = False
+
+    def check_silence(self, now):
+        """Probes the node if it owes a response and sends nothing.
+
+        :param now: monotonic seconds.
+        :return: whether the node has become suspected.
+        """
+        if self.dialer is None or self.link is None:
+            return False
+        was_suspected = self._silence.is_suspected
+        oldest = next(iter(self.attempts.values()), None)
+        owed_since, service_s = None, 0.0
+        if oldest is not None:
+            owed_since = oldest.sent_at
+            service_s = self.target.expected_service_s(oldest.call.route.name)
+        heard_at = self.link.last_received_at
+        if self._silence.check(heard_at, owed_since, service_s, now):
+            self.link.probe()
+        self.target.is_suspected = self._silence.is_suspected
+        return self._silence.is_suspected and not was_suspected
+
     @property
     def accepts_calls(self):
         """Whether calls can be sent to the node now."""
@@ -221,6 +253,7 @@
             self._drop_attempts(peer)
         peer.token = token
         peer.link = link
+        peer.reset_silence()
         if peer.attempts:
             link.send((ATTACH, list(peer.attempts)))
         log.notice("Link to {} is open.", name)
--- a/src/figpick/placing/_targets.py
+++ b/src/figpick/placing/_targets.py
@@ -29,6 +29,8 @@
 FULL_PENALTY_S = 0.25
 # Cost of a failed attempt: the time until the failure is seen, and a second attempt.
 FAILURE_COST_S = 0.5
+# A host that does not respond gets calls only if all hosts of the service do not.
+SUSPECTED_PENALTY_S = 10.0
 
 
 class Load(NamedTuple):
@@ -67,6 +69,7 @@
         "_service_times_s",
         "_served_at",
         "cold_until",
+        "is_suspected",
         "_failures",
         "_reported_failures",
     )
@@ -81,6 +84,8 @@
         self._service_times_s = {}
         self._served_at = {}
         self.cold_until = 0.0
+        # Whether the host has not responded to a probe.
+        self.is_suspected = False
         self._failures = FailureShare()
         self._reported_failures = FailureShare()
 
@@ -171,6 +176,8 @@
             cost_s += service_s * 0.02 * self.sent_since_report
         if not self.is_same_data_center:
             cost_s += penalty_s
+        if self.is_suspected:
+            cost_s += SUSPECTED_PENALTY_S
         return cost_s
 
 
