Mend three faults that a reading of the code found

Cause: an empty message of a peer raised IndexError in Link.data_received; propose and confirm of a quorum member without a replica raised AttributeError instead of NoQuorumError; figpick_load zipped five names with six fields and was never exported.

Change: the link is closed with a log line; the error is the stated one; all fields of the load are exported.

--- a/src/figpick/control/_quorum_member.py
+++ b/src/figpick/control/_quorum_member.py
@@ -197,14 +197,14 @@
         :raises VersionConflictError: when another change set was applied first.
         :raises NoQuorumError: when the outcome is not known.
         """
-        return await self._request_replica(self._replica.propose, change._asdict())
+        return await self._request_replica(Replica.propose, change._asdict())
 
     async def confirm(self):
         """Waits until a quorum confirms that the registry is current.
 
         :raises NoQuorumError: when this process does not lead a quorum.
         """
-        await self._request_replica(self._replica.read)
+        await self._request_replica(Replica.read)
 
     def change_members(self, members):
         """Starts a change of membership; logs an error if it fails.
@@ -252,7 +252,7 @@
             raise NoQuorumError("no quorum: the data folder cannot be used")
 
         def start(*values):
-            function(*values, self._clock.monotonic())
+            function(self._replica, *values, self._clock.monotonic())
             self._process_output()
 
         return await wait_for_callback(start, *arguments)
--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -69,6 +69,10 @@
             self.close()
             return
         for message in messages:
+            if not message:
+                log.warning("Link to {} closed: a message is empty.", self.peer)
+                self.close()
+                return
             kind = message[0]
             if kind == PING:
                 self.send((PONG,))
--- a/src/figpick/nodes/_metrics.py
+++ b/src/figpick/nodes/_metrics.py
@@ -44,10 +44,7 @@
 
 
 def _load(process):
-    names = ("running", "queued", "limit", "inner_wait_ms", "entry_wait_ms")
-    return {
-        (name,): value for name, value in zip(names, process.owner.load(), strict=True)
-    }
+    return {(name,): value for name, value in process.owner.load()._asdict().items()}
 
 
 def _shares(process):
