Report which calls are lost, when and why, from the logs

Cause: the log lines explain one failed request, but not where a service loses most of its calls; the first look at a new deployment took scripts of its own.

Change: figpick losses sums up the lines of all nodes by interval: calls by route and outcome, logged causes with the lines left out, full hosts by service, levels and shares.

--- a/src/figpick/operators/_cli.py
+++ b/src/figpick/operators/_cli.py
@@ -12,6 +12,7 @@
   figpick members remove NAME [options]
   figpick unquarantine SERVICE FINGERPRINT [options]
   figpick explain ID FILE...
+  figpick losses FILE... [--interval=SECONDS]
   figpick (-h | --help | --version)
 
 Options:
@@ -22,6 +23,7 @@
   --base=VERSION   Version that the change is based on, 0 for a new document.
   --change=ID      Identity of the change; a resend must carry the same.
   --author=NAME    Who makes the change.
+  --interval=SECONDS  Length of the intervals of a report [default: 5].
   -h --help        Show this text.
   --version        Show the version.
 
@@ -31,6 +33,7 @@
   figpick members remove control-3
   figpick members add control-3 10.0.0.9:9101
   figpick state --at=127.0.0.1:8101
+  figpick losses node-*.log --interval=5
 
 Exit codes:
   0 done, 1 refused or failed, 2 a file or argument is not valid,
@@ -93,6 +96,8 @@
         print(f"{arguments['FILE'][0]}: valid")
     elif arguments["explain"]:
         _run_explain(arguments["ID"], arguments["FILE"])
+    elif arguments["losses"]:
+        _run_losses(arguments["FILE"], arguments["--interval"])
     elif arguments["put"]:
         _print(_put(arguments))
     elif arguments["members"]:
@@ -126,7 +131,7 @@
     _compose.run(settings)
 
 
-def _run_explain(request_id, paths):
+def _read_log_lines(paths):
     from . import _explain
 
     lines = []
@@ -136,6 +141,25 @@
                 lines.extend(_explain.read_lines(file))
         except OSError as error:
             _fail(f"{path}: {error.strerror}", EXIT_INVALID)
+    return lines
+
+
+def _run_losses(paths, interval):
+    from . import _losses
+
+    interval_s = _parse_whole_number("--interval", interval)
+    if not interval_s:
+        _fail("--interval: must be at least 1", EXIT_INVALID)
+    lines = _read_log_lines(paths)
+    intervals = _losses.sum_up(lines, interval_s)
+    for text in _losses.format_intervals(intervals, _losses.services_of_nodes(lines)):
+        print(text)
+
+
+def _run_explain(request_id, paths):
+    from . import _explain
+
+    lines = _read_log_lines(paths)
     found = _explain.explain(request_id, lines)
     if not found:
         _fail(f"no log line mentions request {request_id}", EXIT_FAILED)
