--- a/tests/test_node_metrics.py
+++ b/tests/test_node_metrics.py
@@ -18,5 +18,8 @@
         assert line.endswith(" 3.0")
         assert 'le="+Inf"' in text
         assert "figpick_configuration_revision" in text
+        # Guards against fields of the load that are reported to nodes only.
+        for name in fleet.hosts[0].node.owner.load()._fields:
+            assert f'what="{name}"' in text
         control = fleet.controls[0].metrics_text().decode()
         assert 'what="is_leader"' in control
--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -232,6 +232,43 @@
         assert lowest_share < 0.3
 
 
+@async_test
+async def test_entry_refuses_requests_while_no_host_of_a_needed_service_responds(
+    tmp_path,
+):
+    """Guards against requests that run although their nested calls cannot.
+
+    Such a request fails halfway, and one that must run once cannot be sent again. A
+    refusal at the entry lets its client return.
+    """
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        entry, parts = fleet.hosts
+
+        async def make_nested_call(connection, request):
+            names = DEFAULT_HEADERS
+            nested_id = request.header(names.request_id) + b".1"
+            remaining_ms = int(request.header(names.deadline_ms))
+            async with Client(entry.settings.call_address) as client:
+                await client.call(b"/parts/1", nested_id, deadline_ms=remaining_ms)
+            failure = b"500 Internal Server Error"
+            connection.transport.write(entry.upstream.render(request, b"", failure))
+
+        entry.upstream.handler = make_nested_call
+        parts.node.handle_report(parts.upstream.report()._replace(slots=0))
+
+        async def call_once(number):
+            async with Client(entry.settings.call_address) as client:
+                status, _, _ = await client.call(b"/entries/1", b"root%d" % number)
+                return status
+
+        calls = []
+        for number in range(100):
+            calls.append(asyncio.ensure_future(call_once(number)))
+            await asyncio.sleep(0.02)
+        statuses = await asyncio.gather(*calls)
+        assert statuses[60:].count(503) >= 30
+
+
 @async_test
 async def test_draining_upstream_gets_no_more_requests(tmp_path):
     async with Fleet(tmp_path) as fleet:
