Move the outcomes of attempts to a module of their own

Cause: nodes/_forwarding had 447 lines and two jobs: requests of clients, and what becomes of the attempts to run them.

Change: AttemptOutcomes, a base class of the forwarder in nodes/_outcomes, has the second; the code is moved as it is.

--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -3,10 +3,10 @@
 import asyncio
 import random
 
-from ..admission import FREE_CAPACITY_LEVEL, NO_CAPACITY_LEVEL
+from ..admission import NO_CAPACITY_LEVEL
 from ..base._logs import logger
 from ..configuration import RoutingTable
-from ..placing import Load, WeightedRoundRobin
+from ..placing import WeightedRoundRobin
 from ..wire import render_request
 from ._call_logging import log_attempt, log_refused, log_refused_early, log_timed_out
 from ._calls import (
@@ -22,35 +22,17 @@
     jittered_retry_after_s,
     set_deadlines,
 )
-from ._messages import (
-    CREDIT,
-    FAILED,
-    NOT_RUN,
-    REASON_LINK_LOST,
-    REASON_QUARANTINED,
-    REASON_QUEUE_TIMEOUT,
-    REASON_TIMEOUT,
-    REASONS_AT_UPSTREAM,
-    RESPONSE,
-    RESPONSE_CUT_OFF,
-    RESPONSE_PART,
-)
+from ._messages import CREDIT
+from ._outcomes import AttemptOutcomes
 
 log = logger("calls")
 
 # The owner and the upstream report a timeout at the deadline. This node responds itself
 # only if no such report arrives within this margin.
 TIMEOUT_MARGIN_S = 0.06
-REASON_OWNER_LOST = "owner-lost"
-HOST_LOST_REASONS = frozenset((REASON_OWNER_LOST, REASON_LINK_LOST))
-MAX_PLACEMENTS = 3
-MAX_NESTED_PLACEMENTS = 6
-# A lost link is open again after a few milliseconds unless its host is gone.
-REATTACH_WAIT_S = 0.5
-REATTACH_WAIT_NON_IDEMPOTENT_S = 1.8
 
 
-class Forwarder:
+class Forwarder(AttemptOutcomes):
     """Forwards the calls that this node received.
 
     :param settings: :class:`~figpick.nodes.NodeSettings`.
@@ -184,38 +166,6 @@
             if attempt.peer.link is not None:
                 attempt.peer.link.send((CREDIT, attempt.number, size))
 
-    def on_link_lost(self, peer):
-        """Fails the calls of a lost link unless it opens again in time."""
-        loop = asyncio.get_running_loop()
-        for attempt in list(peer.attempts.values()):
-            must_run_once = not attempt.call.route.is_idempotent
-            wait_s = (
-                REATTACH_WAIT_NON_IDEMPOTENT_S if must_run_once else REATTACH_WAIT_S
-            )
-            loop.call_later(wait_s, self._fail_if_unattached, attempt)
-
-    def on_peer_lost(self, peer, attempts):
-        """Fails the attempts at an owner that is gone; they may have run."""
-        for attempt in attempts:
-            self._on_failed(attempt, REASON_OWNER_LOST, None)
-
-    def on_peer_message(self, peer, message):
-        """Handles a message of an owner on a call."""
-        attempt = peer.attempts.get(message[1])
-        if attempt is None:
-            return
-        kind = message[0]
-        if kind == RESPONSE:
-            self._on_response(attempt, message)
-        elif kind == NOT_RUN:
-            self._on_not_run(attempt, *message[2:])
-        elif kind == FAILED:
-            self._on_failed(attempt, message[2], message[3])
-        elif kind == RESPONSE_PART:
-            self._on_response_part(attempt, message[2], message[3])
-        elif kind == RESPONSE_CUT_OFF:
-            self._on_response_cut_off(attempt)
-
     def _refuse_early(self, call, status, text, retry_after_s):
         call.is_done = True
         self._counters.count(call, "refused" if status != 404 else "no-route")
@@ -241,144 +191,6 @@
         call.timer = loop.call_at(due, self._time_out, call)
         self._dispatcher.place(call)
 
-    def _fail_if_unattached(self, attempt):
-        peer = attempt.peer
-        if peer.link is None and peer.attempts.pop(attempt.number, None) is not None:
-            self._on_failed(attempt, REASON_LINK_LOST, None)
-
-    def _on_response(self, attempt, message):
-        _, _, status, head, length, body, is_last, load, level, served_ms = message
-        call = attempt.call
-        target = attempt.peer.target
-        now = self.now()
-        target.update_load(Load(*load), now)
-        if is_last:
-            # A timeout also counts as served: the upstream worked until the deadline.
-            if status < 500 or status == STATUS_TIMEOUT:
-                target.record_success(call.route.name, served_ms / 1000, now)
-            self._dispatcher.forget(attempt)
-        self.policy.record_response_level(call, level)
-        if call.is_done:
-            return
-        if self._may_retry(call, status, level, now):
-            call.used_attempts += 1
-            call.was_at_upstream = call.may_have_run = True
-            self._log_attempt("Call sent again.", attempt, str(status), now)
-            self._dispatcher.place(call)
-            return
-        for other in list(call.attempts.values()):
-            if other is not attempt:
-                self._dispatcher.cancel(other)
-        if not is_last:
-            attempt.is_streaming = True
-            call.response.start(status, head, length, body, False)
-            return
-        self._counters.count(call, "answered", status)
-        if status >= 500:
-            self._log_attempt(
-                "Upstream answered with a failure.",
-                attempt,
-                str(status),
-                now,
-            )
-        call.response.start(status, head, length, body, True)
-        self._finish_call(call)
-
-    def _may_retry(self, call, status, level, now):
-        """Returns whether to retry at another host after a failure of the upstream.
-
-        Where the called services lack free capacity, the next host would fail as well.
-        """
-        return (
-            status >= 500
-            and status != STATUS_TIMEOUT
-            and level >= FREE_CAPACITY_LEVEL
-            and call.route.is_idempotent
-            and not call.attempts
-            and call.used_attempts + 1 < call.route.attempts
-            and now < call.respond_by
-            and self._dispatcher.has_sound_untried_host(call, now)
-            and self._dispatcher.retry_budget(call.service).take(now)
-        )
-
-    def _on_response_part(self, attempt, body, is_last):
-        call = attempt.call
-        if is_last:
-            self._dispatcher.forget(attempt)
-        if call.is_done or not attempt.is_streaming:
-            return
-        call.response.write(body, is_last)
-        if is_last:
-            self._counters.count(call, "answered", 200)
-            self._finish_call(call)
-
-    def _on_response_cut_off(self, attempt):
-        call = attempt.call
-        self._dispatcher.forget(attempt)
-        if call.is_done:
-            return
-        self._log_attempt("Answer broke off.", attempt, "broken", self.now())
-        self._counters.count(call, "broken")
-        call.response.abort()
-        self._finish_call(call)
-
-    def _on_not_run(self, attempt, reason, retry_after_ms, load, level):
-        call = attempt.call
-        self._dispatcher.forget(attempt)
-        now = self.now()
-        attempt.peer.target.update_load(Load(*load), now)
-        self.policy.record_level(call.route, level)
-        call.level = level
-        if call.is_done or call.attempts:
-            return
-        limit = MAX_NESTED_PLACEMENTS if call.is_nested else MAX_PLACEMENTS
-        # A nested call waits at each host for only a part of its remaining time, so it
-        # may still run at another one.
-        is_final = reason == REASON_QUARANTINED or (
-            reason == REASON_QUEUE_TIMEOUT and not call.is_nested
-        )
-        may_place_again = (
-            not is_final and call.placements < limit and now < call.respond_by
-        )
-        if may_place_again and reason in REASONS_AT_UPSTREAM:
-            call.was_at_upstream = True
-            may_place_again = self._dispatcher.retry_budget(call.service).take(now)
-        if may_place_again:
-            self._dispatcher.place(call)
-        else:
-            self._finish_not_run(call, reason, retry_after_ms / 1000)
-
-    def _on_failed(self, attempt, reason, load):
-        call = attempt.call
-        self._dispatcher.forget(attempt)
-        target = attempt.peer.target
-        now = self.now()
-        if load is not None:
-            target.update_load(Load(*load), now)
-        target.record_failure(now)
-        call.was_at_upstream = call.may_have_run = True
-        if call.is_done or call.attempts:
-            return
-        if reason in HOST_LOST_REASONS:
-            call.level = NO_CAPACITY_LEVEL
-        call.used_attempts += 1
-        can_retry = (
-            call.route.is_idempotent
-            and reason != REASON_TIMEOUT
-            and call.used_attempts < call.route.attempts
-            and now < call.respond_by
-        )
-        if can_retry and self._dispatcher.retry_budget(call.service).take(now):
-            self._log_attempt("Call sent again.", attempt, reason, now)
-            self._dispatcher.place(call)
-            return
-        self._report_lost_host(call)
-        self._log_attempt("Call failed.", attempt, reason, now)
-        self._counters.count(call, "failed")
-        status = STATUS_TIMEOUT if reason == REASON_TIMEOUT else STATUS_FAILED
-        call.send_error(status, f"no whole answer of the upstream: {reason}")
-        self._finish_call(call)
-
     def _finish_not_run(self, call, reason, retry_after_s):
         if call.parent is not None:
             call.parent.add_child_level(call.level)
@@ -418,11 +230,6 @@
             call.send_error(STATUS_NOT_RUN, "no host took the call in time", 0.5)
         self._finish_call(call)
 
-    def _report_lost_host(self, call):
-        """Reports a nested call whose host does not respond to its request."""
-        if call.parent is not None and call.level == NO_CAPACITY_LEVEL:
-            call.parent.add_child_level(call.level)
-
     def _finish_call(self, call):
         call.is_done = True
         self._open_calls -= 1
