Remove four unused attributes and a shared address of a test

Cause: ResponseReader._rest, UpstreamOwner._ticked_at, ResponseWriter.is_started and Attempt.token were set and never read. test_platform_run failed beside another suite, since the programs serve metrics on a fixed port of fixed addresses.

Change: the attributes are gone; each run of the test has addresses of its own.

--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -16,14 +16,13 @@
     :param now: monotonic seconds.
     """
 
-    __slots__ = ("number", "call", "peer", "sent_at", "token", "is_streaming")
+    __slots__ = ("number", "call", "peer", "sent_at", "is_streaming")
 
     def __init__(self, number, call, peer, now):
         self.number = number
         self.call = call
         self.peer = peer
         self.sent_at = now
-        self.token = peer.token
         self.is_streaming = False
 
     def __repr__(self):
--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -35,7 +35,6 @@
         "pending",
         "is_complete",
         "is_chunked",
-        "is_started",
     )
 
     def __init__(self, connection, keeps_alive, is_head):
@@ -47,7 +46,6 @@
         self.pending = []
         self.is_complete = False
         self.is_chunked = False
-        self.is_started = False
 
     def start(self, status, head, length, body, is_last):
         """Adds the head and the first part of the body.
@@ -57,7 +55,6 @@
         :param body: first part of the body.
         :param is_last: whether the body has no further parts.
         """
-        self.is_started = True
         if length < 0 and is_last:
             length = len(body)
         # RFC 9110: responses with these statuses have no body and no length.
--- a/src/figpick/permits/_owner.py
+++ b/src/figpick/permits/_owner.py
@@ -37,7 +37,6 @@
         self._sent_levels = {}
         self._contended_until = 0.0
         self._window = deque()
-        self._ticked_at = now
         # Completed requests, the sum of their seconds and refusals since the last tick.
         self._totals = [0, 0.0, 0]
 
--- a/src/figpick/wire/_responses.py
+++ b/src/figpick/wire/_responses.py
@@ -43,7 +43,6 @@
         self.keeps_alive = False
         self._is_unframed = True
         self._head_bytes = 0
-        self._rest = b""
 
     def header(self, name):
         """Returns the value of a header, or ``None`` if it is absent.
--- a/tests/test_platform_run.py
+++ b/tests/test_platform_run.py
@@ -1,6 +1,7 @@
 """Runs the programs in platform/ as separate processes on loopback addresses."""
 
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -18,6 +19,10 @@
 
 ROOT = Path(__file__).parents[1]
 WAIT_TIMEOUT_S = 15.0
+# The port for metrics is fixed, so each run of the tests has addresses of its own.
+NETWORK = f"127.{random.randint(100, 199)}.{random.randint(1, 250)}"
+CONTROL_IP = f"{NETWORK}.2"
+NODE_IP = f"{NETWORK}.3"
 
 SETTINGS = """
 [self]
@@ -32,7 +37,7 @@
 dataDir = "{data}"
 [network]
 portRange = [{link}, {link}]
-seeds = ["127.0.0.2:{control}"]
+seeds = ["{seed}:{control}"]
 [network.listen]
 outbound = "{ip}:{outbound}"
 ready = "{ip}:{ready}"
@@ -70,11 +75,16 @@
     port_names = ("app", "link", "outbound", "ready", "control")
     ports = dict(zip(port_names, free_ports(len(port_names)), strict=True))
     process_by_role = {}
-    for role, ip in (("control", "127.0.0.2"), ("node", "127.0.0.3")):
+    for role, ip in (("control", CONTROL_IP), ("node", NODE_IP)):
         path = tmp_path / f"{role}.toml"
         path.write_text(
             SETTINGS.format(
-                name=role, role=role, ip=ip, data=tmp_path / "data", **ports
+                name=role,
+                role=role,
+                ip=ip,
+                seed=CONTROL_IP,
+                data=tmp_path / "data",
+                **ports,
             )
         )
         process_by_role[role] = subprocess.Popen(
@@ -93,9 +103,9 @@
 def test_programs_start_accept_a_configuration_and_stop(programs):
     """Guards against programs that can be imported but not run."""
     ports, process_by_role = programs
-    control_url = f"http://127.0.0.2:{ports['control']}"
-    node_url = f"http://127.0.0.3:{ports['control']}"
-    ready_url = f"http://127.0.0.3:{ports['ready']}/ready"
+    control_url = f"http://{CONTROL_IP}:{ports['control']}"
+    node_url = f"http://{NODE_IP}:{ports['control']}"
+    ready_url = f"http://{NODE_IP}:{ports['ready']}/ready"
     row = ["r-1", "h.example", "/a/", "idempotent", 1, 1, 0, None, 2, "s1"]
     document = {
         "version": "r2",
@@ -114,7 +124,7 @@
     assert status == 200
     assert msgspec.json.decode(body) == document
     wait_until(lambda: request("GET", ready_url)[0] == 200)
-    heartbeat = {**HEARTBEAT, "address": f"127.0.0.3:{ports['app']}"}
+    heartbeat = {**HEARTBEAT, "address": f"{NODE_IP}:{ports['app']}"}
     assert request("PUT", f"{node_url}/instances/i-1", heartbeat)[0] == 200
     assert request("PUT", f"{node_url}/instances/i-2", {"state": "ready"})[0] == 400
     state = msgspec.json.decode(request("GET", f"{node_url}/state")[1])
