Keep the attempts of a route, and half of the retry budget for repeated nested calls

The timer for a second attempt stayed set after a failed first attempt, and the calls that wait for a suspected host were sent on by that timer.

Change: no second attempt beyond those of the route; a node spends 0.5 of the ratio.

--- a/src/figpick/admission/_retry_budget.py
+++ b/src/figpick/admission/_retry_budget.py
@@ -10,8 +10,8 @@
 
 # Part of the limit that a node spends itself. Nested calls of retried requests are not
 # spread evenly over nodes, and a node that receives many of them cannot refuse them;
-# the rest of the limit is left for these.
-USABLE_SHARE = 0.7
+# the rest of the limit is left for these. Each layer of a call graph may add some.
+USABLE_SHARE = 0.5
 # Retries that a node may make in each window at any load.
 MIN_RETRIES = 1
 
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -185,6 +185,8 @@
         target = attempt.peer.target
         if call.is_done or attempt.number not in call.attempts or attempt.is_streaming:
             return
+        if call.used_attempts + 1 >= call.route.attempts:
+            return
         level = self._policy.level(call.route)
         # While the called services lack free capacity, a second attempt only adds load,
         # unless the first one is probably lost.
--- a/tests/test_silent_hosts.py
+++ b/tests/test_silent_hosts.py
@@ -1,9 +1,11 @@
 """Hosts that no longer respond while calls wait for them."""
 
 import asyncio
+from collections import Counter
 
 import pytest
 
+from figpick.admission import RetryBudget
 from figpick.nodes._silence import PROBE_TIMEOUT_S, SilenceDetector
 
 from .fleet import Client, Fleet, async_test
@@ -73,3 +75,55 @@
         assert sum(status == 200 for status, _ in results) >= 95
         late = [seconds for _, seconds in results[50:]]
         assert max(late) < 0.3
+
+
+@async_test
+async def test_silent_host_does_not_get_a_call_more_attempts_than_its_route(tmp_path):
+    """Guards against a third upstream for a call whose route allows two.
+
+    The first attempt fails and the second one waits for a host that stopped responding.
+    """
+    services = ("entries", "parts", "parts", "parts")
+    async with Fleet(tmp_path, services=services) as fleet:
+        caller, *owners = fleet.hosts
+        for host in owners:
+            host.upstream.delay_s = 0.01
+        async with Client(caller.settings.call_address) as client:
+            for number in range(30):
+                await client.call(b"/parts/1", b"warm%d" % number)
+
+        first, *others = owners
+
+        async def fail(connection, request):
+            failure = b"500 Internal Server Error"
+            data = first.upstream.render(request, b"", failure)
+            connection.transport.write(data)
+
+        first.upstream.handler = fail
+        sent = Counter()
+        dispatcher = caller.node._forwarder._dispatcher
+        dispatcher._retry_budgets["parts"] = RetryBudget(ratio=10.0, window_s=10.0)
+        send = dispatcher._send
+
+        def count(call, peer, now):
+            sent[call.request_id] += 1
+            send(call, peer, now)
+
+        dispatcher._send = count
+        for host in others:
+            for link in host.node._caller_links.values():
+                link._transport.pause_reading()
+                link.send = lambda message: None
+
+        async def call(number):
+            async with Client(caller.settings.call_address) as client:
+                # Shorter than the silence after which links are closed: a call on a
+                # link that opens again has not run, and goes to another host.
+                await client.call(b"/parts/1", b"a%d" % number, deadline_ms=1000)
+
+        calls = []
+        for number in range(60):
+            calls.append(asyncio.ensure_future(call(number)))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*calls)
+        assert max(sent.values()) == 2
