--- a/tests/test_two_nodes.py
+++ b/tests/test_two_nodes.py
@@ -193,6 +193,21 @@
         assert keys[b"k1"] < first
 
 
+def make_nested_call_handler(entry):
+    """Returns a handler of an upstream that calls ``parts`` and then fails."""
+
+    async def handle(connection, request):
+        names = DEFAULT_HEADERS
+        nested_id = request.header(names.request_id) + b".1"
+        remaining_ms = int(request.header(names.deadline_ms))
+        async with Client(entry.settings.call_address) as client:
+            await client.call(b"/parts/1", nested_id, deadline_ms=remaining_ms)
+        failure = b"500 Internal Server Error"
+        connection.transport.write(entry.upstream.render(request, b"", failure))
+
+    return handle
+
+
 @async_test
 async def test_entry_is_throttled_when_the_only_called_host_is_full(tmp_path):
     """Guards against an entry that admits requests whose nested calls are refused.
@@ -205,16 +220,7 @@
         parts.upstream.delay_s = 0.3
         parts.node.handle_report(parts.upstream.report()._replace(slots=3))
 
-        async def make_nested_call(connection, request):
-            names = DEFAULT_HEADERS
-            nested_id = request.header(names.request_id) + b".1"
-            remaining_ms = int(request.header(names.deadline_ms))
-            async with Client(entry.settings.call_address) as client:
-                await client.call(b"/parts/1", nested_id, deadline_ms=remaining_ms)
-            failure = b"500 Internal Server Error"
-            connection.transport.write(entry.upstream.render(request, b"", failure))
-
-        entry.upstream.handler = make_nested_call
+        entry.upstream.handler = make_nested_call_handler(entry)
 
         async def call_once(number):
             async with Client(entry.settings.call_address) as client:
@@ -244,16 +250,7 @@
     async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
         entry, parts = fleet.hosts
 
-        async def make_nested_call(connection, request):
-            names = DEFAULT_HEADERS
-            nested_id = request.header(names.request_id) + b".1"
-            remaining_ms = int(request.header(names.deadline_ms))
-            async with Client(entry.settings.call_address) as client:
-                await client.call(b"/parts/1", nested_id, deadline_ms=remaining_ms)
-            failure = b"500 Internal Server Error"
-            connection.transport.write(entry.upstream.render(request, b"", failure))
-
-        entry.upstream.handler = make_nested_call
+        entry.upstream.handler = make_nested_call_handler(entry)
         parts.node.handle_report(parts.upstream.report()._replace(slots=0))
 
         async def call_once(number):
