Count only calls that may have reached an upstream in a test of attempts

Traced beside six busy processes: in seven of eight runs up to seven of the last calls were sent three times, and each of them was returned once by an owner as never received, after the silent link had been opened again. Such a call may go to another host.

Change: the test subtracts calls returned for that reason; the bound is the same.

Result: passes beside six busy processes, and fails without the check of attempts (3, bound 2).

--- a/tests/test_silent_hosts.py
+++ b/tests/test_silent_hosts.py
@@ -6,6 +6,7 @@
 import pytest
 
 from figpick.admission import RetryBudget
+from figpick.nodes._messages import REASON_LINK_LOST
 from figpick.nodes._silence import PROBE_TIMEOUT_S, SilenceDetector
 
 from .fleet import Client, Fleet, async_test
@@ -109,7 +110,15 @@
             sent[call.request_id] += 1
             send(call, peer, now)
 
+        returned = Counter()
+        on_not_run = caller.node._forwarder._on_not_run
+
+        def count_returned(attempt, reason, *fields):
+            returned[attempt.call.request_id] += reason == REASON_LINK_LOST
+            on_not_run(attempt, reason, *fields)
+
         dispatcher._send = count
+        caller.node._forwarder._on_not_run = count_returned
         for host in others:
             for link in host.node._caller_links.values():
                 link._transport.pause_reading()
@@ -117,8 +126,6 @@
 
         async def call(number):
             async with Client(caller.settings.call_address) as client:
-                # Shorter than the silence after which links are closed: a call on a
-                # link that opens again has not run, and goes to another host.
                 await client.call(b"/parts/1", b"a%d" % number, deadline_ms=1000)
 
         calls = []
@@ -126,4 +133,6 @@
             calls.append(asyncio.ensure_future(call(number)))
             await asyncio.sleep(0.01)
         await asyncio.gather(*calls)
-        assert max(sent.values()) == 2
+        # On a loaded machine, links of silent hosts may be closed and opened again
+        # meanwhile. Calls that their owners then report as never received go elsewhere.
+        assert max((sent - returned).values()) == 2
