--- a/bench/soak.py
+++ b/bench/soak.py
@@ -16,7 +16,6 @@
 import os
 import random
 import shutil
-import signal
 import sys
 import tempfile
 import time
@@ -24,22 +23,16 @@
 from typing import NamedTuple
 
 from bench.soak_checks import SoakChecker
-from bench.soak_endpoints import Caller, StandIn, free_ports, send_request
+from bench.soak_cluster import NETWORK_COUNT, Cluster
+from bench.soak_endpoints import Caller, StandIn, send_request
 from bench.soak_proxy import Proxy, draw_network_faults
 
-ROOT = Path(__file__).parents[1]
 CONTROL_COUNT = 3
 SERVICES = ("front", "front", "deep", "deep")
 STARTUP_TIMEOUT_S = 8.0
-# Processes use the loopback networks 127.1 to 127.100. With network faults, the
-# proxies in front of nodes and the upstreams behind proxies use the next hundred.
-NETWORK_COUNT = 100
 MEAN_FAULT_INTERVAL_S = 0.7
 CALL_INTERVAL_S = 0.02
 CHANGE_INTERVAL_S = 1.5
-# A process that does not exit after SIGTERM is killed after its grace time of 6 s and
-# a margin.
-EXIT_TIMEOUT_S = 8.0
 # Longer than the time that the platform allows until service is normal again after the
 # last fault.
 RECOVERY_TIMEOUT_S = 15.0
@@ -98,75 +91,6 @@
     return faults
 
 
-class ManagedProcess:
-    """Process of figpick that faults can pause, stop, kill and restart.
-
-    :param folder: folder for the settings file and the log.
-    :param name: unique name.
-    :param role: ``control`` or ``node``.
-    :param settings: content of the settings file.
-    :param checker: :class:`~bench.soak_checks.SoakChecker`.
-    """
-
-    def __init__(self, folder, name, role, settings, checker):
-        self.name = name
-        self._role = role
-        self._path = folder / f"{name}.toml"
-        self._path.write_text(settings)
-        self._log = (folder / f"{name}.log").open("ab")
-        self._checker = checker
-        # Number of faults that keep the process down; the last one restarts it.
-        self._active_outages = 0
-        self.process = None
-
-    async def start(self):
-        """Starts the process; its log is stored next to its settings file."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "platform" / "run.py"),
-            self._role,
-            env={**os.environ, "FIGPICK_BOOT": str(self._path)},
-            stdout=self._log,
-            stderr=self._log,
-        )
-
-    async def apply_fault(self, fault):
-        """Applies a fault and reverts it after its duration; faults may overlap."""
-        if self.process.returncode is not None and not self._active_outages:
-            self._checker.record_unexpected_exit(self.name, self.process.returncode)
-        if fault.kind == "pause":
-            self._signal(signal.SIGSTOP)
-            await asyncio.sleep(fault.for_s)
-            self._signal(signal.SIGCONT)
-            return
-        self._active_outages += 1
-        self._signal(signal.SIGTERM if fault.kind == "stop" else signal.SIGKILL)
-        try:
-            async with asyncio.timeout(EXIT_TIMEOUT_S):
-                await self.process.wait()
-        except TimeoutError:
-            self._signal(signal.SIGKILL)
-            await self.process.wait()
-        await asyncio.sleep(fault.for_s)
-        self._active_outages -= 1
-        if not self._active_outages:
-            await self.start()
-
-    def _signal(self, number):
-        if self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def close(self):
-        """Kills the process and closes its log."""
-        if self.process.returncode is None:
-            self._signal(signal.SIGCONT)
-            self._signal(signal.SIGKILL)
-            await self.process.wait()
-        else:
-            self._checker.record_unexpected_exit(self.name, self.process.returncode)
-        self._log.close()
-
-
 class Soak:
     """One run of the soak test.
 
@@ -179,14 +103,10 @@
 
     def __init__(self, seed, seconds, folder, has_network_faults=False):
         self._rng = random.Random(seed + 1)
-        # The metrics port is fixed, so concurrent runs need networks of their own.
-        self._network = 1 + os.getpid() % NETWORK_COUNT
         self._seconds = seconds
-        self._folder = folder
+        self._cluster = Cluster(folder, CONTROL_COUNT, SERVICES)
         self._faults = draw_schedule(seed, seconds)
         self.checker = SoakChecker()
-        names = ("app", "link", "outbound", "ready", "control")
-        self._ports = dict(zip(names, free_ports(len(names)), strict=True))
         self._processes = []
         self._upstreams = []
         self._proxies = []
@@ -212,18 +132,11 @@
 
     async def _start(self):
         """Starts all processes and returns whether they accept a configuration."""
-        for number in range(CONTROL_COUNT + len(SERVICES)):
-            is_control = number < CONTROL_COUNT
-            role = "control" if is_control else "node"
-            service = "" if is_control else SERVICES[number - CONTROL_COUNT]
-            name = f"{role}-{number}"
-            ip = self._ip(number)
-            settings = self._settings(name, role, ip, service)
-            self._processes.append(
-                ManagedProcess(self._folder, name, role, settings, self.checker)
-            )
-            if not is_control:
-                await self._start_upstream(number, ip, service)
+        for number in range(self._cluster.count):
+            process = self._cluster.make_process(number, self.checker)
+            self._processes.append(process)
+        for number in self._cluster.node_numbers:
+            await self._start_upstream(number)
         await asyncio.gather(*(process.start() for process in self._processes))
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
@@ -235,19 +148,22 @@
         await asyncio.sleep(2.0)
         return True
 
-    async def _start_upstream(self, number, ip, service):
-        announced_address = (ip, self._ports["app"])
+    async def _start_upstream(self, number):
+        announced_address = self._cluster.address(number, "app")
         upstream_address = announced_address
         if self._network_faults:
-            upstream_address = (self._ip(number, NETWORK_COUNT), self._ports["app"])
-            node_address = (ip, self._ports["outbound"])
+            upstream_address = self._cluster.address(number, "app", NETWORK_COUNT)
+            node_address = self._cluster.address(number, "outbound")
             node_proxy = Proxy(self._call_address(number), node_address)
             for proxy in (node_proxy, Proxy(announced_address, upstream_address)):
                 await proxy.start()
                 self._proxies.append(proxy)
-        control = (ip, self._ports["control"])
         upstream = StandIn(
-            service, upstream_address, announced_address, control, self.checker
+            self._cluster.service(number),
+            upstream_address,
+            announced_address,
+            self._cluster.address(number, "control"),
+            self.checker,
         )
         await upstream.start()
         self._upstreams.append(upstream)
@@ -255,40 +171,7 @@
     def _call_address(self, number):
         """Returns the address at which callers reach a node."""
         offset = NETWORK_COUNT if self._network_faults else 0
-        return (self._ip(number, offset), self._ports["outbound"])
-
-    def _ip(self, number, offset=0):
-        return f"127.{self._network + offset}.{number}.1"
-
-    def _settings(self, name, role, ip, service):
-        seeds = [
-            f'"{self._ip(control)}:{self._ports["control"]}"'
-            for control in range(CONTROL_COUNT)
-        ]
-        listen = {key: f"{ip}:{self._ports[key]}" for key in ("ready", "control")}
-        lines = [
-            "[self]",
-            f'nodeName = "{name}"',
-            f'role = "{role}"',
-            f'ip = "{ip}"',
-            'zone = "z"',
-            'region = "r"',
-            f'service = "{service}"',
-            f'appAddr = "{ip}:{self._ports["app"]}"',
-            "bootstrap = true",
-            f'dataDir = "{self._folder / name}"',
-            "[network]",
-            f"portRange = [{self._ports['link']}, {self._ports['link']}]",
-            f"seeds = [{', '.join(seeds)}]",
-            "[network.listen]",
-            f'outbound = "{ip}:{self._ports["outbound"]}"',
-            *(f'{key} = "{value}"' for key, value in listen.items()),
-            "[terms.bounds]",
-            "retryBudgetRatio = 0.2",
-            "retryWindowS = 10",
-            "graceS = 6",
-        ]
-        return "\n".join(lines) + "\n"
+        return self._cluster.address(number, "outbound", offset)
 
     async def _run_traffic(self):
         loop = asyncio.get_running_loop()
@@ -346,7 +229,11 @@
             self._pending_document = self._next_document()
         number = self._rng.randrange(CONTROL_COUNT)
         status, _ = await send_request(
-            "PUT", self._control(number), "/config", self._pending_document, 2.0
+            "PUT",
+            self._cluster.address(number, "control"),
+            "/config",
+            self._pending_document,
+            2.0,
         )
         if status != 200:
             self.checker.record_rejected_change(
@@ -377,9 +264,6 @@
             "limits": {},
         }
 
-    def _control(self, number):
-        return (self._ip(number), self._ports["control"])
-
     async def _check_recovery(self):
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -399,7 +283,7 @@
         )
         for number in range(CONTROL_COUNT):
             status, body = await send_request(
-                "GET", self._control(number), "/config", None, 2.0
+                "GET", self._cluster.address(number, "control"), "/config", None, 2.0
             )
             if status == 200:
                 version = int(json.loads(body)["version"][1:])
