--- a/bench/soak.py
+++ b/bench/soak.py
@@ -26,6 +26,7 @@
 from bench.soak_cluster import NETWORK_COUNT, Cluster
 from bench.soak_endpoints import Caller, StandIn, send_request
 from bench.soak_proxy import Proxy, draw_network_faults
+from bench.soak_stops import StopSoak
 
 CONTROL_COUNT = 3
 SERVICES = ("front", "front", "deep", "deep")
@@ -130,6 +131,14 @@
             for endpoint in (*self._proxies, *self._upstreams):
                 endpoint.stop()
 
+    def list_violations(self):
+        """Returns descriptions of the violated guarantees."""
+        return self.checker.list_violations()
+
+    def summary(self):
+        """Returns the figures of the run."""
+        return self.checker.summary()
+
     async def _start(self):
         """Starts all processes and returns whether they accept a configuration."""
         for number in range(self._cluster.count):
@@ -290,22 +299,26 @@
                 self.checker.record_read_version(version)
 
 
-def main(seed, seconds, has_network_faults):
+def main(seed, seconds, options):
     """Runs the soak test with one seed and prints its verdict.
 
+    :param options: words of the command line after the duration.
     :return: exit code.
     """
     started_at = time.time()
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
-        soak = Soak(seed, seconds, Path(name), has_network_faults)
+        if "stops" in options:
+            soak = StopSoak(seed, seconds, Path(name), "large" in options)
+        else:
+            soak = Soak(seed, seconds, Path(name), "network" in options)
         asyncio.run(soak.run())
-        broken = soak.checker.list_violations()
+        broken = soak.list_violations()
         if broken and (keep_folder := os.environ.get("SOAK_KEEP")):
             shutil.copytree(name, f"{keep_folder}/seed-{seed}", dirs_exist_ok=True)
     verdict = {"seed": seed, "seconds": round(time.time() - started_at, 1)}
-    print(json.dumps({**verdict, **soak.checker.summary(), "broken": broken}))
+    print(json.dumps({**verdict, **soak.summary(), "broken": broken}))
     return 1 if broken else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), float(sys.argv[2]), "network" in sys.argv[3:]))
+    sys.exit(main(int(sys.argv[1]), float(sys.argv[2]), sys.argv[3:]))
--- a/bench/soak_endpoints.py
+++ b/bench/soak_endpoints.py
@@ -36,9 +36,13 @@
 async def send_request(method, address, path, value, timeout_s):
     """Sends a request with a JSON body.
 
+    :param value: content of the body, bytes if it is encoded already.
     :return: tuple of status and body; the status is 0 without a response.
     """
-    body = json.dumps(value).encode() if value is not None else b""
+    if isinstance(value, bytes):
+        body = value
+    else:
+        body = json.dumps(value).encode() if value is not None else b""
     head = f"{method} {path} HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n"
     head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
     return await _exchange(address, head.encode() + body, timeout_s)
@@ -165,11 +169,12 @@
         if expected is not None and expected.decode() != self._instance_id:
             connection.send_response(request, b"421 Misdirected Request", b"", b"")
             return
-        task = asyncio.ensure_future(self._run(connection, request))
+        task = asyncio.ensure_future(self.run_request(connection, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _run(self, connection, request):
+    async def run_request(self, connection, request):
+        """Executes a request and sends its response."""
         request_id = request.header(HEADER_NAMES.request_id) or b""
         self._checker.record_execution(request_id.decode(), request.method == b"POST")
         await asyncio.sleep(random.uniform(0.005, 0.15))
