--- a/bench/soak_answers.py
+++ b/bench/soak_answers.py
@@ -189,7 +189,8 @@
 
     def _plan(self, record):
         """Returns the stop or reload around which a request ended, if any."""
-        for plan in self._plans:
+        # A stop is the likelier cause than a reload.
+        for plan in sorted(self._plans, key=lambda plan: plan.kind, reverse=True):
             if plan.node != record.node:
                 continue
             if plan.kind == "SIGHUP" and record.sent_at > plan.ended_at:
--- a/bench/soak_operators.py
+++ b/bench/soak_operators.py
@@ -19,7 +19,8 @@
 INVALID_SHARE = 0.1
 RESENT_SHARE = 0.3
 RESEND_COUNT = 8
-RESEND_FOR_S = 2.5
+NEW_CHANGE_SHARE = 0.6
+RESEND_AFTER_S = 0.5
 ROUTE_COLUMNS = [
     "name",
     "host",
@@ -85,10 +86,11 @@
             self._read_periodically(),
         )
 
-    async def resend_after(self, disturb):
-        """Sends one change, and again after a disturbance while others wait.
+    async def resend_during(self, disturb):
+        """Sends copies of one change during a disturbance while others wait.
 
-        Before it, several changes follow each other closely.
+        Several changes follow each other closely before. The copies are of the last of
+        them, which is acknowledged, or of a new change that builds on it.
 
         :param disturb: coroutine function, called right after the acknowledgement.
         """
@@ -103,11 +105,14 @@
                     return
                 self._known = [change, change]
             disturbance = asyncio.ensure_future(disturb())
-            until = time.time() + RESEND_FOR_S
-            await asyncio.gather(
-                *(self._resend(change, until) for _ in range(RESEND_COUNT))
-            )
-            await disturbance
+            if self._rng.random() < NEW_CHANGE_SHARE:
+                change = self._make_change(change, 1)
+            copies = [
+                asyncio.ensure_future(self._resend(change, disturbance))
+                for _ in range(RESEND_COUNT)
+            ]
+            await asyncio.gather(disturbance, *copies)
+            await self._read(0)
         finally:
             self._race.set()
 
@@ -116,9 +121,13 @@
         for process in range(len(self._addresses)):
             await self._read(process, is_final=True)
 
-    async def _resend(self, change, until):
-        while time.time() < until:
+    async def _resend(self, change, disturbance):
+        """Sends copies of a change until some time after a disturbance."""
+        until = None
+        while until is None or time.time() < until:
             await self._send(change)
+            if until is None and disturbance.done():
+                until = time.time() + RESEND_AFTER_S
             await asyncio.sleep(self._rng.uniform(0.0, 0.05))
 
     async def _work(self, operator):
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -42,6 +42,12 @@
 KILL_AFTER_S = GRACE_S + 1.0
 # Delay with which this process, which is busy too, sees the exit of another one.
 EXIT_SEEN_SLACK_S = 0.25
+# Slowed processes run in short slices, so that messages between processes take longer, as
+# between hosts that are far from each other, and arrive one by one.
+SLICE_PAUSE_S = (0.002, 0.03)
+SLICE_RUN_S = (0.002, 0.01)
+SLOWED_AFTER_S = 0.3
+SLOWED_S = 1.2
 NODE_EVENTS = (
     ("rolling", 5),
     ("stop", 3),
@@ -57,6 +63,7 @@
     ("stop-leader", 3),
     ("pause-leader", 1),
     ("restart-all", 2),
+    ("restart-all-slowed", 4),
     ("stop", 1),
     ("reload", 1),
 )
@@ -182,6 +189,15 @@
         answers.record_fault(number, "SIGSTOP", started_at, time.time())
         self.is_disturbed = False
 
+    async def slow_down(self, for_s, rng):
+        """Lets the process run only in short slices."""
+        until = time.time() + for_s
+        while time.time() < until:
+            self._signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(*SLICE_PAUSE_S))
+            self._signal(signal.SIGCONT)
+            await asyncio.sleep(rng.uniform(*SLICE_RUN_S))
+
     async def reload(self, count, gap_s, answers, number):
         """Sends SIGHUP several times."""
         for _ in range(count):
@@ -398,17 +414,29 @@
                     event.count, event.gap_s, self.answers, event.target
                 )
                 continue
-            await self._operators.resend_after(lambda event=event: self._disturb(event))
+            rounds = event.count if event.kind.startswith("restart-all") else 1
+            for _ in range(rounds):
+                await self._operators.resend_during(
+                    lambda event=event: self._disturb(event)
+                )
 
     async def _disturb(self, event):
         count = self._cluster.control_count
-        if event.kind == "restart-all":
+        if event.kind.startswith("restart-all"):
             await asyncio.gather(
                 *(
                     process.kill(min(event.for_s, 0.3), self.answers, number)
                     for number, process in enumerate(self._processes[:count])
                 )
             )
+            if event.kind == "restart-all-slowed":
+                # The process that is not slowed is likely to lead.
+                await asyncio.sleep(SLOWED_AFTER_S)
+                rng = random.Random(f"slices {self._seed} {event.at_s}")
+                slowed = [n for n in range(count) if n != event.target]
+                await asyncio.gather(
+                    *(self._processes[n].slow_down(SLOWED_S, rng) for n in slowed)
+                )
             return
         if event.kind == "stop":
             process = self._processes[event.target]
