Log the digest of refused changes and what the leader knew

Change: the leader logs one line a refusal: version, base, digest, whether the digest was known before and after the wait, and term, last, commit and applied index and version on arrival and on refusal. No decision changes.

--- a/src/figpick/configuration/_registry.py
+++ b/src/figpick/configuration/_registry.py
@@ -6,6 +6,8 @@
 
 from ..base._errors import ConflictError
 
+LOGGED_DIGEST_LENGTH = 12
+
 
 class VersionConflictError(ConflictError):
     """A configuration is not based on the current version."""
@@ -25,6 +27,14 @@
     digest: str
     document: str
 
+    def log_fields(self):
+        """Returns the fields that identify the change set in log lines, as a dict."""
+        return {
+            "version": self.version,
+            "base": self.base,
+            "digest": self.digest[:LOGGED_DIGEST_LENGTH],
+        }
+
 
 class ConfigurationRegistry:
     """Applies committed change sets in log order."""
--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ..base._errors import ConflictError, FigpickError, NoQuorumError
+from ..base._logs import logger
 from ..configuration import ChangeSet, VersionConflictError
 from ._messages import LeaderReply, LeaderRequest, encode
 
@@ -12,6 +13,8 @@
 PUT = "put"
 READ = "read"
 
+log = logger("control")
+
 
 class LeaderRequests:
     """Sends requests to the leader, and serves them while this process leads.
@@ -109,10 +112,32 @@
         change = ChangeSet(**value)
         if registry.is_accepted(change.digest):
             return change.version
+        position = self._member.position()
         try:
-            registry.check(change)
-        except VersionConflictError:
-            # A leader that was cut off could report an outdated conflict.
-            await self._member.confirm()
-            registry.check(change)
-        return await self._member.propose(change)
+            try:
+                registry.check(change)
+            except VersionConflictError:
+                # A leader that was cut off could report an outdated conflict.
+                await self._member.confirm()
+                registry.check(change)
+            return await self._member.propose(change)
+        except VersionConflictError as error:
+            self._log_refused(change, position, error)
+            raise
+
+    def _log_refused(self, change, position, error):
+        """Logs a refusal with what this leader knew on arrival and knows now.
+
+        Digests that were known on arrival are never refused.
+        """
+        log.info(
+            "Leader refuses a configuration.",
+            extra={
+                **change.log_fields(),
+                "conflict": str(error),
+                "known_digest_before": False,
+                "known_digest_after": self._member.registry.is_accepted(change.digest),
+                "on_arrival": position._asdict(),
+                "on_refusal": self._member.position()._asdict(),
+            },
+        )
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -160,14 +160,7 @@
         :raises NoQuorumError: when the outcome is not known.
         """
         version = await self._leader_requests.send(PUT, change._asdict())
-        log.notice(
-            "Configuration accepted.",
-            extra={
-                "version": version,
-                "base": change.base,
-                "digest": change.digest[:12],
-            },
-        )
+        log.notice("Configuration accepted.", extra=change.log_fields())
         return version
 
     async def read(self):
--- a/src/figpick/control/_quorum_member.py
+++ b/src/figpick/control/_quorum_member.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import NamedTuple
 
 from ..base._errors import FigpickError, NoQuorumError, StorageError
 from ..base._files import Files
@@ -38,6 +39,23 @@
     return f"{address[0]}:{address[1]}"
 
 
+class LogPosition(NamedTuple):
+    """How much of the replicated log a member knows, for log lines.
+
+    :param term: current term.
+    :param last_index: index of the last entry.
+    :param commit_index: last index known to be committed.
+    :param applied_index: last index that the registry contains.
+    :param version: version of the newest configuration in the registry.
+    """
+
+    term: int
+    last_index: int
+    commit_index: int
+    applied_index: int
+    version: int
+
+
 class QuorumMember:
     """Member of the quorum in this process.
 
@@ -90,6 +108,19 @@
         raft = self._replica.raft
         return raft.members.addresses.get(raft.leader)
 
+    def position(self):
+        """Returns the :class:`LogPosition`, all zeros while the disk is not read."""
+        if self._replica is None:
+            return LogPosition(0, 0, 0, 0, 0)
+        raft = self._replica.raft
+        return LogPosition(
+            raft.term,
+            raft.log.last_index,
+            raft.commit_index,
+            self._replica.applied_index,
+            self._registry.version,
+        )
+
     async def run(self):
         """Participates in the quorum until cancelled."""
         while True:
