Repeat the whole decision on a change after the wait for a quorum

Cause: the leader looked up the digest once, on arrival. On a conflict it waited for a quorum and then repeated only the comparison of versions. A change that was accepted during the wait became a conflict with itself. After an election every change waits, since the leader does not know that the last entry of the term before is committed: with 60 not applied, two copies of 64 on 60 both wait. The first is accepted, and the second finds 64 current.

Change: ConfigurationRegistry.decide gives accepted, new or conflict for a change and one state, and is what the log applies as well. The leader refuses only after a quorum has confirmed the state and the whole decision was repeated on it.

Why it works: accepted is final, new is decided again where the entry is applied, and a conflict is told only of a confirmed state whose digests were looked up at the same moment.

--- a/src/figpick/configuration/_registry.py
+++ b/src/figpick/configuration/_registry.py
@@ -8,6 +8,11 @@
 
 LOGGED_DIGEST_LENGTH = 12
 
+# Decisions of :meth:`ConfigurationRegistry.decide`.
+ACCEPTED = "accepted"
+NEW = "new"
+CONFLICT = "conflict"
+
 
 class VersionConflictError(ConflictError):
     """A configuration is not based on the current version."""
@@ -66,18 +71,30 @@
         """Returns whether a configuration with this content was accepted before."""
         return digest in self._accepted
 
-    def check(self, change):
-        """Checks a change set against the current version.
+    def decide(self, change):
+        """Decides on a change set by the changes that were applied so far.
+
+        ``accepted`` is final. The other decisions hold only for this state: a member of
+        the quorum may not have applied all committed changes.
 
-        :raises VersionConflictError: if it is not based on the current version, or its
-            own version is not higher.
+        :param change: :class:`ChangeSet`.
+        :return: ``accepted`` if a change set with this content was accepted before,
+            ``new`` if it is based on the current version and its own version is higher,
+            ``conflict`` otherwise.
         """
-        if change.base != self.version or change.version <= self.version:
-            message = (
-                f"version {change.version} builds on {change.base}, "
-                f"but {self.version} is current"
-            )
-            raise VersionConflictError(message, {"version": self.version})
+        if change.digest in self._accepted:
+            return ACCEPTED
+        if change.base == self.version and change.version > self.version:
+            return NEW
+        return CONFLICT
+
+    def conflict_error(self, change):
+        """Returns the :class:`VersionConflictError` for a change set."""
+        message = (
+            f"version {change.version} builds on {change.base}, "
+            f"but {self.version} is current"
+        )
+        return VersionConflictError(message, {"version": self.version})
 
     def apply(self, command, index):
         """Applies a committed command.
@@ -88,15 +105,13 @@
             based on one version may both enter the log; the second is refused here.
         """
         change = ChangeSet(**command)
-        if change.digest in self._accepted:
-            return self._accepted[change.digest]
-        try:
-            self.check(change)
-        except VersionConflictError as error:
-            return error
-        self._current = change
-        self._revision = index
-        self._accepted[change.digest] = change.version
+        decision = self.decide(change)
+        if decision == CONFLICT:
+            return self.conflict_error(change)
+        if decision == NEW:
+            self._current = change
+            self._revision = index
+            self._accepted[change.digest] = change.version
         return change.version
 
     def encode(self):
--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -4,7 +4,7 @@
 
 from ..base._errors import ConflictError, FigpickError, NoQuorumError
 from ..base._logs import logger
-from ..configuration import ChangeSet, VersionConflictError
+from ..configuration import ACCEPTED, CONFLICT, ChangeSet, VersionConflictError
 from ._messages import LeaderReply, LeaderRequest, encode
 
 # Operators try another control process after one second without a response.
@@ -104,27 +104,32 @@
             del self._pending[number]
 
     async def _serve_as_leader(self, kind, value):
-        registry = self._member.registry
         if kind == READ:
-            await self._member.confirm()
+            registry = await self._member.confirm()
             current = registry.current
             return current._asdict() if current else None
         change = ChangeSet(**value)
-        if registry.is_accepted(change.digest):
-            return change.version
         position = self._member.position()
         try:
-            try:
-                registry.check(change)
-            except VersionConflictError:
-                # A leader that was cut off could report an outdated conflict.
-                await self._member.confirm()
-                registry.check(change)
-            return await self._member.propose(change)
+            return await self._put_as_leader(change)
         except VersionConflictError as error:
             self._log_refused(change, position, error)
             raise
 
+    async def _put_as_leader(self, change):
+        registry = self._member.registry
+        decision = registry.decide(change)
+        if decision == CONFLICT:
+            # The registry may lack committed changes: a new leader learns of the last
+            # ones after its election, and a leader that was cut off does not.
+            registry = await self._member.confirm()
+            decision = registry.decide(change)
+        if decision == CONFLICT:
+            raise registry.conflict_error(change)
+        if decision == ACCEPTED:
+            return change.version
+        return await self._member.propose(change)
+
     def _log_refused(self, change, position, error):
         """Logs a refusal with what this leader knew on arrival and knows now.
 
--- a/src/figpick/control/_quorum_member.py
+++ b/src/figpick/control/_quorum_member.py
@@ -233,9 +233,13 @@
     async def confirm(self):
         """Waits until a quorum confirms that the registry is current.
 
+        :return: the confirmed registry; :attr:`registry` may be replaced meanwhile,
+            when the data folder is opened again after an error.
         :raises NoQuorumError: when this process does not lead a quorum.
         """
+        registry = self._registry
         await self._request_replica(Replica.read)
+        return registry
 
     def change_members(self, members):
         """Starts a change of membership; logs an error if it fails.
--- a/tests/test_resent_changes.py
+++ b/tests/test_resent_changes.py
@@ -1,17 +1,25 @@
 """Configurations that operators send again, and how refusals are logged."""
 
+import asyncio
+
 import logbook
 import pytest
 
+from figpick.base._clock import Clock
+from figpick.base._errors import NoQuorumError
 from figpick.configuration import (
     ChangeSet,
     ConfigurationRegistry,
     VersionConflictError,
 )
-from figpick.control._leader_requests import PUT, LeaderRequests
+from figpick.control import ControlProcess, ControlSettings
+from figpick.control._leader_requests import LEADER_POLL_S, PUT, LeaderRequests
 from figpick.control._quorum_member import LogPosition
 
-from .fleet import async_test
+from .fleet import async_test, free_address
+
+# Copies that wait for a leader ask for it at moments spread over its polling period.
+COPIES = 45
 
 
 def change(version, base, digest=None):
@@ -46,6 +54,7 @@
     async def confirm(self):
         pending, self._pending = self._pending, []
         self._apply(pending)
+        return self.registry
 
     async def propose(self, new):
         await self.confirm()
@@ -79,3 +88,105 @@
         "on_arrival": LogPosition(4, 2, 1, 1, 60)._asdict(),
         "on_refusal": LogPosition(4, 2, 2, 2, 64)._asdict(),
     }
+
+
+@async_test
+async def test_resend_to_a_leader_that_has_not_applied_it_is_acknowledged():
+    """Guards against refusing an accepted change that was unknown on arrival."""
+    leader = StandInLeader([change(58, 0)], [change(60, 58), change(64, 60)])
+    assert await put(leader, change(64, 60)) == 64
+
+
+@async_test
+async def test_change_whose_base_commits_during_the_wait_is_accepted():
+    leader = StandInLeader([change(58, 0)], [change(60, 58)])
+    assert await put(leader, change(64, 60)) == 64
+
+
+@async_test
+async def test_other_change_with_the_current_version_is_refused():
+    leader = StandInLeader([change(58, 0)], [change(60, 58), change(64, 60)])
+    with pytest.raises(VersionConflictError):
+        await put(leader, change(64, 60, "other"))
+
+
+class Controls:
+    """Three control processes in the event loop of the test.
+
+    :param folder: folder for their data.
+    """
+
+    def __init__(self, folder):
+        links = tuple(free_address() for _ in range(3))
+        self._settings = [
+            ControlSettings(f"c-{n}", "dc", link, links, True, str(folder / str(n)))
+            for n, link in enumerate(links)
+        ]
+        self._tasks = []
+        self.processes = []
+
+    async def __aenter__(self):
+        self.start()
+        return self
+
+    async def __aexit__(self, *error):
+        await self.kill()
+
+    def start(self):
+        """Starts all processes with the data that they have."""
+        self.processes = [ControlProcess(each, Clock()) for each in self._settings]
+        self._tasks = [asyncio.ensure_future(each.run()) for each in self.processes]
+
+    async def kill(self):
+        """Ends all processes as a loss of power does."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for process in self.processes:
+            process.close()
+
+    async def put(self, process, new):
+        """Sends a change set until it gets a clear response."""
+        async with asyncio.timeout(8.0):
+            while True:
+                try:
+                    return await process.put(new)
+                except NoQuorumError:
+                    await asyncio.sleep(0.01)
+
+
+@async_test
+async def test_copies_of_a_change_are_all_acknowledged_after_an_election(tmp_path):
+    """A new leader does not know at first that the base of the copies is committed."""
+    async with Controls(tmp_path) as controls:
+        base = 0
+        for version in range(10, 60, 10):
+            await controls.put(controls.processes[0], change(version, base))
+            await controls.kill()
+            controls.start()
+            copy = change(version + 5, version)
+            copies = []
+            for number in range(COPIES):
+                process = controls.processes[number % 3]
+                copies.append(asyncio.ensure_future(controls.put(process, copy)))
+                await asyncio.sleep(LEADER_POLL_S / COPIES)
+            results = await asyncio.gather(*copies, return_exceptions=True)
+            assert results == [version + 5] * COPIES
+            base = version + 5
+
+
+@async_test
+async def test_accepted_changes_are_acknowledged_again_after_a_restart(tmp_path):
+    async with Controls(tmp_path) as controls:
+        changes = [change(version, version - 1) for version in range(1, 7)]
+        for each in changes:
+            await controls.put(controls.processes[0], each)
+        await controls.kill()
+        controls.start()
+        resends = [
+            controls.put(process, each)
+            for process in controls.processes
+            for each in changes
+        ]
+        results = await asyncio.gather(*resends, return_exceptions=True)
+        assert results == [each.version for each in changes] * 3
