Send operator requests to the leader on a link that it has opened

Callers saw 503 ("no quorum: the leader did not answer") from a control process that followed a leader.

Cause: messages of the log use any link to a member, but requests for the leader used only a link that this process had dialled. After the leader's host was unreachable, the next attempt to dial it can take 1.8 s, while the leader has already opened a link of its own.

Change: both use the same function.

Evidence: test_operator_requests_use_a_link_that_the_leader_has_opened failed before ("assert None is AcceptedLink").

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -174,8 +174,7 @@
         return ChangeSet(**fields) if fields else None
 
     def _leader_link(self):
-        dialer = self._dialers.get(self._member.leader_address)
-        return dialer.link if dialer is not None else None
+        return self._link_to(self._member.leader_address)
 
     def _make_accepted_link(self):
         return Link(self._receive, self._on_accepted_closed, self._clock)
@@ -200,15 +199,19 @@
         link.send(encode(RecordUpdate(list(self._announcer.record))))
 
     def _send_to(self, address, message):
-        dialer = self._dialers.get(address)
-        if dialer is None:
+        if address not in self._dialers:
             ip, _, port = address.rpartition(":")
             self._dial((ip, int(port)))
-        link = dialer.link if dialer is not None else None
-        link = link or self._accepted_link_from(address)
+        link = self._link_to(address)
         if link is not None:
             link.send(encode(message))
 
+    def _link_to(self, address):
+        """Returns an open link to the process at an address, or ``None``."""
+        dialer = self._dialers.get(address)
+        link = dialer.link if dialer is not None else None
+        return link or self._accepted_link_from(address)
+
     def _accepted_link_from(self, address):
         """Returns a link that the process at an address has opened, or ``None``.
 
--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -1,6 +1,7 @@
 """Links between control processes after many of them were lost at the same time."""
 
 import asyncio
+from types import SimpleNamespace
 
 from figpick.base._clock import Clock
 from figpick.control import ControlProcess, ControlSettings
@@ -63,6 +64,22 @@
     assert list(encode(message)) in [list(each) for each in link.sent]
 
 
+@async_test
+async def test_operator_requests_use_a_link_that_the_leader_has_opened(tmp_path):
+    """Guards against a 503 for lack of a link, while one to the leader is open."""
+    settings = ControlSettings(
+        "a", "dc-1", ("127.0.0.1", 0), (UNREACHABLE,), False, str(tmp_path)
+    )
+    process = ControlProcess(settings, Clock())
+    link = AcceptedLink()
+    record = HostRecord("b", 1, 0, 7, CONTROL, *UNREACHABLE, "dc-1")
+    process._receive(link, list(encode(Hello("b", 7))))
+    process._receive(link, list(encode(RecordUpdate(list(record)))))
+    process._member = SimpleNamespace(leader_address="{}:{}".format(*UNREACHABLE))
+    assert process._leader_link() is link
+    process.close()
+
+
 @async_test
 async def test_host_that_starts_after_a_first_attempt_is_reached_soon(monkeypatch):
     """Guards against a second without a link after a host without power has started.
