Tell a missing leader, link and reply apart in responses

Cause: "no quorum: the leader did not answer" was logged for three cases: no leader is known, no link to it is open, it does not reply; and also by a leader without a majority.

Change: each case has its own reason; the address of the leader is named.

Evidence: test_missing_reply_of_the_leader_has_its_reason failed before in two of its three cases.

--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -47,7 +47,7 @@
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 return await self._send_to_leader(kind, value)
         except TimeoutError as error:
-            raise NoQuorumError("no quorum: the leader did not answer") from error
+            raise NoQuorumError(self._missing_reply()) from error
 
     async def serve(self, link, request):
         """Serves a request of another process and sends the reply.
@@ -103,6 +103,16 @@
         finally:
             del self._pending[number]
 
+    def _missing_reply(self):
+        if self._member.is_leader:
+            return "no quorum: no majority answered this leader"
+        address = self._member.leader_address
+        if address is None:
+            return "no quorum: no leader is known"
+        if self._leader_link() is None:
+            return f"no quorum: no link to the leader {address}"
+        return f"no quorum: the leader {address} did not answer"
+
     async def _serve_as_leader(self, kind, value):
         if kind == READ:
             registry = await self._member.confirm()
--- a/tests/test_resent_changes.py
+++ b/tests/test_resent_changes.py
@@ -1,6 +1,7 @@
 """Configurations that operators send again, and how refusals are logged."""
 
 import asyncio
+from types import SimpleNamespace
 
 import logbook
 import pytest
@@ -14,6 +15,7 @@
 )
 from figpick.control import ControlProcess, ControlSettings
 from figpick.control._leader_requests import LEADER_POLL_S, PUT, LeaderRequests
+from figpick.control._messages import LeaderReply, decode
 from figpick.control._quorum_member import LogPosition
 
 from .fleet import async_test, free_address
@@ -110,6 +112,50 @@
         await put(leader, change(64, 60, "other"))
 
 
+class FollowerLink:
+    """A link to a leader that answers with the given reply, or not at all."""
+
+    def __init__(self, reply=None):
+        self._reply = reply
+        self.requests = None
+
+    def send(self, message):
+        request = decode(message)
+        if self._reply is not None:
+            self.requests.handle_reply(LeaderReply(request.number, *self._reply))
+
+
+async def put_at_follower(links):
+    """Puts a change at a follower whose leader link is the next one every 0.1 s."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+
+    def leader_link():
+        elapsed = int((loop.time() - started_at) / 0.1)
+        return links[min(elapsed, len(links) - 1)]
+
+    member = SimpleNamespace(is_leader=False, leader_address="10.0.0.1:1")
+    requests = LeaderRequests(member, leader_link)
+    for link in links:
+        if link is not None:
+            link.requests = requests
+    return await requests.send(PUT, change(5, 0)._asdict())
+
+
+@pytest.mark.parametrize(
+    ("links", "reason"),
+    [
+        ([None], "no link to the leader 10.0.0.1:1"),
+        ([FollowerLink()], "the leader 10.0.0.1:1 did not answer"),
+        ([FollowerLink(("no-quorum", ["other"]))], "other"),
+    ],
+)
+@async_test
+async def test_missing_reply_of_the_leader_has_its_reason(links, reason):
+    with pytest.raises(NoQuorumError, match=reason):
+        await put_at_follower(links)
+
+
 class Controls:
     """Three control processes in the event loop of the test.
 
