Send a request again when the leader changes

Callers saw 503 ("no quorum: the leader did not answer") 0.9 s after they sent a change or a read to a control process that followed a new leader long before.

Cause: a request waited for the reply of the leader that it was sent to, also after that leader had lost its link or its term, and the reply "this process does not lead" ended it at once.

Change: within its 0.9 s a request is sent again when the process follows another leader or the reply tells of no quorum. A change set that is sent twice is accepted once, and a conflict is told only of a confirmed state, so sending again is safe.

Evidence: test_request_to_a_lost_leader_is_sent_to_the_next_one failed before in both cases ("the leader did not answer", "this process does not lead").

--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -10,6 +10,8 @@
 # Operators try another control process after one second without a response.
 REPLY_TIMEOUT_S = 0.9
 LEADER_POLL_S = 0.03
+# A request may contain a large change set.
+RETRY_DELAY_S = 0.1
 PUT = "put"
 READ = "read"
 
@@ -43,11 +45,13 @@
             version.
         :raises NoQuorumError: when the outcome is not known.
         """
+        failures = []
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
-                return await self._send_to_leader(kind, value)
+                return await self._send_until_served(kind, value, failures)
         except TimeoutError as error:
-            raise NoQuorumError(self._missing_reply()) from error
+            reason = self._missing_reply() if not failures else failures[-1]
+            raise NoQuorumError(reason) from error
 
     async def serve(self, link, request):
         """Serves a request of another process and sends the reply.
@@ -83,14 +87,26 @@
         else:
             future.set_exception(NoQuorumError(*reply.value))
 
-    async def _send_to_leader(self, kind, value):
+    async def _send_until_served(self, kind, value, failures):
+        """Sends a request to each leader in turn until one serves it.
+
+        A change set that is sent twice is accepted once, so a request whose outcome is
+        not known can be sent again.
+
+        :param failures: list to which the texts of the errors are added.
+        """
         while True:
-            if self._member.is_leader:
-                return await self._serve_as_leader(kind, value)
             link = self._leader_link()
-            if link is not None:
-                return await self._send_on_link(link, kind, value)
-            await asyncio.sleep(LEADER_POLL_S)
+            try:
+                if self._member.is_leader:
+                    return await self._serve_as_leader(kind, value)
+                if link is not None:
+                    return await self._send_on_link(link, kind, value)
+            except NoQuorumError as error:
+                failures.append(str(error))
+                await asyncio.sleep(RETRY_DELAY_S)
+            else:
+                await asyncio.sleep(LEADER_POLL_S)
 
     async def _send_on_link(self, link, kind, value):
         self._last_number += 1
@@ -99,10 +115,23 @@
         self._pending[number] = future
         try:
             link.send(encode(LeaderRequest(number, kind, value)))
-            return await future
+            while not future.done():
+                await asyncio.wait((future,), timeout=LEADER_POLL_S)
+                if not future.done() and self._is_superseded(link):
+                    raise NoQuorumError("no quorum: the leader changed")
+            return future.result()
         finally:
             del self._pending[number]
 
+    def _is_superseded(self, link):
+        """Returns whether a request must be sent again, elsewhere than on a link.
+
+        While no leader is known, the reply may still arrive on the link.
+        """
+        leader_link = self._leader_link()
+        is_other = leader_link is not None and leader_link is not link
+        return is_other or self._member.is_leader or not link.is_open
+
     def _missing_reply(self):
         if self._member.is_leader:
             return "no quorum: no majority answered this leader"
--- a/tests/test_resent_changes.py
+++ b/tests/test_resent_changes.py
@@ -115,14 +115,19 @@
 class FollowerLink:
     """A link to a leader that answers with the given reply, or not at all."""
 
-    def __init__(self, reply=None):
+    is_open = True
+
+    def __init__(self, reply=None, delay_s=0.0):
         self._reply = reply
+        self._delay_s = delay_s
         self.requests = None
 
     def send(self, message):
         request = decode(message)
         if self._reply is not None:
-            self.requests.handle_reply(LeaderReply(request.number, *self._reply))
+            reply = LeaderReply(request.number, *self._reply)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._delay_s, self.requests.handle_reply, reply)
 
 
 async def put_at_follower(links):
@@ -142,6 +147,24 @@
     return await requests.send(PUT, change(5, 0)._asdict())
 
 
+@pytest.mark.parametrize(
+    "first",
+    [
+        FollowerLink(),
+        FollowerLink(("no-quorum", ["no quorum: this process does not lead"])),
+    ],
+)
+@async_test
+async def test_request_to_a_lost_leader_is_sent_to_the_next_one(first):
+    """Guards against a 503 of an earlier leader while a later one leads."""
+    assert await put_at_follower([first, None, FollowerLink(("", 5))]) == 5
+
+
+@async_test
+async def test_reply_that_arrives_while_no_leader_is_known_is_used():
+    assert await put_at_follower([FollowerLink(("", 5), 0.3), None]) == 5
+
+
 @pytest.mark.parametrize(
     ("links", "reason"),
     [
