Announce a revision again after the registry was reopened

Cause: a control process whose disk failed opens its data folder again with a registry that ends at the last commit index on disk. It announced only revisions above the highest that it had announced ever, so a node that connected in between was told the older one and not told when the registry had caught up. Such a node, while its links to the other control processes are down, keeps an old configuration until the next change.

Change: each change of the revision is announced, also a decrease.

Evidence: test_revision_is_announced_again_after_the_registry_was_reopened failed before ([3] instead of [3, 5]).

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -310,7 +310,8 @@
 
     def _on_applied(self):
         revision = self._member.registry.revision
-        if revision > self._announced_revision:
+        # The revision decreases when the data folder is opened again after an error.
+        if revision != self._announced_revision:
             self._announced_revision = revision
             self._broadcast(RevisionUpdate(revision))
 
--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -80,6 +80,27 @@
     process.close()
 
 
+@async_test
+async def test_revision_is_announced_again_after_the_registry_was_reopened(tmp_path):
+    """Guards against a node that never learns of a revision announced before."""
+    settings = ControlSettings(
+        "a", "dc-1", ("127.0.0.1", 0), (UNREACHABLE,), False, str(tmp_path)
+    )
+    process = ControlProcess(settings, Clock())
+    member = process._member = SimpleNamespace(registry=SimpleNamespace(revision=5))
+    process._on_applied()
+    # The log on disk does not tell that its last entries are committed.
+    member.registry = SimpleNamespace(revision=3)
+    process._on_applied()
+    link = AcceptedLink()
+    process._receive(link, list(encode(Hello("node", 7))))
+    member.registry.revision = 5
+    process._on_applied()
+    process.close()
+    updates = [each[1] for each in link.sent if each[0] == "revision"]
+    assert updates == [3, 5]
+
+
 @async_test
 async def test_host_that_starts_after_a_first_attempt_is_reached_soon(monkeypatch):
     """Guards against a second without a link after a host without power has started.
