--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -160,14 +160,7 @@
         :raises NoQuorumError: when the outcome is not known.
         """
         version = await self._leader_requests.send(PUT, change._asdict())
-        log.notice(
-            "Configuration accepted.",
-            extra={
-                "version": version,
-                "base": change.base,
-                "digest": change.digest[:12],
-            },
-        )
+        log.notice("Configuration accepted.", extra=change.log_fields())
         return version
 
     async def read(self):
@@ -181,8 +174,7 @@
         return ChangeSet(**fields) if fields else None
 
     def _leader_link(self):
-        dialer = self._dialers.get(self._member.leader_address)
-        return dialer.link if dialer is not None else None
+        return self._link_to(self._member.leader_address)
 
     def _make_accepted_link(self):
         return Link(self._receive, self._on_accepted_closed, self._clock)
@@ -207,15 +199,19 @@
         link.send(encode(RecordUpdate(list(self._announcer.record))))
 
     def _send_to(self, address, message):
-        dialer = self._dialers.get(address)
-        if dialer is None:
+        if address not in self._dialers:
             ip, _, port = address.rpartition(":")
             self._dial((ip, int(port)))
-        link = dialer.link if dialer is not None else None
-        link = link or self._accepted_link_from(address)
+        link = self._link_to(address)
         if link is not None:
             link.send(encode(message))
 
+    def _link_to(self, address):
+        """Returns an open link to the process at an address, or ``None``."""
+        dialer = self._dialers.get(address)
+        link = dialer.link if dialer is not None else None
+        return link or self._accepted_link_from(address)
+
     def _accepted_link_from(self, address):
         """Returns a link that the process at an address has opened, or ``None``.
 
@@ -314,7 +310,8 @@
 
     def _on_applied(self):
         revision = self._member.registry.revision
-        if revision > self._announced_revision:
+        # The revision decreases when the data folder is opened again after an error.
+        if revision != self._announced_revision:
             self._announced_revision = revision
             self._broadcast(RevisionUpdate(revision))
 
