Let a stopping node wait for calls that are received or being answered

Callers of a node that stops saw a connection closed without a response when the body of their request was still arriving, and a truncated response when they read slowly.

Cause: a node counted as idle when no call ran. A call runs from the end of its small request body until its response is handed to the connection, so a request with an incomplete body and a response in the buffer of its connection were not counted, and the stop closed their connections.

A node is now idle when no connection is between the headers of a request and the end of its response. The HTTP server starts the next request of a connection only when the response to the previous one was written, so the last call of each connection tells. The wait still ends after DRAIN_TIMEOUT_S.

--- a/src/figpick/calls/_calls.py
+++ b/src/figpick/calls/_calls.py
@@ -65,12 +65,21 @@
 
     def __init__(self, node):
         self._node = node
+        self._calls = {}
+
+    @property
+    def is_idle(self):
+        """Whether every request that was received has a completely sent response."""
+        return not any(call.has_begun for call in self._calls.values())
 
     def start_request(self, server_conn, request_conn):
-        return Call(self._node, request_conn)
+        # The server starts the next request of a connection only when the response to
+        # the previous one was sent.
+        call = self._calls[server_conn] = Call(self._node, request_conn)
+        return call
 
     def on_close(self, server_conn):
-        pass
+        self._calls.pop(server_conn, None)
 
 
 class Call(HTTPMessageDelegate):
@@ -151,6 +160,11 @@
     def on_connection_close(self):
         self.cancel()
 
+    @property
+    def has_begun(self):
+        """Whether the headers of the request were received."""
+        return self._request_line is not None
+
     @property
     def status(self):
         """HTTP status of the complete response from an upstream, 0 without one."""
--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -64,6 +64,7 @@
         self._is_draining = False
         self._in_flight = 0
         self._server = None
+        self._call_server = CallServer(self)
         self.fetcher = None
         self.recorder = None
         self._reachability = UpstreamReachability(members)
@@ -95,14 +96,19 @@
 
     @property
     def is_idle(self):
-        """Whether no call is in flight at this node or at its upstream."""
-        return self._in_flight == 0 and self.exchange.pool.committed == 0
+        """Whether no call is in flight, received or answered at this node or upstream.
+
+        A call is received from its headers on, and answered until its response was
+        sent.
+        """
+        has_calls = self._in_flight > 0 or not self._call_server.is_idle
+        return not has_calls and self.exchange.pool.committed == 0
 
     def start(self):
         """Starts accepting calls."""
         ip, port = split_address(self._settings["call_address"])
         self._server = CallListener(
-            CallServer(self),
+            self._call_server,
             chunk_size=CHUNK_BYTES,
             max_buffer_size=MAX_BUFFER_BYTES,
             max_header_size=MAX_HEADER_BYTES,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,12 +1,13 @@
 """Tests that a node completes its calls before it stops."""
 
 import asyncio
+import socket
 
 from bench.cluster import free_address
 from bench.local import LocalGraph, LocalNode, make_document
-from bench.origin import Origin
+from bench.origin import Origin, make_body
 from figpick.membership._members import LEFT
-from tests.proxied_node import call
+from tests.proxied_node import call, start_proxied_node
 
 PROPAGATION_S = 3.0
 
@@ -68,3 +69,73 @@
             await origin.stop()
 
     asyncio.run(scenario())
+
+
+async def connect(address, receive_buffer_bytes=None):
+    """Opens a connection of a caller, optionally with a small receive buffer."""
+    ip, port = address.split(":")
+    connection = socket.socket()
+    if receive_buffer_bytes is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    connection.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(connection, (ip, int(port)))
+    return await asyncio.open_connection(sock=connection, limit=1024)
+
+
+def test_request_whose_body_arrives_during_a_shutdown_is_answered():
+    """Guards against a stop that ignores requests whose body is still arriving."""
+
+    async def scenario():
+        async with start_proxied_node() as (_, node, origin, _):
+            reader, writer = await connect(node.call_address)
+            writer.write(
+                b"POST /a HTTP/1.1\r\nHost: parts\r\nX-Request: late\r\n"
+                b"Content-Length: 4\r\n\r\nab"
+            )
+            await asyncio.sleep(0.1)
+            node.process.request_stop()
+            await asyncio.sleep(0.5)
+            writer.write(b"cd")
+            async with asyncio.timeout(5.0):
+                head = await reader.readuntil(b"\r\n\r\n")
+            # The only upstream of the service is the one that stops.
+            assert head.startswith(b"HTTP/1.1 503 ")
+            assert b"Figpick-Outcome: not-run\r\n" in head
+            assert origin.executions["late"] == 0
+            writer.close()
+            async with asyncio.timeout(5.0):
+                await node.task
+
+    asyncio.run(scenario())
+
+
+def test_slow_caller_gets_all_responses_during_a_shutdown():
+    """Guards against a stop that discards a response which is not yet sent."""
+    body = make_body(3, 0, 60_000)
+
+    async def scenario():
+        async with start_proxied_node() as (_, node, _, _):
+            reader, writer = await connect(node.call_address, 4096)
+            request = b"GET /body/60000/length/3 HTTP/1.1\r\nHost: parts\r\n\r\n"
+            count = 0
+            # The buffers of the kernel are full when no further request is served.
+            while count == node.node.counters.calls:
+                writer.write(request)
+                count += 1
+                await asyncio.sleep(0.05)
+            node.process.request_stop()
+            await asyncio.sleep(0.5)
+            statuses = []
+            async with asyncio.timeout(10.0):
+                for _ in range(count):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    statuses.append(head.split()[1])
+                    if statuses[-1] != b"200":
+                        break
+                    assert await reader.readexactly(len(body)) == body
+            assert statuses[: count - 1] == [b"200"] * (count - 1)
+            writer.close()
+            async with asyncio.timeout(5.0):
+                await node.task
+
+    asyncio.run(scenario())
