Deliver the ends of claimed calls before a node stops

A caller that sent a keyed request again after a node had stopped got 409 "unknown" instead of the stored response, and a released key stayed "running" and then "unknown", although its request was never sent.

Cause: the messages that tell the claim holders how a call ended are sent in the background and repeated when a holder does not confirm them in time. A node counted as idle when the call had ended, so its stop cancelled these messages.

A node is now idle only when no such message is pending.

The new test failed before: a holder that confirmed the first message too late got 1 message instead of 2.

--- a/src/figpick/claims/_claim_manager.py
+++ b/src/figpick/claims/_claim_manager.py
@@ -56,12 +56,18 @@
         self._holders = {}
         self._held_claims = {}
         self._tasks = set()
+        self._deliveries = set()
 
     @property
     def holders(self):
         """Claim holders on this node by service."""
         return self._holders
 
+    @property
+    def has_deliveries(self):
+        """Whether the end of a claimed call is not yet known to all its holders."""
+        return bool(self._deliveries)
+
     def adopt(self, roster, confirmed_at=None):
         """Activates a roster unless the active one is at least as new.
 
@@ -299,7 +305,9 @@
         roster = self.rosters.get(claim.service)
         for name in group_holders(roster["positions"], claim.position):
             message = {"claim": list(claim), "answer": response}
-            self._start_task(self._deliver(name, kind, message))
+            task = self._start_task(self._deliver(name, kind, message))
+            self._deliveries.add(task)
+            task.add_done_callback(self._deliveries.discard)
 
     async def _deliver(self, name, kind, message):
         for attempt in range(DELIVERY_ATTEMPTS):
--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -99,10 +99,11 @@
         """Whether no call is in flight, received or answered at this node or upstream.
 
         A call is received from its headers on, and answered until its response was
-        sent.
+        sent and its claim holders know of its end.
         """
         has_calls = self._in_flight > 0 or not self._call_server.is_idle
-        return not has_calls and self.exchange.pool.committed == 0
+        has_work = has_calls or self.claims.has_deliveries
+        return not has_work and self.exchange.pool.committed == 0
 
     def start(self):
         """Starts accepting calls."""
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,6 +6,7 @@
 from bench.cluster import free_address
 from bench.local import LocalGraph, LocalNode, make_document
 from bench.origin import Origin, make_body
+from figpick.claims._claim_holder import GRANTED, Reply
 from figpick.membership._members import LEFT
 from tests.proxied_node import call, start_proxied_node
 
@@ -139,3 +140,44 @@
                 await node.task
 
     asyncio.run(scenario())
+
+
+def test_end_of_a_claimed_call_reaches_its_holder_before_a_shutdown_ends():
+    """Guards against a stop that loses the stored response of a keyed request."""
+
+    async def scenario():
+        origins, nodes = [Origin(), Origin()], []
+        for number, origin in enumerate(origins, 1):
+            address = free_address()
+            origin.listen(address)
+            nodes.append(LocalNode(f"parts-{number}", "parts", address))
+        leaving, holder = nodes
+        finishes = []
+
+        async def grant(message):
+            return {"reply": Reply(GRANTED)}
+
+        async def finish(message):
+            finishes.append(message)
+            if len(finishes) == 1:
+                await asyncio.sleep(0.5)
+            return {}
+
+        async with LocalGraph(nodes, [make_document("parts")]) as graph:
+            holder.process._server.set_handler("claim", grant)
+            holder.process._server.set_handler("finish", finish)
+            leaving.node.adopt_roster("parts", 1, [holder.name] * 48)
+            headers = {"Idempotency-Key": "a"}
+            request = call(graph, leaving, "POST", "/a?ms=2500", headers)
+            task = asyncio.ensure_future(request)
+            await asyncio.sleep(0.3)
+            leaving.process.request_stop()
+            assert (await task).status == 200
+            await leaving.task
+            # The holder did not confirm the first message in time.
+            assert len(finishes) == 2
+            assert finishes[1]["answer"]["status"] == 200
+        for origin in origins:
+            await origin.stop()
+
+    asyncio.run(scenario())
