Record the spans of the last calls when a node stops

Recordings of a node lacked the calls of the last second before each stop, so trees of requests that crossed a stopping node were incomplete.

Cause: spans are buffered and written about once a second by a periodic task, which the stop cancels.

The node now writes the buffered spans once its connections are closed. A file that cannot be written is logged and does not fail the stop.

The first new test failed before: the file did not exist after the stop.

--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -137,6 +137,11 @@
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
+        if self.recorder is not None:
+            try:
+                await self.recorder.flush()
+            except OSError as error:
+                log.error("The last spans could not be recorded: {}.", error)
 
     def adopt_document(self, document, version):
         """Activates a service document unless the active one is as new or newer.
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,6 +6,7 @@
 from bench.cluster import free_address
 from bench.local import LocalGraph, LocalNode, make_document
 from bench.origin import Origin, make_body
+from figpick.calls._recorder import Recorder
 from figpick.claims._claim_holder import GRANTED, Reply
 from figpick.membership._members import LEFT
 from tests.proxied_node import call, start_proxied_node
@@ -181,3 +182,30 @@
             await origin.stop()
 
     asyncio.run(scenario())
+
+
+def test_spans_of_the_last_calls_are_recorded_before_a_shutdown_ends(tmp_path):
+    """Guards against a stop that loses the spans of the last second."""
+
+    async def scenario():
+        async with start_proxied_node() as (graph, node, _, _):
+            node.node.recorder = Recorder(tmp_path / "spans", 1.0)
+            assert (await call(graph, node, "GET", "/last")).status == 200
+            node.process.request_stop()
+            await node.task
+
+    asyncio.run(scenario())
+    assert b'"path":"/last"' in (tmp_path / "spans").read_bytes()
+
+
+def test_failure_to_record_spans_does_not_fail_a_shutdown(tmp_path):
+    """Guards against a stop that leaves connections open when a disk is full."""
+
+    async def scenario():
+        async with start_proxied_node() as (graph, node, _, _):
+            node.node.recorder = Recorder(tmp_path / "missing" / "spans", 1.0)
+            assert (await call(graph, node, "GET", "/last")).status == 200
+            node.process.request_stop()
+            await node.task
+
+    asyncio.run(scenario())
