--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -33,7 +33,7 @@
     """Holds a request of a client or of the upstream on this host, and its state.
 
     :param request: :class:`~figpick.wire.ClientRequest`.
-    :param response: :class:`~figpick.nodes._entry.ResponseWriter` for the response.
+    :param response: :class:`~figpick.nodes._client_responses.ResponseWriter`.
     :param now: monotonic seconds.
     """
 
--- /dev/null
+++ b/src/figpick/nodes/_client_connections.py
@@ -0,0 +1,177 @@
+"""Connections of clients, on which responses keep the order of the requests."""
+
+import asyncio
+from collections import deque
+
+from ..wire import RequestReader, render_error_response
+from ._client_responses import ResponseWriter
+
+# Reading from a connection pauses above this number of open requests.
+MAX_PIPELINED_REQUESTS = 64
+# A streamed response pauses while its client has more unread bytes than this.
+WRITE_BUFFER_HIGH_BYTES = 256 * 1024
+# A client that leaves the write buffer full for this long is disconnected.
+CLIENT_READ_TIMEOUT_S = 15.0
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of a client.
+
+    :param entry: :class:`~figpick.nodes._entry.EntryServer` that accepted it.
+    """
+
+    def __init__(self, entry):
+        self._entry = entry
+        self._transport = None
+        self._responses = deque()
+        self._reader = RequestReader(
+            self._on_request, entry.max_header_bytes, entry.max_body_bytes
+        )
+        self._is_closing = False
+        self._is_reading_paused = False
+        self._is_writing_paused = False
+        self.writing_paused_at = None
+        self.idle_since = 0.0
+
+    def connection_made(self, transport):
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
+        self.idle_since = self._entry.now()
+        self._entry.connections.add(self)
+
+    def data_received(self, data):
+        if not self._is_closing:
+            self._reader.feed(data, self._entry.now())
+            if (
+                len(self._responses) > MAX_PIPELINED_REQUESTS
+                and not self._is_reading_paused
+            ):
+                self._is_reading_paused = True
+                self._transport.pause_reading()
+
+    def pause_writing(self):
+        self._is_writing_paused = True
+        self.writing_paused_at = self._entry.now()
+
+    def resume_writing(self):
+        self._is_writing_paused = False
+        self.writing_paused_at = None
+        self.flush()
+
+    def connection_lost(self, error):
+        self._is_closing = True
+        self._entry.connections.discard(self)
+        for response in self._responses:
+            if response.call is not None:
+                self._entry.forwarder.abandon(response.call)
+        self._responses.clear()
+
+    @property
+    def is_idle(self):
+        """Whether no request is being received or waiting for its response."""
+        return not self._responses and not self._reader.has_partial_request
+
+    def closes_after(self, response):
+        """Returns whether the connection closes after a response.
+
+        While the node stops, only the last pending response closes the connection:
+        requests after a response that closes it would be lost, although they may run.
+        """
+        is_last = (
+            response is self._responses[-1] and not self._reader.has_partial_request
+        )
+        return not response.keeps_alive or (self._entry.is_stopping and is_last)
+
+    def abort_response(self, response):
+        """Aborts the connection in the middle of a response."""
+        if response in self._responses:
+            self.flush()
+            self.abort()
+
+    @property
+    def is_closing(self):
+        """Whether no further requests are accepted."""
+        return self._is_closing
+
+    def close_gracefully(self):
+        """Closes the connection after the written data has been sent."""
+        self._is_closing = True
+        self._transport.close()
+
+    def abort(self):
+        """Closes the connection immediately."""
+        self._is_closing = True
+        self._transport.abort()
+
+    def flush(self):
+        """Writes the available response data, in the order of the requests."""
+        responses = self._responses
+        while (
+            responses
+            and not self._is_writing_paused
+            and not self._transport.is_closing()
+        ):
+            response = responses[0]
+            if response.head is not None:
+                response.keeps_alive = not self.closes_after(response)
+                closing = b"" if response.keeps_alive else b"Connection: close\r\n"
+                response.pending.insert(0, response.head + closing + b"\r\n")
+                response.head = None
+            if response.pending:
+                data = b"".join(response.pending)
+                response.pending = []
+                self._transport.write(data)
+                if response.call is not None and not response.is_complete:
+                    self._entry.forwarder.grant_credit(response.call, len(data))
+            if not response.is_complete:
+                return
+            responses.popleft()
+            if not response.keeps_alive:
+                self._close_after_response()
+                return
+        if not responses:
+            self.idle_since = self._entry.now()
+        if self._is_reading_paused and len(responses) < MAX_PIPELINED_REQUESTS // 2:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    def enforce_timeouts(self, now, limits):
+        """Aborts the connection if its client is idle or slow for too long.
+
+        :param now: monotonic seconds.
+        :param limits: :class:`~figpick.configuration.Limits`.
+        """
+        if self.writing_paused_at is not None:
+            if now - self.writing_paused_at > CLIENT_READ_TIMEOUT_S:
+                self.abort()
+            return
+        if self.is_idle:
+            if now - self.idle_since > limits.idle_timeout_s:
+                self.abort()
+            return
+        started_at = self._reader.started_at
+        if started_at is not None and now - started_at > limits.header_timeout_s:
+            self.abort()
+
+    def _on_request(self, request):
+        if self._is_closing:
+            return
+        is_head = request.method == b"HEAD"
+        response = ResponseWriter(self, request.keeps_alive, is_head)
+        self._responses.append(response)
+        if request.error_status is not None:
+            head, body = render_error_response(
+                request.error_status, "the request is malformed"
+            )
+            response.start(request.error_status, head, len(body), body, True)
+            return
+        response.call = self._entry.forwarder.handle_request(request, response)
+
+    def _close_after_response(self):
+        # Requests after a response that closes the connection count as not read.
+        self._is_closing = True
+        for response in self._responses:
+            if response.call is not None:
+                self._entry.forwarder.abandon(response.call)
+        self._responses.clear()
+        self._transport.close()
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -93,7 +93,7 @@
         """Refuses a request or forwards it.
 
         :param request: complete :class:`~figpick.wire.ClientRequest`.
-        :param response: :class:`~figpick.nodes._entry.ResponseWriter` for the response.
+        :param response: :class:`~figpick.nodes._client_responses.ResponseWriter`.
         :return: :class:`Call`.
         """
         now = self.now()
