Wait for undelivered responses before a node counts as drained

Callers saw a connection that ended in the middle of a response, or before it, when the node stopped, although an upstream had run the request to its end.

Cause: a connection that closes counted as drained, whatever its write buffer held. The process ended 50 ms later and the buffer with it. Bytes that the kernel still had to deliver were not considered either; they are lost when the host or its network goes down with the process.

A connection now counts as drained when it has no open request, nothing in the write buffer and nothing that the client's host has not acknowledged (send queue of the kernel). A request that is received in part counts as open.

The new test reads 8 MB late while the node stops. Before the change: assert not entry.is_drained assert not True, where True = <EntryServer 1 connections>.is_drained

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -1,8 +1,12 @@
 """Connections of clients, on which responses keep the order of the requests."""
 
 import asyncio
+import fcntl
+import sys
+import termios
 from collections import deque
 
+from ..base._logs import logger
 from ..wire import RequestReader, render_error_response
 from ._call_logging import call_state, log_behind_close, log_cut
 from ._client_responses import ResponseWriter
@@ -14,6 +18,8 @@
 # A client that leaves the write buffer full for this long is disconnected.
 CLIENT_READ_TIMEOUT_S = 15.0
 
+log = logger("entry")
+
 
 class ClientConnection(asyncio.Protocol):
     """One connection of a client.
@@ -106,6 +112,11 @@
         pending = sum(len(part) for each in self._responses for part in each.pending)
         return pending + self._transport.get_write_buffer_size()
 
+    @property
+    def is_drained(self):
+        """Whether no request is open and the client's host has all responses."""
+        return self.is_idle and self._undelivered_bytes == 0
+
     def open_requests(self, now):
         """Returns the requests without a whole response, as a list of dicts for logs.
 
@@ -192,6 +203,10 @@
             return
         response.call = self._entry.forwarder.handle_request(request, response)
 
+    @property
+    def _undelivered_bytes(self):
+        return self.unsent_bytes + _unacknowledged_bytes(self._transport)
+
     def _cut(self, reason, now):
         requests = self.open_requests(now)
         if requests:
@@ -212,3 +227,16 @@
             counters.count_connection_event("closed-unsent")
         self._responses.clear()
         self._transport.close()
+
+
+def _unacknowledged_bytes(transport):
+    """Returns the bytes in the kernel that the client's host has not acknowledged."""
+    connection = transport.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0:
+        return 0
+    try:
+        size = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError as error:
+        log.debug("The send queue of a connection cannot be read: {}.", error)
+        return 0
+    return int.from_bytes(size, sys.byteorder)
--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -72,8 +72,8 @@
 
     @property
     def is_drained(self):
-        """Whether no open connection can carry a new or a pending request."""
-        return all(connection.is_closing for connection in self.connections)
+        """Whether no connection has an open request or an undelivered response."""
+        return all(connection.is_drained for connection in self.connections)
 
     def close_idle(self):
         """Stops listening and closes the connections without a request."""
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -52,6 +52,7 @@
         self.counters = CallCounters(Clock())
         self.calls = []
         self.abandoned = []
+        self.refused = []
 
     def handle_request(self, request, response):
         call = Call(request, response, Clock().monotonic())
@@ -59,6 +60,13 @@
         self.calls.append(call)
         return call
 
+    def refuse_request(self, request, response, reason):
+        self.refused.append(request)
+        call = Call(request, response, Clock().monotonic())
+        call.is_done = True
+        call.send_error(503, reason, 0.5)
+        return call
+
     def abandon(self, call):
         if not call.is_done:
             self.abandoned.append(call)
@@ -184,3 +192,19 @@
             cut = next(each for each in logs.records if "cut" in each.message)
             assert cut.extra["requests"] == [{"id": "a1", "state": "answered"}]
             assert cut.extra["unsent_bytes"] > 0
+
+
+@on_each_loop
+async def test_slow_reader_of_a_last_response_is_not_drained():
+    """Guards against a process that exits with a response in its write buffer."""
+    async with serve() as (entry, connect):
+        client = await connect(SMALL_RECEIVE_BUFFER_BYTES)
+        await send(client, request(b"a1"))
+        (call,) = await entry.forwarder.receive(1)
+        entry.stop_keep_alive()
+        respond(call, b"x" * 8_000_000)
+        await asyncio.sleep(0.2)
+        assert not entry.is_drained
+        received = await receive_all(client)
+        assert received.endswith(b"\r\n\r\n" + b"x" * 8_000_000)
+        await wait_until(lambda: entry.is_drained)
