Let a node refuse requests at the end of a stop

A stopping node read and passed on requests as long as clients sent them, on open connections and on new ones, and aborted what was still open at its end.

EntryServer.stop_reading() closes the listener. From then on each request that arrives on an open connection is refused at once with 503 (not run), and so is one that has been received in part. Idle connections are closed without reading further requests. A connection that the event loop had accepted before the listener was closed gets the same; after close() it is aborted instead of staying open without anyone who reads it.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -17,6 +17,7 @@
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024
 # A client that leaves the write buffer full for this long is disconnected.
 CLIENT_READ_TIMEOUT_S = 15.0
+STATUS_UNAVAILABLE = 503
 
 log = logger("entry")
 
@@ -46,6 +47,9 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
         self.idle_since = self._entry.now()
         self._entry.connections.add(self)
+        if self._entry.is_closed:
+            # The event loop had accepted it before the server was closed.
+            self.abort()
 
     def data_received(self, data):
         if not self._is_closing:
@@ -101,6 +105,17 @@
         """Whether no further requests are accepted."""
         return self._is_closing
 
+    def stop_reading(self):
+        """Refuses the request that is being received, and closes an idle connection.
+
+        An idle connection whose client has not received all responses stays open: its
+        close would become a reset if the client has sent a further request.
+        """
+        if self._reader.has_partial_request:
+            self._reader.reject(STATUS_UNAVAILABLE)
+        elif self.is_drained and not self._is_closing:
+            self.close_gracefully()
+
     def close_gracefully(self):
         """Closes the connection after the written data has been sent."""
         self._is_closing = True
@@ -195,13 +210,19 @@
         is_head = request.method == b"HEAD"
         response = ResponseWriter(self, request.keeps_alive, is_head)
         self._responses.append(response)
-        if request.error_status is not None:
-            head, body = render_error_response(
-                request.error_status, "the request is malformed"
+        status = request.error_status
+        if status is None and self._entry.is_refusing:
+            status = STATUS_UNAVAILABLE
+        forwarder = self._entry.forwarder
+        if status is None:
+            response.call = forwarder.handle_request(request, response)
+        elif status == STATUS_UNAVAILABLE:
+            response.call = forwarder.refuse_request(
+                request, response, "the node stops"
             )
-            response.start(request.error_status, head, len(body), body, True)
-            return
-        response.call = self._entry.forwarder.handle_request(request, response)
+        else:
+            head, body = render_error_response(status, "the request is malformed")
+            response.start(status, head, len(body), body, True)
 
     @property
     def _undelivered_bytes(self):
--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -26,6 +26,8 @@
         self._server = None
         self.connections = set()
         self.is_stopping = False
+        self.is_refusing = False
+        self.is_closed = False
 
     def __repr__(self):
         return f"<EntryServer {len(self.connections)} connections>"
@@ -70,6 +72,19 @@
         """Stops keeping connections open after their last pending response."""
         self.is_stopping = True
 
+    def stop_reading(self):
+        """Stops listening and refuses all requests that are not yet read in full.
+
+        Each is answered at once with a status that says that it was not run, and its
+        connection is closed. Idle connections are closed without reading further
+        requests. May be called again for connections that have become idle since.
+        """
+        self.is_stopping = self.is_refusing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.stop_reading()
+
     @property
     def is_drained(self):
         """Whether no connection has an open request or an undelivered response."""
@@ -90,6 +105,7 @@
         """
         if self._server is not None:
             self._server.close()
+        self.is_closed = True
         self._log_cut_requests()
         for connection in list(self.connections):
             # Closing connections may still have bytes of a response to write.
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -129,6 +129,23 @@
         self._start_call(call, now)
         return call
 
+    def refuse_request(self, request, response, reason):
+        """Refuses a request without looking at it.
+
+        :param request: :class:`~figpick.wire.ClientRequest`.
+        :param response: :class:`~figpick.nodes._client_responses.ResponseWriter`.
+        :param reason: reason of the refusal.
+        :return: :class:`Call`.
+        """
+        now = self.now()
+        call = Call(request, response, now)
+        call.request_id = request.header(self._names.request_id) or b""
+        call.is_done = True
+        self._counters.count(call, "refused")
+        log_refused_early(call, STATUS_NOT_RUN, reason, 1.0, self._version, now)
+        call.send_error(STATUS_NOT_RUN, f"not run: {reason}", STARTUP_WAIT_S)
+        return call
+
     def on_service_available(self, service):
         """Sends the calls that are waiting for a host of a service."""
         self._dispatcher.place_waiting(service)
--- a/src/figpick/wire/_requests.py
+++ b/src/figpick/wire/_requests.py
@@ -90,9 +90,9 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(400)
+            self.reject(400)
         except httptools.HttpParserError:
-            self._reject(400)
+            self.reject(400)
 
     def on_message_begin(self):
         self._request = ClientRequest(self._now)
@@ -105,7 +105,7 @@
         request.target += url
         self._count_head_bytes(len(url))
         if len(request.target) > MAX_TARGET_BYTES:
-            self._reject(431)
+            self.reject(431)
 
     def on_header(self, name, value):
         if self._failed:
@@ -122,7 +122,7 @@
         if self._parser.get_http_version() != "1.1" or not request.target.startswith(
             b"/"
         ):
-            self._reject(400)
+            self.reject(400)
 
     def on_body(self, body):
         if self._failed:
@@ -131,7 +131,7 @@
         request.body.append(body)
         request.body_bytes += len(body)
         if request.body_bytes > self._max_body_bytes():
-            self._reject(413)
+            self.reject(413)
 
     def on_message_complete(self):
         if self._failed:
@@ -141,12 +141,11 @@
         request.is_complete = True
         self._on_request(request)
 
-    def _count_head_bytes(self, size):
-        self._head_bytes += size
-        if self._head_bytes > self._max_header_bytes():
-            self._reject(431)
+    def reject(self, status):
+        """Rejects the request that is being received, and ignores further bytes.
 
-    def _reject(self, status):
+        :param status: HTTP status of the response.
+        """
         if self._failed:
             return
         self._failed = True
@@ -155,3 +154,8 @@
         request.error_status = status
         request.keeps_alive = False
         self._on_request(request)
+
+    def _count_head_bytes(self, size):
+        self._head_bytes += size
+        if self._head_bytes > self._max_header_bytes():
+            self.reject(431)
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from types import SimpleNamespace
 from unittest.mock import patch
 
@@ -208,3 +208,48 @@
         received = await receive_all(client)
         assert received.endswith(b"\r\n\r\n" + b"x" * 8_000_000)
         await wait_until(lambda: entry.is_drained)
+
+
+@on_each_loop
+async def test_requests_after_the_end_of_reading_are_refused():
+    """Guards against requests that a stopping node passes on or leaves unanswered."""
+    async with serve() as (entry, connect):
+        client = await connect()
+        await send(client, request(b"a1"))
+        (call,) = await entry.forwarder.receive(1)
+        entry.stop_reading()
+        assert not entry.is_drained
+        await send(client, request(b"a2"))
+        await wait_until(lambda: entry.forwarder.refused)
+        respond(call, b"first")
+        received = await receive_all(client)
+        first, _, second = received.partition(b"first")
+        assert b"200 OK" in first and b"Connection: close" not in first
+        assert second.startswith(b"HTTP/1.1 503 ")
+        assert b"Connection: close\r\n" in second
+        assert len(entry.forwarder.calls) == 1
+        await wait_until(lambda: entry.is_drained)
+
+
+@on_each_loop
+async def test_idle_connections_end_with_reading():
+    """Guards against a client that keeps using a connection of a stopping node."""
+    async with serve() as (entry, connect):
+        client = await connect()
+        await wait_until(lambda: entry.connections)
+        entry.stop_reading()
+        assert entry.is_drained
+        assert await receive_all(client) == b""
+        with pytest.raises(OSError):
+            await connect()
+
+
+@on_each_loop
+async def test_connection_accepted_during_the_close_does_not_stay_open():
+    """Guards against a client that waits at a node that no longer reads."""
+    async with serve() as (entry, connect):
+        client = await connect()
+        entry.close()
+        with suppress(ConnectionError):
+            assert await receive_all(client) == b""
+        assert not entry.connections
