Pass on no request behind the head of a response that closes the connection

Callers saw a connection that closed after their request had been passed on and run; a request that must not run twice could, since its client counts requests behind a closing response as not read and sends them again.

Cause: a streamed response writes its head with "Connection: close" long before its end. Until then the connection went on reading and passing on requests, which were abandoned when the response ended.

The connection stops accepting requests when it writes that head. Requests that were passed on before it still get their responses, since only the last pending one closes the connection. The end of a stop no longer treats such a connection as finished: its request is cancelled like those on other connections, and bytes in the write buffer are left to be sent.

test_request_behind_a_closing_response_is_not_passed_on failed before with asyncio and uvloop: assert 2 == 1, calls [<Call b'a1'>, <Call b'a2'>].

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -73,10 +73,7 @@
     def connection_lost(self, error):
         self._is_closing = True
         self._entry.connections.discard(self)
-        for response in self._responses:
-            if response.call is not None:
-                self._entry.forwarder.abandon(response.call)
-        self._responses.clear()
+        self._abandon_calls()
 
     @property
     def is_idle(self):
@@ -100,11 +97,6 @@
             self.flush()
             self._cut("an upstream broke off its response", self._entry.now())
 
-    @property
-    def is_closing(self):
-        """Whether no further requests are accepted."""
-        return self._is_closing
-
     def stop_reading(self):
         """Refuses the request that is being received, and closes an idle connection.
 
@@ -152,6 +144,16 @@
         self._is_closing = True
         self._transport.abort()
 
+    def close(self):
+        """Ends the connection; responses without their end are cut off.
+
+        Bytes that are already in the write buffer are still sent if the process runs
+        long enough.
+        """
+        self._is_closing = True
+        self._abandon_calls()
+        self._transport.close()
+
     def flush(self):
         """Writes the available response data, in the order of the requests."""
         responses = self._responses
@@ -163,7 +165,12 @@
             response = responses[0]
             if response.head is not None:
                 response.keeps_alive = not self.closes_after(response)
-                closing = b"" if response.keeps_alive else b"Connection: close\r\n"
+                closing = b""
+                if not response.keeps_alive:
+                    # Clients send requests behind a response that closes the connection
+                    # again, so none of them may be passed on.
+                    self._is_closing = True
+                    closing = b"Connection: close\r\n"
                 response.pending.insert(0, response.head + closing + b"\r\n")
                 response.head = None
             if response.pending:
@@ -237,18 +244,22 @@
 
     def _close_after_response(self):
         # Requests after a response that closes the connection count as not read.
-        self._is_closing = True
         counters = self._entry.counters
         for response in self._responses:
             if response.call is not None:
                 counters.count_connection_event("behind-close")
                 log_behind_close(response.call, self._entry.now())
-                self._entry.forwarder.abandon(response.call)
         if self._transport.get_write_buffer_size():
             counters.count_connection_event("closed-unsent")
-        self._responses.clear()
+        self._abandon_calls()
         self._transport.close()
 
+    def _abandon_calls(self):
+        for response in self._responses:
+            if response.call is not None:
+                self._entry.forwarder.abandon(response.call)
+        self._responses.clear()
+
 
 def _unacknowledged_bytes(transport):
     """Returns the bytes in the kernel that the client's host has not acknowledged."""
--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -99,7 +99,7 @@
                 connection.close_gracefully()
 
     def close(self):
-        """Stops listening and aborts all connections that are not closing.
+        """Stops listening and ends all connections.
 
         Requests without a whole response are logged.
         """
@@ -108,9 +108,7 @@
         self.is_closed = True
         self._log_cut_requests()
         for connection in list(self.connections):
-            # Closing connections may still have bytes of a response to write.
-            if not connection.is_closing:
-                connection.abort()
+            connection.close()
 
     def _log_cut_requests(self):
         now = self.now()
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -253,3 +253,38 @@
         with suppress(ConnectionError):
             assert await receive_all(client) == b""
         assert not entry.connections
+
+
+@on_each_loop
+async def test_request_behind_a_closing_response_is_not_passed_on():
+    """Guards against running a request that its client counts as not read."""
+    async with serve() as (entry, connect):
+        client = await connect()
+        await send(client, request(b"a1"))
+        (call,) = await entry.forwarder.receive(1)
+        entry.stop_keep_alive()
+        call.response.start(200, OK_HEAD, 100, b"x" * 50, False)
+        await receive_until(client, b"Connection: close\r\n")
+        await send(client, request(b"a2"))
+        await asyncio.sleep(0.1)
+        call.response.write(b"y" * 50, True)
+        received = await receive_all(client)
+        assert received == b"\r\n" + b"x" * 50 + b"y" * 50
+        assert len(entry.forwarder.calls) == 1
+
+
+@on_each_loop
+async def test_requests_passed_on_before_a_closing_response_get_theirs():
+    """Guards against closing a connection ahead of a request that was passed on."""
+    async with serve() as (entry, connect):
+        client = await connect()
+        await send(client, request(b"a1") + request(b"a2"))
+        calls = await entry.forwarder.receive(2)
+        entry.stop_keep_alive()
+        calls[0].response.start(200, OK_HEAD, 10, b"x" * 5, False)
+        respond(calls[1], b"second")
+        calls[0].response.write(b"y" * 5, True)
+        received = await receive_all(client)
+        first, _, second = received.partition(b"xxxxxyyyyy")
+        assert b"Connection: close" not in first
+        assert b"Connection: close\r\n" in second and second.endswith(b"second")
