Let clients read the last response before their connection closes

Callers saw a connection reset although the node had written a whole response and counted the request as answered; so did clients whose upload was rejected (413) or whose request was refused while it was being received.

Cause: the node closed the connection as soon as the last response was written. Bytes that the client sends after that, or that the node has not read, make the close a TCP reset, which discards what the client has not received yet.

The node now shuts down only its writing side and discards what arrives until the client closes, at most 2 s after the client's host has acknowledged all bytes. A client that is still reading keeps its connection while it makes progress (15 s without any end it). At most 16 MB are discarded, then reading pauses; at most 1,024 such connections wait, and each uses the check of timeouts that exists. A node counts as drained only when they have ended.

Failed before, with asyncio and uvloop: test_late_reader_receives_a_closing_response_despite_further_requests, test_rejected_upload_receives_its_response and test_partial_request_is_refused_at_the_end_of_reading with "ConnectionResetError: [Errno 104] Connection reset by peer"; test_response_in_the_send_buffer_of_the_kernel_is_not_drained with "assert not True, where True = <EntryServer 0 connections>.is_drained".

--- a/src/figpick/nodes/_call_logging.py
+++ b/src/figpick/nodes/_call_logging.py
@@ -164,16 +164,22 @@
         entry_log.info(BEHIND_CLOSE, call_state(call, now))
 
 
-def log_cut(reason, requests, unsent_bytes, now):
+def log_cut(reason, requests, unsent_bytes, unacknowledged_bytes, now):
     """Logs a client connection that the node ends with responses outstanding.
 
     :param reason: reason for which it ends.
     :param requests: dicts of the state of its requests, see :func:`call_state`.
     :param unsent_bytes: bytes that were not yet handed to the kernel.
+    :param unacknowledged_bytes: bytes in the kernel without an acknowledgement.
     :param now: monotonic seconds.
     """
     if CALL_LOG_LIMITER.allow(CUT, now):
-        fields = {"reason": reason, "requests": requests, "unsent_bytes": unsent_bytes}
+        fields = {
+            "reason": reason,
+            "requests": requests,
+            "unsent_bytes": unsent_bytes,
+            "unacknowledged_bytes": unacknowledged_bytes,
+        }
         entry_log.info(CUT, fields)
 
 
--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -17,6 +17,11 @@
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024
 # A client that leaves the write buffer full for this long is disconnected.
 CLIENT_READ_TIMEOUT_S = 15.0
+# After its last response a connection stays open until the client closes it, at most
+# for this long after the client's host has acknowledged all bytes.
+LINGER_TIMEOUT_S = 2.0
+# A connection that is closing discards at most this many bytes of further requests.
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 STATUS_UNAVAILABLE = 503
 
 log = logger("entry")
@@ -41,6 +46,10 @@
         self.writing_paused_at = None
         self.idle_since = 0.0
         self._last_request_id = b""
+        self._is_lingering = False
+        self._undelivered_before = 0
+        self._progress_at = 0.0
+        self.discarded_bytes = 0
 
     def connection_made(self, transport):
         self._transport = transport
@@ -52,7 +61,15 @@
             self.abort()
 
     def data_received(self, data):
-        if not self._is_closing:
+        if self._is_closing:
+            self.discarded_bytes += len(data)
+            if (
+                self.discarded_bytes > MAX_DISCARDED_BYTES
+                and not self._is_reading_paused
+            ):
+                self._is_reading_paused = True
+                self._transport.pause_reading()
+        else:
             self._reader.feed(data, self._entry.now())
             if (
                 len(self._responses) > MAX_PIPELINED_REQUESTS
@@ -72,7 +89,7 @@
 
     def connection_lost(self, error):
         self._is_closing = True
-        self._entry.connections.discard(self)
+        self._entry.forget(self)
         self._abandon_calls()
 
     @property
@@ -105,7 +122,7 @@
         """
         if self._reader.has_partial_request:
             self._reader.reject(STATUS_UNAVAILABLE)
-        elif self.is_drained and not self._is_closing:
+        elif not self._is_closing and self.is_drained(self._entry.now()):
             self.close_gracefully()
 
     def close_gracefully(self):
@@ -120,8 +137,17 @@
         return pending + self._transport.get_write_buffer_size()
 
     @property
-    def is_drained(self):
-        """Whether no request is open and the client's host has all responses."""
+    def unacknowledged_bytes(self):
+        """Bytes in the kernel that the client's host has not acknowledged."""
+        return _unacknowledged_bytes(self._transport)
+
+    def is_drained(self, now):
+        """Returns whether no request is open and the client has all responses.
+
+        :param now: monotonic seconds.
+        """
+        if self._is_lingering:
+            return self._has_lingered(now)
         return self.is_idle and self._undelivered_bytes == 0
 
     def open_requests(self, now):
@@ -134,11 +160,16 @@
             for response in self._responses
             if response.call is not None
         ]
-        if not self._responses and self._transport.get_write_buffer_size():
+        if not self._responses and self._undelivered_bytes:
             request_id = self._last_request_id.decode("latin-1")
             requests.append({"id": request_id, "state": "answered"})
         return requests
 
+    def end_lingering(self):
+        """Closes the connection if the client's host has all responses."""
+        if self._undelivered_bytes == 0:
+            self.abort()
+
     def abort(self):
         """Closes the connection immediately."""
         self._is_closing = True
@@ -185,7 +216,7 @@
             if response.call is not None:
                 self._last_request_id = response.call.request_id
             if not response.keeps_alive:
-                self._close_after_response()
+                self._linger()
                 return
         if not responses:
             self.idle_since = self._entry.now()
@@ -199,6 +230,10 @@
         :param now: monotonic seconds.
         :param limits: :class:`~figpick.configuration.Limits`.
         """
+        if self._is_lingering:
+            if self._has_lingered(now):
+                self._cut("the client does not read", now)
+            return
         if self.writing_paused_at is not None:
             if now - self.writing_paused_at > CLIENT_READ_TIMEOUT_S:
                 self._cut("the client does not read", now)
@@ -233,26 +268,51 @@
 
     @property
     def _undelivered_bytes(self):
-        return self.unsent_bytes + _unacknowledged_bytes(self._transport)
+        return self.unsent_bytes + self.unacknowledged_bytes
 
     def _cut(self, reason, now):
         requests = self.open_requests(now)
         if requests:
             self._entry.counters.count_connection_event("cut", len(requests))
-            log_cut(reason, requests, self.unsent_bytes, now)
+            unsent = self.unsent_bytes
+            log_cut(reason, requests, unsent, self.unacknowledged_bytes, now)
         self.abort()
 
-    def _close_after_response(self):
+    def _linger(self):
+        """Ends the writing side; the client closes the connection.
+
+        A close would be a reset as soon as the client sends more, which discards what
+        the client has not read yet.
+        """
         # Requests after a response that closes the connection count as not read.
         counters = self._entry.counters
         for response in self._responses:
             if response.call is not None:
                 counters.count_connection_event("behind-close")
                 log_behind_close(response.call, self._entry.now())
-        if self._transport.get_write_buffer_size():
-            counters.count_connection_event("closed-unsent")
         self._abandon_calls()
-        self._transport.close()
+        self._is_lingering = True
+        self._undelivered_before = self._undelivered_bytes
+        self._progress_at = self._entry.now()
+        if self._is_reading_paused and self.discarded_bytes <= MAX_DISCARDED_BYTES:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError as error:
+            log.debug("A client has reset its connection: {}.", error)
+            self.abort()
+            return
+        self._entry.add_lingering(self)
+
+    def _has_lingered(self, now):
+        """Returns whether the client has had enough time to read and to close."""
+        undelivered = self._undelivered_bytes
+        if undelivered != self._undelivered_before:
+            self._undelivered_before = undelivered
+            self._progress_at = now
+        limit_s = CLIENT_READ_TIMEOUT_S if undelivered else LINGER_TIMEOUT_S
+        return now - self._progress_at > limit_s
 
     def _abandon_calls(self):
         for response in self._responses:
@@ -262,7 +322,6 @@
 
 
 def _unacknowledged_bytes(transport):
-    """Returns the bytes in the kernel that the client's host has not acknowledged."""
     connection = transport.get_extra_info("socket")
     if connection is None or connection.fileno() < 0:
         return 0
--- a/src/figpick/nodes/_counters.py
+++ b/src/figpick/nodes/_counters.py
@@ -34,7 +34,6 @@
     def connection_events(self):
         """Dict of the number of events on client connections by a tuple of the event.
 
-        ``closed-unsent``: closed after the last response, with bytes of it unsent.
         ``behind-close``: request that was passed on and abandoned, since a response
         before it closed the connection. ``cut``: request without a whole response on
         a connection that the node aborted while it serves. ``cut-at-stop``: the same at
--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -7,6 +7,8 @@
 from ._client_connections import ClientConnection
 
 TIMEOUT_CHECK_PERIOD_S = 1.0
+# Above this number the longest closed connection no longer waits for its client.
+MAX_LINGERING_CONNECTIONS = 1024
 # Lines on requests that the end of a stop cuts; the last line has their number.
 MAX_CUT_LINES = 50
 
@@ -25,6 +27,8 @@
         self._clock = clock
         self._server = None
         self.connections = set()
+        # A dict keeps the order in which they closed.
+        self._lingering = {}
         self.is_stopping = False
         self.is_refusing = False
         self.is_closed = False
@@ -41,6 +45,19 @@
         """Returns the monotonic time in seconds."""
         return self._clock.monotonic()
 
+    def add_lingering(self, connection):
+        """Bounds the number of closed connections that wait for their clients."""
+        self._lingering[connection] = None
+        if len(self._lingering) > MAX_LINGERING_CONNECTIONS:
+            oldest = next(iter(self._lingering))
+            del self._lingering[oldest]
+            oldest.end_lingering()
+
+    def forget(self, connection):
+        """Removes a closed connection."""
+        self.connections.discard(connection)
+        self._lingering.pop(connection, None)
+
     def max_header_bytes(self):
         """Returns the limit for the head of a request, in bytes."""
         return self._limits().header_bytes
@@ -88,7 +105,8 @@
     @property
     def is_drained(self):
         """Whether no connection has an open request or an undelivered response."""
-        return all(connection.is_drained for connection in self.connections)
+        now = self.now()
+        return all(connection.is_drained(now) for connection in self.connections)
 
     def close_idle(self):
         """Stops listening and closes the connections without a request."""
@@ -113,7 +131,11 @@
     def _log_cut_requests(self):
         now = self.now()
         cut = [
-            {**request, "unsent_bytes": connection.unsent_bytes}
+            {
+                **request,
+                "unsent_bytes": connection.unsent_bytes,
+                "unacknowledged_bytes": connection.unacknowledged_bytes,
+            }
             for connection in self.connections
             for request in connection.open_requests(now)
         ]
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -12,7 +12,7 @@
 
 from figpick.base._clock import Clock
 from figpick.configuration import Limits
-from figpick.nodes import _client_connections
+from figpick.nodes import _client_connections, _entry
 from figpick.nodes._calls import Call
 from figpick.nodes._counters import CallCounters
 from figpick.nodes._entry import EntryServer
@@ -288,3 +288,132 @@
         first, _, second = received.partition(b"xxxxxyyyyy")
         assert b"Connection: close" not in first
         assert b"Connection: close\r\n" in second and second.endswith(b"second")
+
+
+@on_each_loop
+async def test_late_reader_receives_a_closing_response_despite_further_requests():
+    """Guards against a reset that discards a response which was sent but not read."""
+    async with serve() as (entry, connect):
+        client = await connect(SMALL_RECEIVE_BUFFER_BYTES)
+        await send(client, request(b"a1", extra=b"Connection: close\r\n"))
+        (call,) = await entry.forwarder.receive(1)
+        respond(call, b"x" * LATE_READ_BYTES)
+        await asyncio.sleep(0.2)
+        await send(client, request(b"a2"))
+        await asyncio.sleep(0.1)
+        received = await receive_all(client)
+        assert received.endswith(b"\r\n\r\n" + b"x" * LATE_READ_BYTES)
+        assert len(entry.forwarder.calls) == 1
+
+
+@on_each_loop
+async def test_rejected_upload_receives_its_response():
+    """Guards against a reset that discards the response to a body that is too long."""
+    async with serve(body_bytes=1000) as (entry, connect):
+        client = await connect()
+        await send(client, request(b"a1", method=b"POST", body=b"x" * 2_000_000))
+        received = await receive_all(client)
+        assert received.startswith(b"HTTP/1.1 413 ")
+        assert b"Connection: close\r\n" in received
+
+
+@on_each_loop
+async def test_client_that_stays_after_a_closing_response_is_disconnected():
+    """Guards against clients that keep closed connections open for ever."""
+    with (
+        patch.object(_client_connections, "LINGER_TIMEOUT_S", 0.1),
+        patch.object(_entry, "TIMEOUT_CHECK_PERIOD_S", 0.05),
+    ):
+        async with serve() as (entry, connect):
+            client = await connect()
+            await send(client, request(b"a1", extra=b"Connection: close\r\n"))
+            (call,) = await entry.forwarder.receive(1)
+            respond(call, b"x")
+            assert (await receive_all(client)).endswith(b"\r\n\r\nx")
+            assert not entry.is_drained
+            await wait_until(lambda: not entry.connections)
+            assert entry.is_drained
+
+
+@on_each_loop
+async def test_slow_reader_of_a_closing_response_keeps_its_connection():
+    """Guards against a close that counts the time in which its client still reads."""
+    with (
+        patch.object(_client_connections, "LINGER_TIMEOUT_S", 0.1),
+        patch.object(_client_connections, "CLIENT_READ_TIMEOUT_S", 0.5),
+        patch.object(_entry, "TIMEOUT_CHECK_PERIOD_S", 0.05),
+    ):
+        async with serve() as (entry, connect):
+            client = await connect(SMALL_RECEIVE_BUFFER_BYTES)
+            await send(client, request(b"a1", extra=b"Connection: close\r\n"))
+            (call,) = await entry.forwarder.receive(1)
+            respond(call, b"x" * 8_000_000)
+            received = 0
+            while data := await asyncio.get_running_loop().sock_recv(client, 1_000_000):
+                received += len(data)
+                await asyncio.sleep(0.2 if received < 8_000 else 0.0)
+            assert received > 8_000_000
+
+
+@on_each_loop
+async def test_closed_connection_discards_a_bounded_number_of_bytes():
+    """Guards against a client that sends without end on a closed connection."""
+    with patch.object(_client_connections, "MAX_DISCARDED_BYTES", 100_000):
+        async with serve() as (entry, connect):
+            client = await connect()
+            await send(client, request(b"a1", extra=b"Connection: close\r\n"))
+            (call,) = await entry.forwarder.receive(1)
+            respond(call, b"x")
+            (connection,) = entry.connections
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    await send(client, b"x" * 50_000_000)
+            assert 100_000 < connection.discarded_bytes < 1_000_000
+
+
+@on_each_loop
+async def test_number_of_closed_connections_that_wait_for_clients_is_bounded():
+    """Guards against clients that use up descriptors with closed connections."""
+    with patch.object(_entry, "MAX_LINGERING_CONNECTIONS", 2):
+        async with serve() as (entry, connect):
+            for number in range(4):
+                client = await connect()
+                await send(client, request(b"a1", extra=b"Connection: close\r\n"))
+                calls = await entry.forwarder.receive(number + 1)
+                respond(calls[-1], b"x")
+                await receive_all(client)
+                await asyncio.sleep(0.1)
+            await wait_until(lambda: len(entry.connections) <= 2)
+            assert len(entry.connections) == 2
+
+
+@on_each_loop
+async def test_response_in_the_send_buffer_of_the_kernel_is_not_drained():
+    """Guards against a host that stops with a response that its client cannot read."""
+    async with serve() as (entry, connect):
+        client = await connect(SMALL_RECEIVE_BUFFER_BYTES)
+        await send(client, request(b"a1"))
+        (call,) = await entry.forwarder.receive(1)
+        entry.stop_keep_alive()
+        respond(call, b"x" * LATE_READ_BYTES)
+        await asyncio.sleep(0.2)
+        assert not entry.is_drained
+        received = await receive_all(client)
+        assert received.endswith(b"\r\n\r\n" + b"x" * LATE_READ_BYTES)
+        await wait_until(lambda: entry.is_drained)
+
+
+@on_each_loop
+async def test_partial_request_is_refused_at_the_end_of_reading():
+    """Guards against a stop that drops a request which is being received."""
+    async with serve() as (entry, connect):
+        client = await connect()
+        whole = request(b"a1", method=b"POST", body=b"x" * 1000)
+        await send(client, whole[:-500])
+        await wait_until(lambda: not entry.is_drained)
+        entry.stop_reading()
+        await send(client, whole[-500:])
+        received = await receive_all(client)
+        assert received.startswith(b"HTTP/1.1 503 ")
+        assert received.count(b"HTTP/1.1 ") == 1
+        assert not entry.forwarder.calls
