State what is open when a node stops, by state, bytes and age

The lines of a stop gave two counts of calls. They could not tell a request that was waiting for a host from one that ran elsewhere, nor show bytes that a link had not written. Node stops., Node has stopped., the state and the metrics now give calls and executions by state, unsent bytes of links by role and the age of the oldest one. The drain moves to a module of its own; its decisions are unchanged.

--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -54,6 +54,13 @@
         """Whether messages can be sent."""
         return self._is_open
 
+    @property
+    def unsent_bytes(self):
+        """Number of bytes that have not been passed to the network yet."""
+        if not self._is_open:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport):
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -103,6 +103,13 @@
     def __repr__(self):
         return f"<Call {self.request_id!r}>"
 
+    @property
+    def state(self):
+        """``waiting`` for a host, ``sent`` to an owner, or ``streaming``."""
+        if any(attempt.is_streaming for attempt in self.attempts.values()):
+            return "streaming"
+        return "sent" if self.attempts else "waiting"
+
     @property
     def decoded_request_id(self):
         """The id of the client's attempt, as text for logs."""
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -54,6 +54,11 @@
         """Number of control processes with an open link."""
         return sum(dialer.link is not None for dialer in self._dialers.values())
 
+    def open_links(self):
+        """Returns the open links."""
+        links = [dialer.link for dialer in self._dialers.values()]
+        return [link for link in links if link is not None]
+
     def start(self):
         """Connects to the control processes named in the settings."""
         self.connect(self._settings.control_addresses)
--- a/src/figpick/nodes/_executions.py
+++ b/src/figpick/nodes/_executions.py
@@ -58,6 +58,7 @@
         "child_count",
         "sent_at",
         "upstream_deadline",
+        "received_at",
     )
 
     def __init__(self, owner, link, peer, number, call, now):
@@ -66,6 +67,7 @@
         self.peer = peer
         self.number = number
         self.call = call
+        self.received_at = now
         self.deadline = now + call.remaining_ms / 1000
         self.ticket = Ticket(
             self,
@@ -92,6 +94,15 @@
     def __repr__(self):
         return f"<Execution {self.number} {self.call.route}>"
 
+    @property
+    def state(self):
+        """``queued``, ``connecting``, ``running`` or ``streaming``."""
+        if self.is_streaming:
+            return "streaming"
+        if self.sent_at is not None:
+            return "running"
+        return "queued" if self.ticket.is_queued else "connecting"
+
     @property
     def level(self):
         """Mean admission level of this request's nested calls, 1 if there are none."""
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -60,15 +60,31 @@
         self._configuration = None
         self._routes = RoutingTable()
         self._splits = {}
-        self._open_calls = 0
+        # A dict, which keeps the order of arrival.
+        self._open_calls = {}
 
     def __repr__(self):
-        return f"<Forwarder {self._open_calls} calls>"
+        return f"<Forwarder {self.in_flight} calls>"
 
     @property
     def in_flight(self):
         """The number of calls whose response is not complete."""
-        return self._open_calls
+        return len(self._open_calls)
+
+    def call_counts(self):
+        """Returns the number of open calls by state, as a dict."""
+        counts = {"waiting": 0, "sent": 0, "streaming": 0}
+        for call in self._open_calls:
+            counts[call.state] += 1
+        return counts
+
+    def oldest_call_age_s(self, now):
+        """Returns the seconds since the oldest open call arrived, 0 without calls.
+
+        :param now: monotonic seconds.
+        """
+        oldest = next(iter(self._open_calls), None)
+        return now - oldest.started_at if oldest is not None else 0.0
 
     @property
     def configuration(self):
@@ -176,7 +192,7 @@
         call.send_error(status, text, retry_after_s)
 
     def _start_call(self, call, now):
-        self._open_calls += 1
+        self._open_calls[call] = None
         route = call.route
         split = self._splits.get(route.name)
         call.service = split.next() if split else route.split[0][0]
@@ -232,7 +248,7 @@
 
     def _finish_call(self, call):
         call.is_done = True
-        self._open_calls -= 1
+        self._open_calls.pop(call, None)
         for timer in (call.timer, call.hedge_timer):
             if timer is not None:
                 timer.cancel()
--- a/src/figpick/nodes/_metrics.py
+++ b/src/figpick/nodes/_metrics.py
@@ -26,6 +26,7 @@
         lambda: {(route,): row[-1] for route, row in counters.latencies.items()},
     )
     metrics.add_gauge("figpick_load", ("what",), lambda: _load(process))
+    metrics.add_gauge("figpick_open", ("what", "state"), lambda: _open(process))
     metrics.add_gauge("figpick_admitted_share", ("route",), lambda: _shares(process))
     metrics.add_gauge(
         "figpick_configuration_revision", (), lambda: {(): process.revision}
@@ -47,5 +48,14 @@
     return {(name,): value for name, value in process.owner.load()._asdict().items()}
 
 
+def _open(process):
+    work = process.open_work()
+    return {
+        (what, state): value
+        for what in ("calls", "executions", "unsent_bytes")
+        for state, value in work[what].items()
+    }
+
+
 def _shares(process):
     return {(route,): share for route, share in process.admitted_shares().items()}
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -101,6 +101,21 @@
         """Number of calls that are queued or running."""
         return len(self._executions)
 
+    def execution_counts(self):
+        """Returns the number of calls by state, as a dict."""
+        counts = {"queued": 0, "connecting": 0, "running": 0, "streaming": 0}
+        for execution in self._executions.values():
+            counts[execution.state] += 1
+        return counts
+
+    def oldest_execution_age_s(self, now):
+        """Returns the seconds since the oldest call arrived, 0 without calls.
+
+        :param now: monotonic seconds.
+        """
+        oldest = next(iter(self._executions.values()), None)
+        return now - oldest.received_at if oldest is not None else 0.0
+
     def load(self):
         """Returns the load as it is reported to calling nodes."""
         queue = self._queue
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -21,6 +21,7 @@
     """
 
     is_open = True
+    unsent_bytes = 0
 
     def __init__(self, on_message):
         self._on_message = on_message
@@ -128,6 +129,11 @@
     def __iter__(self):
         return iter(self._peers.values())
 
+    def open_links(self):
+        """Returns the open links to other nodes."""
+        dialers = [peer.dialer for peer in self if peer.dialer is not None]
+        return [dialer.link for dialer in dialers if dialer.link is not None]
+
     def set_local_link(self, link):
         """Sets the link to the owner in the same process."""
         self._local_link = link
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -11,6 +11,7 @@
 from ..links import Link, listen
 from ._control_links import ControlLinks
 from ._counters import CallCounters
+from ._draining import Drainer
 from ._entry import EntryServer
 from ._forwarding import Forwarder
 from ._messages import ATTACH, BODY_PART, CALL, CANCEL, CREDIT, HELLO, CallMessage
@@ -19,14 +20,6 @@
 
 REFRESH_PERIOD_S = 1.0
 SUMMARY_PERIOD_S = 5.0
-# Clients stop using a node after two failed readiness checks, one second apart.
-CLIENT_LEAVE_DELAY_S = 2.6
-# The upstream receives calls of other nodes until this long after the stop began,
-# shortly before the node exits. Most of them finish in the remaining time.
-OWNER_STOP_DELAY_S = 1.8
-# Calls that are still running this long before the process is killed are aborted.
-EXIT_MARGIN_S = 0.8
-STOP_POLL_PERIOD_S = 0.05
 
 log = logger("node")
 
@@ -73,6 +66,14 @@
             settings, self._token, self._announcer, clock, self
         )
         self._caller_links = {}
+        self._drainer = Drainer(
+            settings,
+            clock,
+            self._entry,
+            self._forwarder,
+            self._owner,
+            self._open_links,
+        )
         self._metrics = None
         self._server = None
         self._connect_local()
@@ -122,6 +123,7 @@
             "revision": self._controls.revision,
             "controls": self._controls.open_count,
             "in_flight": self._forwarder.in_flight,
+            "open": self.open_work(),
             "load": list(self._owner.load()),
             "upstream": self._owner.view.state,
             "instance": self._owner.view.instance,
@@ -158,36 +160,12 @@
 
         Calls that exceed the grace period are aborted.
         """
-        started_at = self._clock.monotonic()
         self._is_stopping = True
-        self._entry.stop_keep_alive()
-        log.notice("Node stops.", extra={"in_flight": self._forwarder.in_flight})
-        await asyncio.sleep(OWNER_STOP_DELAY_S)
-        self._owner.stop_accepting()
-        end_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
-        while (now := self._clock.monotonic()) < end_at:
-            is_busy = self._owner.call_count or self._forwarder.in_flight
-            if now - started_at >= CLIENT_LEAVE_DELAY_S and not is_busy:
-                # A request could still arrive on an open connection, so connections
-                # are closed before the last check.
-                self._entry.close_idle()
-                if self._entry.is_drained:
-                    break
-            await asyncio.sleep(STOP_POLL_PERIOD_S)
-        self._announcer.update(state=LEFT)
-        self._controls.announce()
-        log.notice(
-            "Node has stopped.",
-            extra={
-                "after_s": round(self._clock.monotonic() - started_at, 2),
-                "in_flight": self._forwarder.in_flight,
-                "running": self._owner.call_count,
-            },
-        )
-        self._entry.close()
-        self._controls.finish()
-        # The last writes are sent in the next iterations of the event loop.
-        await asyncio.sleep(STOP_POLL_PERIOD_S)
+        await self._drainer.run(self._announce_left, self._controls.finish)
+
+    def open_work(self):
+        """Returns the open calls by state and the unsent bytes, as a JSON value."""
+        return self._drainer.open_work()
 
     def close_peer_links(self):
         """Closes the links to other nodes; they reconnect and calls continue."""
@@ -272,6 +250,17 @@
         """Records the requests that were running when an upstream crashed."""
         self._quarantine.record_crash(crash_id, fingerprints, self._clock.monotonic())
 
+    def _announce_left(self):
+        self._announcer.update(state=LEFT)
+        self._controls.announce()
+
+    def _open_links(self):
+        return {
+            "callers": list(self._caller_links.values()),
+            "owners": self._peers.open_links(),
+            "controls": self._controls.open_links(),
+        }
+
     def _on_crash(self, crash_id, fingerprints):
         self.on_crash_report(crash_id, fingerprints)
         self._controls.report_crash(crash_id, fingerprints)
