--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -20,11 +20,8 @@
     render_head,
 )
 from ._messages import (
-    FAILED,
-    LOAD,
     NOT_RUN,
     REASON_LEAVING,
-    REASON_LINK_LOST,
     REASON_NO_CONNECTION,
     REASON_QUARANTINED,
     REASON_QUEUE_TIMEOUT,
@@ -33,6 +30,7 @@
     RESPONSE_CUT_OFF,
     RESPONSE_WINDOW_BYTES,
 )
+from ._owner_links import OwnerLinks
 from ._responses import ResponseRelay
 from ._upstream import UpstreamPool
 
@@ -43,11 +41,6 @@
 # If the upstream refuses a connection, calls whose connections were lost within this
 # time before the refusal are assumed to have been running when the upstream crashed.
 CRASH_WINDOW_S = 1.0
-# A call keeps running for this long after its link closed, since its caller may
-# attach it to a new link.
-ATTACH_WINDOW_S = 2.0
-# Results of this many finished calls are kept for callers that attach afterwards.
-MAX_FINISHED_CALLS = 8192
 # Limit for the recorded calls whose connections were lost; an upstream has fewer slots
 # than this.
 MAX_BROKEN_CALLS = 1024
@@ -55,7 +48,7 @@
 log = logger("owner")
 
 
-class Owner(ResponseRelay):
+class Owner(OwnerLinks, ResponseRelay):
     """Runs calls at one upstream.
 
     :param settings: :class:`~figpick.nodes.NodeSettings`.
@@ -130,50 +123,6 @@
             failure_percent=int(self._failures.value(now) * 100),
         )
 
-    def add_link(self, link):
-        """Starts reporting load changes on a link."""
-        self._links.add(link)
-        link.send((LOAD, self.load(), self.view.instance))
-
-    def remove_link(self, link):
-        """Removes a closed link; its caller may attach the calls to another link."""
-        self._links.discard(link)
-        detached = [
-            execution
-            for execution in self._executions.values()
-            if execution.link is link
-        ]
-        if detached:
-            loop = asyncio.get_running_loop()
-            loop.call_later(ATTACH_WINDOW_S, self._abort_unattached, detached, link)
-
-    def attach(self, link, peer, numbers):
-        """Moves calls to a new link of their caller.
-
-        The caller's earlier links must be closed first, so that no call sent on them
-        can arrive afterwards.
-
-        :param peer: name and token of the calling node.
-        :param numbers: numbers of the calls whose results it still expects.
-        """
-        for number in numbers:
-            key = (peer, number)
-            execution = self._executions.get(key)
-            if execution is None:
-                link.send(self._result(key))
-            elif execution.is_streaming:
-                self._finish(execution)
-                link.send((RESPONSE_CUT_OFF, number))
-            else:
-                execution.link = link
-
-    def _result(self, key):
-        _, number = key
-        if key not in self._finished:
-            return (NOT_RUN, number, REASON_LINK_LOST, 0, self.load(), 1.0)
-        message = self._finished[key]
-        return message or (FAILED, number, REASON_LINK_LOST, self.load())
-
     def apply_upstream_state(self):
         """Applies the state of :attr:`view` to the queue and reports the load."""
         slots = 0 if self._is_stopping else self.view.slots
@@ -372,11 +321,6 @@
         if self._queue.queued:
             self._start_ready()
 
-    def _remember_result(self, key, message):
-        self._finished[key] = message
-        if len(self._finished) > MAX_FINISHED_CALLS:
-            del self._finished[next(iter(self._finished))]
-
     def _start_ready(self):
         started, expired = self._queue.start_ready(self._clock.monotonic())
         for ticket in expired:
@@ -402,14 +346,6 @@
         for ticket in self._queue.remove_all():
             self._finish_not_run(ticket.call, reason)
 
-    def _abort_unattached(self, executions, link):
-        for execution in executions:
-            if execution.is_done or execution.link is not link:
-                continue
-            if execution.call.is_idempotent or execution.ticket.is_queued:
-                self._queue.withdraw(execution.ticket)
-                self._finish(execution)
-
     def _send_not_run(self, link, number, reason, retry_after_s, call):
         level = self._level(call, self._clock.monotonic())
         retry_after_ms = int(retry_after_s * 1000)
@@ -420,8 +356,3 @@
         # calls report the level of the queue.
         own = self._queue.level(call.rank, now) if call.is_nested else 1.0
         return round(min(own, nested_level), 3)
-
-    def _report_load(self):
-        message = (LOAD, self.load(), self.view.instance)
-        for link in list(self._links):
-            link.send(message)
--- /dev/null
+++ b/src/figpick/nodes/_owner_links.py
@@ -0,0 +1,77 @@
+"""The links of an owner to calling nodes, and the results it keeps for them."""
+
+import asyncio
+
+from ._messages import FAILED, LOAD, NOT_RUN, REASON_LINK_LOST, RESPONSE_CUT_OFF
+
+# A call keeps running for this long after its link closed, since its caller may
+# attach it to a new link.
+ATTACH_WINDOW_S = 2.0
+# Results of this many finished calls are kept for callers that attach afterwards.
+MAX_FINISHED_CALLS = 8192
+
+
+class OwnerLinks:
+    """Base class of the owner that attaches calls to the links of their callers."""
+
+    def add_link(self, link):
+        """Starts reporting load changes on a link."""
+        self._links.add(link)
+        link.send((LOAD, self.load(), self.view.instance))
+
+    def remove_link(self, link):
+        """Removes a closed link; its caller may attach the calls to another link."""
+        self._links.discard(link)
+        detached = [
+            execution
+            for execution in self._executions.values()
+            if execution.link is link
+        ]
+        if detached:
+            loop = asyncio.get_running_loop()
+            loop.call_later(ATTACH_WINDOW_S, self._abort_unattached, detached, link)
+
+    def attach(self, link, peer, numbers):
+        """Moves calls to a new link of their caller.
+
+        The caller's earlier links must be closed first, so that no call sent on them
+        can arrive afterwards.
+
+        :param peer: name and token of the calling node.
+        :param numbers: numbers of the calls whose results it still expects.
+        """
+        for number in numbers:
+            key = (peer, number)
+            execution = self._executions.get(key)
+            if execution is None:
+                link.send(self._result(key))
+            elif execution.is_streaming:
+                self._finish(execution)
+                link.send((RESPONSE_CUT_OFF, number))
+            else:
+                execution.link = link
+
+    def _result(self, key):
+        _, number = key
+        if key not in self._finished:
+            return (NOT_RUN, number, REASON_LINK_LOST, 0, self.load(), 1.0)
+        message = self._finished[key]
+        return message or (FAILED, number, REASON_LINK_LOST, self.load())
+
+    def _abort_unattached(self, executions, link):
+        for execution in executions:
+            if execution.is_done or execution.link is not link:
+                continue
+            if execution.call.is_idempotent or execution.ticket.is_queued:
+                self._queue.withdraw(execution.ticket)
+                self._finish(execution)
+
+    def _remember_result(self, key, message):
+        self._finished[key] = message
+        if len(self._finished) > MAX_FINISHED_CALLS:
+            del self._finished[next(iter(self._finished))]
+
+    def _report_load(self):
+        message = (LOAD, self.load(), self.view.instance)
+        for link in list(self._links):
+            link.send(message)
