Keep the attempts at a node that leaves or moves until its link ends

Callers saw a 502, or a second run of an idempotent request, for calls at a node that was stopping although its response was written to an open link.

Cause: the record of a node that has left reaches callers through the control processes, beside its own link. Peers.apply_record removed the peer and failed its attempts at once as 'owner-lost'. The same happened when its service or address changed.

Change: such a peer gets no new calls; its attempts wait for its link as they do for any other, and the link is closed once none is left. A node that only changes its service keeps its link.

Evidence: test_calls_at_an_owner_whose_record_changes_keep_their_responses failed before for each of the three changes ('assert 502 == 200') and passes now.

--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -173,11 +173,15 @@
         if self._task is None:
             self._task = asyncio.ensure_future(self._run())
 
-    def stop(self):
-        """Closes the link and stops reconnecting."""
+    def stop_reconnecting(self):
+        """Keeps the present link, but opens no other."""
         if self._task is not None:
             self._task.cancel()
             self._task = None
+
+    def stop(self):
+        """Closes the link and stops reconnecting."""
+        self.stop_reconnecting()
         if self._link is not None:
             self._link.close()
 
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -121,6 +121,8 @@
         self._handlers = handlers
         self._peers = {}
         self._services = {}
+        # Peers that get no new calls, while responses of earlier ones are awaited.
+        self._retired = set()
         self._local_link = None
 
     def __repr__(self):
@@ -131,7 +133,8 @@
 
     def open_links(self):
         """Returns the open links to other nodes."""
-        dialers = [peer.dialer for peer in self if peer.dialer is not None]
+        peers = (*self, *self._retired)
+        dialers = [peer.dialer for peer in peers if peer.dialer is not None]
         return [dialer.link for dialer in dialers if dialer.link is not None]
 
     def set_local_link(self, link):
@@ -150,16 +153,20 @@
     def apply_record(self, record, now):
         """Applies a newer record of a node.
 
+        A node that leaves or moves gets no new calls at its former place. Responses of
+        the earlier ones may still be on the way, so its link stays open for them.
+
         :param now: monotonic seconds.
         """
+        self.stop_retired()
         peer = self._peers.get(record.name)
         if peer is not None and (
-            peer.record.service != record.service
-            or peer.record.address != record.address
-            or record.state == LEFT
+            peer.record.address != record.address or record.state == LEFT
         ):
-            self._remove(peer)
+            self._retire(peer)
             peer = None
+        elif peer is not None and peer.record.service != record.service:
+            peer = self._change_service(peer, record)
         if peer is None:
             if record.service in self._services and record.state != LEFT:
                 peer = self._add(record)
@@ -177,13 +184,23 @@
         if peer is not None:
             self._remove(peer)
 
+    def stop_retired(self):
+        """Closes the links to nodes that have left and owe no more responses."""
+        for peer in [peer for peer in self._retired if not peer.attempts]:
+            self._retired.discard(peer)
+            self._stop(peer)
+
     def stop(self):
         """Closes all links."""
-        for peer in self._peers.values():
+        for peer in (*self, *self._retired):
             if peer.dialer is not None:
                 peer.dialer.stop()
 
     def _add(self, record):
+        for retired in self._retired:
+            if retired.name == record.name and retired.dialer is not None:
+                # Only one link to a process can be in use.
+                retired.dialer.stop_reconnecting()
         peer = self._peers[record.name] = Peer(
             record, record.data_center == self._settings.data_center
         )
@@ -211,22 +228,43 @@
 
     def receive_local(self, link, message):
         """Handles a message from the owner in the same process."""
-        peer = self._peers.get(self._settings.name)
-        if peer is not None:
-            self._receive(peer, link, message)
+        own = self._peers.get(self._settings.name)
+        for peer in (own, *self._retired):
+            if peer is not None and peer.dialer is None:
+                self._receive(peer, link, message)
 
     def _remove(self, peer):
-        del self._peers[peer.name]
+        self._withhold(peer)
+        self._stop(peer)
+        self._drop_attempts(peer)
+
+    def _withhold(self, peer):
+        """Ensures that a peer gets no new calls."""
+        self._retired.discard(peer)
+        if self._peers.get(peer.name) is peer:
+            del self._peers[peer.name]
         peers = self._services.get(peer.record.service, [])
         if peer in peers:
             peers.remove(peer)
+
+    def _retire(self, peer):
+        self._withhold(peer)
+        self._retired.add(peer)
+        self.stop_retired()
+
+    def _change_service(self, peer, record):
+        if record.service not in self._services:
+            self._retire(peer)
+            return None
+        self._withhold(peer)
+        self._peers[peer.name] = peer
+        self._services[record.service].append(peer)
+        return peer
+
+    def _stop(self, peer):
         if peer.dialer is not None:
             peer.dialer.stop()
         peer.link = None
-        attempts = list(peer.attempts.values())
-        peer.attempts = {}
-        if attempts:
-            self._handlers.on_peer_lost(peer, attempts)
 
     def _receive(self, peer, link, message):
         if message[0] == HELLO:
@@ -252,11 +290,16 @@
             # The address now belongs to another host, whose record arrives separately.
             log.info("Host {} answers in place of {}.", name, peer.name)
             link.close()
-            self._directory.remove(peer.name)
+            if peer not in self._retired:
+                self._directory.remove(peer.name)
             self._remove(peer)
             return
         if peer.token not in (None, token):
             self._drop_attempts(peer)
+            if peer in self._retired:
+                # The later start of the node has a peer of its own.
+                self.stop_retired()
+                return
         peer.token = token
         peer.link = link
         peer.reset_silence()
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -283,6 +283,7 @@
         while True:
             await asyncio.sleep(REFRESH_PERIOD_S)
             self._controls.fetch()
+            self._peers.stop_retired()
             omitted = CALL_LOG_LIMITER.pop_omitted()
             if omitted:
                 log.info("Lines left out.", extra={"counts": omitted})
