--- a/tests/test_stopping_links.py
+++ b/tests/test_stopping_links.py
@@ -1,6 +1,5 @@
 """What links still carry when a node at one of their ends stops or leaves."""
 
-
 import pytest
 
 from figpick.directory import LEFT
