--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -1,260 +1,20 @@
-"""Connections of clients, on which responses keep the order of the requests."""
+"""Accepts the connections of clients."""
 
 import asyncio
-from collections import deque
 
 from ..base._logs import logger
 from ..configuration import Limits
-from ..wire import RequestReader, render_error_response
+from ._client_connections import ClientConnection
 
-# Reading from a connection pauses above this number of open requests.
-MAX_PIPELINED_REQUESTS = 64
-# A streamed response pauses while its client has more unread bytes than this.
-WRITE_BUFFER_HIGH_BYTES = 256 * 1024
-# A client that leaves the write buffer full for this long is disconnected.
-CLIENT_READ_TIMEOUT_S = 15.0
 TIMEOUT_CHECK_PERIOD_S = 1.0
+# Above this number the longest closed connection no longer waits for its client.
+MAX_LINGERING_CONNECTIONS = 1024
+# Lines on requests that the end of a stop cuts; the last line has their number.
+MAX_CUT_LINES = 50
 
 log = logger("entry")
 
 
-class ResponseWriter:
-    """Holds one response until its turn on the connection.
-
-    :param connection: :class:`ClientConnection`.
-    :param keeps_alive: whether the client keeps the connection open afterwards.
-    :param is_head: whether the request is a HEAD request.
-    """
-
-    __slots__ = (
-        "connection",
-        "keeps_alive",
-        "call",
-        "is_head",
-        "head",
-        "pending",
-        "is_complete",
-        "is_chunked",
-    )
-
-    def __init__(self, connection, keeps_alive, is_head):
-        self.connection = connection
-        self.keeps_alive = keeps_alive
-        self.call = None
-        self.is_head = is_head
-        self.head = None
-        self.pending = []
-        self.is_complete = False
-        self.is_chunked = False
-
-    def start(self, status, head, length, body, is_last):
-        """Adds the head and the first part of the body.
-
-        :param head: status line and headers without framing.
-        :param length: length of the whole body in bytes, -1 if unknown.
-        :param body: first part of the body.
-        :param is_last: whether the body has no further parts.
-        """
-        if length < 0 and is_last:
-            length = len(body)
-        # RFC 9110: responses with these statuses have no body and no length.
-        has_body = status not in (204, 304) and not self.is_head
-        self.is_chunked = length < 0 and has_body
-        framing = b""
-        if self.is_chunked:
-            framing = b"Transfer-Encoding: chunked\r\n"
-        elif has_body:
-            framing = b"Content-Length: %d\r\n" % length
-        self.head = head + framing
-        if has_body:
-            self._add_body(body, is_last)
-        self.is_complete = is_last
-        self.connection.flush()
-
-    def write(self, body, is_last):
-        """Adds another part of the body."""
-        self._add_body(body, is_last)
-        self.is_complete = is_last
-        self.connection.flush()
-
-    def abort(self):
-        """Aborts the connection, so that the response does not look complete."""
-        self.connection.abort_response(self)
-
-    def _add_body(self, body, is_last):
-        if not self.is_chunked:
-            if body:
-                self.pending.append(body)
-            return
-        if body:
-            self.pending.append(b"%x\r\n%b\r\n" % (len(body), body))
-        if is_last:
-            self.pending.append(b"0\r\n\r\n")
-
-
-class ClientConnection(asyncio.Protocol):
-    """One connection of a client.
-
-    :param entry: :class:`EntryServer` that accepted it.
-    """
-
-    def __init__(self, entry):
-        self._entry = entry
-        self._transport = None
-        self._responses = deque()
-        self._reader = RequestReader(
-            self._on_request, entry.max_header_bytes, entry.max_body_bytes
-        )
-        self._is_closing = False
-        self._is_reading_paused = False
-        self._is_writing_paused = False
-        self.writing_paused_at = None
-        self.idle_since = 0.0
-
-    def connection_made(self, transport):
-        self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
-        self.idle_since = self._entry.now()
-        self._entry.connections.add(self)
-
-    def data_received(self, data):
-        if not self._is_closing:
-            self._reader.feed(data, self._entry.now())
-            if (
-                len(self._responses) > MAX_PIPELINED_REQUESTS
-                and not self._is_reading_paused
-            ):
-                self._is_reading_paused = True
-                self._transport.pause_reading()
-
-    def pause_writing(self):
-        self._is_writing_paused = True
-        self.writing_paused_at = self._entry.now()
-
-    def resume_writing(self):
-        self._is_writing_paused = False
-        self.writing_paused_at = None
-        self.flush()
-
-    def connection_lost(self, error):
-        self._is_closing = True
-        self._entry.connections.discard(self)
-        for response in self._responses:
-            if response.call is not None:
-                self._entry.forwarder.abandon(response.call)
-        self._responses.clear()
-
-    @property
-    def is_idle(self):
-        """Whether no request is being received or waiting for its response."""
-        return not self._responses and not self._reader.has_partial_request
-
-    def closes_after(self, response):
-        """Returns whether the connection closes after a response.
-
-        While the node stops, only the last pending response closes the connection:
-        requests after a response that closes it would be lost, although they may run.
-        """
-        is_last = (
-            response is self._responses[-1] and not self._reader.has_partial_request
-        )
-        return not response.keeps_alive or (self._entry.is_stopping and is_last)
-
-    def abort_response(self, response):
-        """Aborts the connection in the middle of a response."""
-        if response in self._responses:
-            self.flush()
-            self.abort()
-
-    @property
-    def is_closing(self):
-        """Whether no further requests are accepted."""
-        return self._is_closing
-
-    def close_gracefully(self):
-        """Closes the connection after the written data has been sent."""
-        self._is_closing = True
-        self._transport.close()
-
-    def abort(self):
-        """Closes the connection immediately."""
-        self._is_closing = True
-        self._transport.abort()
-
-    def flush(self):
-        """Writes the available response data, in the order of the requests."""
-        responses = self._responses
-        while (
-            responses
-            and not self._is_writing_paused
-            and not self._transport.is_closing()
-        ):
-            response = responses[0]
-            if response.head is not None:
-                response.keeps_alive = not self.closes_after(response)
-                closing = b"" if response.keeps_alive else b"Connection: close\r\n"
-                response.pending.insert(0, response.head + closing + b"\r\n")
-                response.head = None
-            if response.pending:
-                data = b"".join(response.pending)
-                response.pending = []
-                self._transport.write(data)
-                if response.call is not None and not response.is_complete:
-                    self._entry.forwarder.grant_credit(response.call, len(data))
-            if not response.is_complete:
-                return
-            responses.popleft()
-            if not response.keeps_alive:
-                self._close_after_response()
-                return
-        if not responses:
-            self.idle_since = self._entry.now()
-        if self._is_reading_paused and len(responses) < MAX_PIPELINED_REQUESTS // 2:
-            self._is_reading_paused = False
-            self._transport.resume_reading()
-
-    def enforce_timeouts(self, now, limits):
-        """Aborts the connection if its client is idle or slow for too long.
-
-        :param now: monotonic seconds.
-        :param limits: :class:`~figpick.configuration.Limits`.
-        """
-        if self.writing_paused_at is not None:
-            if now - self.writing_paused_at > CLIENT_READ_TIMEOUT_S:
-                self.abort()
-            return
-        if self.is_idle:
-            if now - self.idle_since > limits.idle_timeout_s:
-                self.abort()
-            return
-        started_at = self._reader.started_at
-        if started_at is not None and now - started_at > limits.header_timeout_s:
-            self.abort()
-
-    def _on_request(self, request):
-        if self._is_closing:
-            return
-        is_head = request.method == b"HEAD"
-        response = ResponseWriter(self, request.keeps_alive, is_head)
-        self._responses.append(response)
-        if request.error_status is not None:
-            head, body = render_error_response(
-                request.error_status, "the request is malformed"
-            )
-            response.start(request.error_status, head, len(body), body, True)
-            return
-        response.call = self._entry.forwarder.handle_request(request, response)
-
-    def _close_after_response(self):
-        # Requests after a response that closes the connection count as not read.
-        self._is_closing = True
-        for response in self._responses:
-            if response.call is not None:
-                self._entry.forwarder.abandon(response.call)
-        self._responses.clear()
-        self._transport.close()
-
-
 class EntryServer:
     """Accepts the connections of clients and of the upstream on this host.
 
@@ -267,15 +27,37 @@
         self._clock = clock
         self._server = None
         self.connections = set()
+        # A dict keeps the order in which they closed.
+        self._lingering = {}
         self.is_stopping = False
+        self.is_refusing = False
+        self.is_closed = False
 
     def __repr__(self):
         return f"<EntryServer {len(self.connections)} connections>"
 
+    @property
+    def counters(self):
+        """:class:`~figpick.nodes._counters.CallCounters` of the node."""
+        return self.forwarder.counters
+
     def now(self):
         """Returns the monotonic time in seconds."""
         return self._clock.monotonic()
 
+    def add_lingering(self, connection):
+        """Bounds the number of closed connections that wait for their clients."""
+        self._lingering[connection] = None
+        if len(self._lingering) > MAX_LINGERING_CONNECTIONS:
+            oldest = next(iter(self._lingering))
+            del self._lingering[oldest]
+            oldest.end_lingering()
+
+    def forget(self, connection):
+        """Removes a closed connection."""
+        self.connections.discard(connection)
+        self._lingering.pop(connection, None)
+
     def max_header_bytes(self):
         """Returns the limit for the head of a request, in bytes."""
         return self._limits().header_bytes
@@ -307,10 +89,24 @@
         """Stops keeping connections open after their last pending response."""
         self.is_stopping = True
 
+    def stop_reading(self):
+        """Stops listening and refuses all requests that are not yet read in full.
+
+        Each is answered at once with a status that says that it was not run, and its
+        connection is closed. Idle connections are closed without reading further
+        requests. May be called again for connections that have become idle since.
+        """
+        self.is_stopping = self.is_refusing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.stop_reading()
+
     @property
     def is_drained(self):
-        """Whether no open connection can carry a new or a pending request."""
-        return all(connection.is_closing for connection in self.connections)
+        """Whether no connection has an open request or an undelivered response."""
+        now = self.now()
+        return all(connection.is_drained(now) for connection in self.connections)
 
     def close_idle(self):
         """Stops listening and closes the connections without a request."""
@@ -321,13 +117,37 @@
                 connection.close_gracefully()
 
     def close(self):
-        """Stops listening and aborts all connections that are not closing."""
+        """Stops listening and ends all connections.
+
+        Requests without a whole response are logged.
+        """
         if self._server is not None:
             self._server.close()
+        self.is_closed = True
+        self._log_cut_requests()
         for connection in list(self.connections):
-            # Closing connections may still have bytes of a response to write.
-            if not connection.is_closing:
-                connection.abort()
+            connection.close()
+
+    def _log_cut_requests(self):
+        now = self.now()
+        cut = [
+            {
+                **request,
+                "unsent_bytes": connection.unsent_bytes,
+                "unacknowledged_bytes": connection.unacknowledged_bytes,
+            }
+            for connection in self.connections
+            for request in connection.open_requests(now)
+        ]
+        if not cut:
+            return
+        for request in cut[:MAX_CUT_LINES]:
+            log.warning("Request cut.", extra=request)
+        log.warning(
+            "Requests cut, since the node stops.",
+            extra={"requests": len(cut), "connections": len(self.connections)},
+        )
+        self.counters.count_connection_event("cut-at-stop", len(cut))
 
     def _limits(self):
         configuration = self.forwarder.configuration
