--- a/bench/soak_answers.py
+++ b/bench/soak_answers.py
@@ -4,23 +4,27 @@
 from typing import NamedTuple
 
 from bench.soak_checks import NOT_RUN_STATUSES
-from bench.soak_clients import DEADLINE_MS
+from bench.soak_clients import DEADLINE_MS, GIVE_UP_S
 from bench.soak_cluster import GRACE_S
 
 # Faults count as a cause of failures for this time after their end.
 STABLE_S = 3.0
+# A change is in force everywhere this time after its acknowledgement.
+APPLY_S = 2.0
 # A request that waited longer than this for its response counts as read by the node.
 LOSS_SLACK_S = 0.2
 ROUTE_TIMEOUT_S = 3.0
 # Clients see the end of a connection a little after the process has ended.
 EXIT_SLACK_S = 0.3
-# Responses that are given up for a time limit arrive at the client about that late.
+# Responses that are given up for a time limit may be sent that much earlier.
 TIME_SLACK_S = 0.1
 # Requests sent no later than this after SIGTERM, which an upstream still runs in the
 # last sixth of the grace time, may be ended by the node.
 LATE_WORK_SENT_S = 3.0
-APPLY_S = 2.0
 MAX_CUT_WITHOUT_STOP = 3
+PLANNED = ("SIGTERM", "SIGHUP")
+# Times in which nodes may use an older configuration, though no request may be lost.
+RESTARTS = ("start", "outage")
 
 
 class Run(NamedTuple):
@@ -39,13 +43,13 @@
 
 
 class Window(NamedTuple):
-    """Time of a planned stop, of a reload or of a fault, in Unix seconds.
+    """Time of a stop, reload, restart or fault, in Unix seconds.
 
-    :param node: number of the process.
-    :param kind: signal or fault.
+    :param node: number of the process, ``None`` for all nodes.
+    :param kind: one of :data:`PLANNED` or :data:`RESTARTS`, or a fault.
     """
 
-    node: int
+    node: int | None
     kind: str
     started_at: float
     ended_at: float
@@ -59,231 +63,194 @@
 
     def __init__(self, hosts):
         self._hosts = hosts
-        self._requests = {}
+        self._requests = []
         self._runs = defaultdict(list)
         self._starts = defaultdict(list)
-        self._plans = []
-        self._faults = []
-        self._restarts = []
-        self._outages = []
+        self._windows = []
         self._violations = []
 
-    def record_request(self, record):
+    def record_request(self, request):
         """Records a request that is being sent."""
-        self._requests[record.request_id] = record
+        self._requests.append(request)
 
     def record_run_start(self, request_id, node, at):
         """Records that an upstream began to execute a request."""
-        self._starts[request_id].append((node, at))
+        self._starts[request_id].append((node, round(at, 3)))
 
     def record_run(self, request_id, run):
         """Records a complete execution."""
         self._runs[request_id].append(run)
 
-    def record_plan(self, node, kind, started_at, ended_at):
-        """Records a planned stop or reload of a node."""
-        self._plans.append(Window(node, kind, started_at, ended_at))
-
-    def record_fault(self, node, kind, started_at, ended_at):
-        """Records an unplanned fault at the host of a node."""
-        self._faults.append(Window(node, kind, started_at, ended_at))
+    def record_window(self, node, kind, started_at, ended_at):
+        """Records a :class:`Window`."""
+        self._windows.append(Window(node, kind, started_at, ended_at))
 
-    def record_restart(self, node, ended_at, started_at):
-        """Records that a process was started again after its planned end."""
-        self._restarts.append(Window(node, "start", ended_at, started_at))
+    def record(self, rule, text, **fields):
+        """Records a violation."""
+        self._violations.append({"rule": rule, "text": text, **fields})
 
-    def record_outage(self, started_at, ended_at):
-        """Records that most control processes were down or slowed."""
-        self._outages.append(Window(None, "outage", started_at, ended_at))
+    def service_of(self, request_id):
+        """Returns the service that completed a request, empty if none."""
+        runs = self._runs[request_id]
+        return runs[-1].service if runs else ""
 
-    def record_outlived_grace(self, name, at, after_s):
-        """Records that a process did not exit within its grace time."""
-        fields = {"process": name, "signalled": at, "after_s": round(after_s, 2)}
-        self._add("GRACE", "process outlived its grace time", fields)
+    def has_fault(self, nodes, since, until):
+        """Returns whether a fault at any of these hosts overlaps a time."""
+        kinds = (*PLANNED, *RESTARTS)
+        return any(
+            window.node in nodes and window.kind not in kinds
+            for window in self._overlapping(since, until)
+        )
 
-    def record_unasked_response(self, address, status_line):
-        """Records a response on a connection without an outstanding request."""
-        fields = {"address": address, "status_line": status_line}
-        self._add("MIXED", "response without a request", fields)
+    def is_disturbed(self, node, since, until):
+        """Returns whether a stop, start, reload or fault of a node overlaps a time."""
+        return any(
+            window.node in (node, None) for window in self._overlapping(since, until)
+        )
 
-    def record_malformed_response(self, records, error):
-        """Records bytes that are no response."""
-        ids = [item.request_id for item in records]
-        self._add("MIXED", "malformed response", {"ids": ids, "error": error})
+    def summary(self):
+        """Returns the figures of the run."""
+        outcomes = Counter(
+            str(request.status) if request.outcome == "answered" else request.outcome
+            for request in self._requests
+        )
+        windows = Counter(window.kind for window in self._windows)
+        return {
+            "outcomes": dict(sorted(outcomes.items())),
+            "windows": dict(sorted(windows.items())),
+        }
 
     def list_violations(self):
         """Returns a dict of fields for each violation."""
         violations = list(self._violations)
         cut_without_stop = []
-        for record in self._requests.values():
-            violations += self._check_response(record)
-            violations += self._check_runs(record)
-            found, is_planned = self._check_loss(record)
-            if found and is_planned:
-                violations.append(found)
-            elif found:
-                cut_without_stop.append(found)
+        for request in self._requests:
+            if text := self._response_violation(request):
+                violations.append(self._describe("MIXED", request, text))
+            if text := self._run_violation(request):
+                violations.append(self._describe("ONCE", request, text))
+            text = self._loss(request)
+            if not text or self._is_exempt(request):
+                continue
+            plan = self._plan(request)
+            if plan is not None:
+                violations.append(self._describe("LOST", request, text, plan))
+            elif request.outcome == "cut" and self._starts[request.request_id]:
+                cut_without_stop.append(self._describe("LOST", request, text))
         if len(cut_without_stop) > MAX_CUT_WITHOUT_STOP:
             violations += cut_without_stop
         return violations
 
-    def summary(self):
-        """Returns the figures of the run."""
-        records = self._requests.values()
-        outcomes = Counter(
-            str(record.status) if record.outcome == "answered" else record.outcome
-            for record in records
+    def _overlapping(self, since, until):
+        return (
+            window
+            for window in self._windows
+            if window.started_at <= until and window.ended_at >= since
         )
-        return {
-            "outcomes": dict(sorted(outcomes.items())),
-            "stops": sum(plan.kind == "SIGTERM" for plan in self._plans),
-            "reloads": sum(plan.kind == "SIGHUP" for plan in self._plans),
-            "faults": len(self._faults),
-        }
 
-    def _add(self, rule, text, fields):
-        self._violations.append({"rule": rule, "text": text, **fields})
+    def _response_violation(self, request):
+        if request.outcome == "given up":
+            since = request.sent_at - STABLE_S
+            has_waited = request.age_s >= GIVE_UP_S - TIME_SLACK_S
+            if has_waited and not self._is_any_disturbed(request, since):
+                return "no response long after the time limit"
+        if request.outcome != "answered":
+            return None
+        if request.answered_id not in (None, request.request_id):
+            return "another request's response"
+        if request.status == 200 and not (
+            request.has_stamp and request.is_body_correct
+        ):
+            return "not the body of the upstream"
+        is_own_refusal = 300 <= request.status < 500 and not request.has_stamp
+        # The other routes come and go.
+        is_permanent = request.path.startswith(("/front/", "/deep/"))
+        if is_own_refusal and is_permanent and request.status not in NOT_RUN_STATUSES:
+            return "refused, but allowed"
+        return None
 
-    def _check_response(self, record):
-        if record.outcome != "answered":
-            return []
-        is_own_refusal = 300 <= record.status < 500 and not record.has_stamp
-        if is_own_refusal and record.status not in NOT_RUN_STATUSES:
-            if record.path.startswith(("/front/", "/deep/")):
-                return [self._describe("DENIED", record, "refused, but allowed")]
-        if record.answered_id not in (None, record.request_id):
-            return [self._describe("MIXED", record, "another request's response")]
-        if record.status == 200 and not (record.has_stamp and record.is_body_correct):
-            return [self._describe("MIXED", record, "not the body of the upstream")]
-        return []
-
-    def _check_runs(self, record):
-        if not record.is_non_idempotent:
-            return []
-        count = len(self._starts[record.request_id])
-        found = []
+    def _run_violation(self, request):
+        count = len(self._starts[request.request_id])
+        if not request.is_non_idempotent or not count:
+            return None
         if count > 1:
-            found.append(self._describe("TWICE", record, f"ran {count} times"))
-        if count and record.outcome == "answered":
-            if record.status in NOT_RUN_STATUSES:
-                found.append(self._describe("REFUSED", record, "refused, but ran"))
-        return found
-
-    def _check_loss(self, record):
-        """Returns the violation of a request without its response, and if planned."""
-        starts = self._starts[record.request_id]
-        if record.outcome == "answered":
-            if record.status < 500 or record.has_stamp or not starts:
-                return None, False
-            text = f"{record.status} in place of the response of an upstream"
-        elif record.outcome == "cut":
-            age_s = record.ended_at - record.sent_at
-            if not starts and (record.is_behind or age_s <= LOSS_SLACK_S):
-                return None, False
-            text = "connection ended without a whole response"
-        else:
-            return None, False
-        plan = self._plan(record)
-        if self._has_time_expired(record) or self._has_late_work(record, plan):
-            return None, False
-        if self._is_disturbed(record):
-            return None, False
-        if plan is None and (record.outcome == "answered" or not starts):
-            return None, False
-        return self._describe("LOST", record, text, plan), plan is not None
-
-    def _plan(self, record):
-        """Returns the stop or reload around which a request ended, if any."""
-        # A stop is the likelier cause than a reload.
-        for plan in sorted(self._plans, key=lambda plan: plan.kind, reverse=True):
-            if plan.node != record.node:
-                continue
-            if plan.kind == "SIGHUP" and record.sent_at > plan.ended_at:
-                continue
-            slack_s = EXIT_SLACK_S if plan.kind == "SIGTERM" else GRACE_S
-            if plan.started_at <= record.ended_at <= plan.ended_at + slack_s:
-                return plan
+            return f"ran {count} times"
+        is_refused = request.status in NOT_RUN_STATUSES
+        return "refused, but ran" if is_refused else None
+
+    def _loss(self, request):
+        """Returns how a request was left without the response of its upstream."""
+        starts = self._starts[request.request_id]
+        if request.outcome == "answered":
+            if starts and request.status >= 500 and not request.has_stamp:
+                return f"{request.status} in place of the response of an upstream"
+            return None
+        was_read = not request.is_behind and request.age_s > LOSS_SLACK_S
+        if request.outcome == "cut" and (starts or was_read):
+            return "connection ended without a whole response"
         return None
 
-    def _has_time_expired(self, record):
+    def _is_exempt(self, request):
         limit_s = min(DEADLINE_MS / 1000, ROUTE_TIMEOUT_S) - TIME_SLACK_S
-        return record.ended_at - record.sent_at >= limit_s
+        if request.age_s >= limit_s or self._has_late_work(request):
+            return True
+        starts = self._starts[request.request_id]
+        nodes = {request.node, *(node for node, _ in starts)}
+        if not starts:
+            nodes |= set(self._hosts(request.path.split("/")[1]))
+        return self.has_fault(nodes, request.sent_at - STABLE_S, request.ended_at)
 
-    def _has_late_work(self, record, plan):
+    def _has_late_work(self, request):
+        plan = self._plan(request)
         if plan is None or plan.kind != "SIGTERM":
             return False
-        if record.sent_at > plan.started_at + LATE_WORK_SENT_S:
-            return False
         late_at = plan.started_at + GRACE_S * 5 / 6
-        runs = self._runs[record.request_id]
-        is_running = len(runs) < len(self._starts[record.request_id])
-        return record.ended_at >= late_at and (
-            is_running or any(run.ended_at >= late_at for run in runs)
-        )
-
-    def _is_disturbed(self, record):
-        starts = self._starts[record.request_id]
-        nodes = {record.node, *(node for node, _ in starts)}
-        if not starts:
-            nodes |= set(self._hosts(record.path.split("/")[1]))
-        return self.has_fault(nodes, record.sent_at - STABLE_S, record.ended_at)
-
-    def has_fault(self, nodes, since, until):
-        """Returns whether a fault at any of these hosts overlaps a time."""
-        return any(
-            fault.node in nodes
-            and fault.started_at <= until
-            and fault.ended_at >= since
-            for fault in self._faults
-        )
-
-    def is_disturbed(self, node, since, until):
-        """Returns whether a stop, start, reload or fault of a node overlaps a time.
-
-        Without a quorum, nodes count as disturbed, too.
-        """
-        return any(
-            window.node in (node, None)
-            and window.started_at <= until
-            and window.ended_at >= since
-            for window in (
-                *self._faults,
-                *self._plans,
-                *self._restarts,
-                *self._outages,
-            )
-        )
+        runs = self._runs[request.request_id]
+        is_running = len(runs) < len(self._starts[request.request_id])
+        is_late = is_running or any(run.ended_at >= late_at for run in runs)
+        is_early = request.sent_at <= plan.started_at + LATE_WORK_SENT_S
+        return is_early and is_late and request.ended_at >= late_at
+
+    def _plan(self, request):
+        """Returns the stop or reload around which a request ended, stops first."""
+        for kind in PLANNED:
+            for window in self._windows:
+                if window.node != request.node or window.kind != kind:
+                    continue
+                if kind == "SIGHUP" and request.sent_at > window.ended_at:
+                    continue
+                slack_s = EXIT_SLACK_S if kind == "SIGTERM" else GRACE_S
+                if window.started_at <= request.ended_at <= window.ended_at + slack_s:
+                    return window
+        return None
 
-    def service_of(self, request_id):
-        """Returns the service that completed a request, empty if none."""
-        runs = self._runs[request_id]
-        return runs[-1].service if runs else ""
+    def _is_any_disturbed(self, request, since):
+        nodes = [request.node, *self._hosts(request.path.split("/")[1])]
+        return any(self.is_disturbed(n, since, request.ended_at) for n in nodes)
 
-    def _describe(self, rule, record, text, plan=None):
+    def _describe(self, rule, request, text, plan=None):
         fields = {
             "rule": rule,
             "text": text,
-            "id": record.request_id,
-            "node": record.node,
-            "style": record.style,
-            "request": f"{record.method} {record.path}",
-            "sent": round(record.sent_at, 3),
-            "ended": round(record.ended_at, 3),
-            "outcome": record.outcome,
-            "status": record.status,
-            "received": record.received_bytes,
-            "behind": record.is_behind,
-            "starts": [
-                (node, round(at, 3)) for node, at in self._starts[record.request_id]
-            ],
-            "runs": self._runs[record.request_id],
+            "id": request.request_id,
+            "node": request.node,
+            "style": request.style,
+            "request": f"{request.method} {request.path}",
+            "sent": round(request.sent_at, 3),
+            "ended": round(request.ended_at, 3),
+            "outcome": request.outcome,
+            "status": request.status,
+            "received": request.received_bytes,
+            "behind": request.is_behind,
+            "starts": self._starts[request.request_id],
+            "runs": self._runs[request.request_id],
         }
         if plan is not None:
             fields |= {
                 "signal": plan.kind,
                 "signalled": round(plan.started_at, 3),
-                "sent_after_s": round(record.sent_at - plan.started_at, 3),
-                "ended_after_s": round(record.ended_at - plan.started_at, 3),
+                "sent_after_s": round(request.sent_at - plan.started_at, 3),
+                "ended_after_s": round(request.ended_at - plan.started_at, 3),
                 "exit_after_s": round(plan.ended_at - plan.started_at, 3),
             }
         return fields
--- a/bench/soak_changes.py
+++ b/bench/soak_changes.py
@@ -3,8 +3,8 @@
 import json
 from typing import NamedTuple
 
-APPLY_S = 2.0
-STABLE_S = 3.0
+from bench.soak_answers import APPLY_S, STABLE_S
+
 CLEAR_REFUSALS = (400, 409, 412, 413, 422)
 
 
@@ -33,7 +33,7 @@
     """One sending of a change and its response; times are in Unix seconds.
 
     :param process: number of the control process.
-    :param status: HTTP status, 0 when the response was lost or unclear.
+    :param status: HTTP status, 0 when the response was lost.
     """
 
     change: Change
@@ -44,37 +44,21 @@
     text: str
 
 
-class Probe(NamedTuple):
-    """Request that shows which configuration is in force at a node.
-
-    :param change: number of the change that added the route, ``None`` for the route
-        that changes move.
-    :param service: service that ran the request, empty if none.
-    """
-
-    request_id: str
-    node: int
-    change: int | None
-    sent_at: float
-    ended_at: float
-    status: int
-    service: str
-
-
 class ChangeChecker:
     """Records orders, reads and probes, and lists violations.
 
     :param is_disturbed: function of a node and two times that returns whether the node
         was disturbed between them.
+    :param service_of: function of a request ID that returns the service that ran it.
     """
 
-    def __init__(self, is_disturbed):
+    def __init__(self, is_disturbed, service_of):
         self._is_disturbed = is_disturbed
+        self._service_of = service_of
         self._changes = {}
         self._orders = []
         self._reads = []
         self._probes = []
-        self._final_reads = []
 
     def record_change(self, change):
         """Records a change before it is sent first."""
@@ -86,159 +70,144 @@
 
     def record_read(self, process, sent_at, ended_at, body, is_final=False):
         """Records a successful read of the configuration."""
-        reads = self._final_reads if is_final else self._reads
-        reads.append((process, sent_at, ended_at, json.loads(body)))
+        self._reads.append((sent_at, ended_at, process, json.loads(body), is_final))
 
-    def record_probe(self, probe):
-        """Records a request to an added or moved route."""
-        self._probes.append(probe)
+    def record_probe(self, change_number, request):
+        """Records a request that shows which configuration is in force at a node.
+
+        :param change_number: number of the change that added the route, ``None`` for
+            the route that changes move.
+        """
+        self._probes.append((change_number, request))
 
     def summary(self):
         """Returns the figures of the run."""
         statuses = [order.status for order in self._orders]
+        orders = {str(each): statuses.count(each) for each in sorted(set(statuses))}
         return {
             "changes": len(self._changes),
-            "orders": {
-                str(status): statuses.count(status) for status in sorted(set(statuses))
-            },
-            "reads": len(self._reads) + len(self._final_reads),
+            "orders": orders,
+            "reads": len(self._reads),
             "probes": len(self._probes),
         }
 
     def list_violations(self):
         """Returns a dict of fields for each violation."""
-        accepted_at = self._accepted_times()
-        refusals = self._refusals()
+        accepted_at = {}
+        refusals = {}
+        for order in sorted(self._orders, key=lambda order: order.ended_at):
+            if order.status == 200:
+                accepted_at.setdefault(order.change.number, order.ended_at)
+            elif order.status in CLEAR_REFUSALS:
+                refusals.setdefault(order.change.number, order)
         return [
-            *self._check_refusals(accepted_at, refusals),
-            *self._check_races(accepted_at),
+            *self._check_refusals(accepted_at),
+            *self._check_acceptances(accepted_at),
             *self._check_reads(accepted_at, refusals),
             *self._check_probes(accepted_at, refusals),
         ]
 
-    def _accepted_times(self):
-        """Returns the time of the first acknowledgement of each change."""
-        times = {}
-        for order in self._orders:
-            if order.status == 200:
-                number = order.change.number
-                times[number] = min(times.get(number, order.ended_at), order.ended_at)
-        return times
-
-    def _refusals(self):
-        refusals = {}
-        for order in self._orders:
-            if order.status in CLEAR_REFUSALS:
-                refusals.setdefault(order.change.number, order)
-        return refusals
-
-    def _check_refusals(self, accepted_at, refusals):
-        found = []
+    def _check_refusals(self, accepted_at):
         for order in self._orders:
             number = order.change.number
-            if order.status in CLEAR_REFUSALS and number in accepted_at:
-                later = [
-                    other
-                    for other in self._changes.values()
-                    if other.number != number
-                    and other.version >= order.change.version
-                    and other.number not in refusals
-                    and other.created_at < order.ended_at
-                ]
-                text = "acknowledged change refused when sent again"
-                if later:
-                    text += ", after other changes"
-                found.append(self._describe_order(text, order, accepted_at))
-        for number in accepted_at:
-            if not self._changes[number].is_valid:
-                found.append(self._describe("invalid change acknowledged", number))
-        return found
-
-    def _check_races(self, accepted_at):
-        found = []
+            if order.status not in CLEAR_REFUSALS or number not in accepted_at:
+                continue
+            has_later = any(
+                self._changes[other].version > order.change.version
+                and at < order.ended_at
+                for other, at in accepted_at.items()
+            )
+            text = "acknowledged change refused when sent again"
+            yield _violation(
+                text + ", after other changes" if has_later else text,
+                order.change,
+                process=order.process,
+                sent=round(order.sent_at, 3),
+                ended=round(order.ended_at, 3),
+                acknowledged=round(accepted_at[number], 3),
+                status=order.status,
+                response=order.text,
+            )
+
+    def _check_acceptances(self, accepted_at):
         by_base = {}
         for number in accepted_at:
-            base = self._changes[number].base
-            if base in by_base:
-                text = f"two changes on base {base} acknowledged, also {by_base[base]}"
-                found.append(self._describe(text, number))
-            by_base[base] = number
-        return found
+            change = self._changes[number]
+            if not change.is_valid:
+                yield _violation("invalid change acknowledged", change)
+            if change.base in by_base:
+                text = "two changes on one base acknowledged"
+                yield _violation(text, change, other=by_base[change.base])
+            by_base[change.base] = number
 
     def _check_reads(self, accepted_at, refusals):
-        found = []
         by_body = {
-            json.dumps(json.loads(change.body), sort_keys=True): change
+            _canonical(json.loads(change.body)): change
             for change in self._changes.values()
-            if change.is_valid
         }
         read_at = {}
-        for read in sorted(self._reads + self._final_reads, key=lambda item: item[1]):
-            process, sent_at, ended_at, document = read
+        for sent_at, ended_at, process, document, is_final in sorted(
+            self._reads, key=lambda read: read[:3]
+        ):
             fields = {
                 "process": process,
                 "sent": round(sent_at, 3),
                 "ended": round(ended_at, 3),
                 "read": document.get("version"),
             }
-            change = by_body.get(json.dumps(document, sort_keys=True))
+            change = by_body.get(_canonical(document))
             if change is None:
-                found.append(_violation("read a configuration nobody sent", fields))
+                yield _violation("read a configuration that nobody sent", **fields)
                 continue
-            fields["change"] = change.number
-            if change.number in refusals:
-                refusal = refusals[change.number]
+            if not change.is_valid:
+                yield _violation("read an invalid change", change, **fields)
+            if refusal := refusals.get(change.number):
                 fields["refused"] = round(refusal.ended_at, 3)
                 fields["refused_by"] = refusal.process
-                found.append(_violation("read a refused change", fields))
-            apply_s = 0.0 if read in self._final_reads else APPLY_S
-            newest = self._newest(accepted_at, sent_at - apply_s)
-            newest_read = self._newest(read_at, sent_at - apply_s)
-            expected = max(newest, newest_read, key=lambda item: item[0])
-            if change.version < expected[0]:
-                fields["expected"], fields["acknowledged"] = expected
-                found.append(_violation("read an older version", fields))
+                yield _violation("read a refused change", change, **fields)
+            until = sent_at if is_final else sent_at - APPLY_S
+            known = self._newest(accepted_at, until), self._newest(read_at, until)
+            newest = max(filter(None, known), default=change, key=lambda c: c.version)
+            if newest.number not in self._ancestry(change.number):
+                fields["newest"] = newest.number
+                yield _violation("read an older or another version", change, **fields)
             read_at.setdefault(change.number, ended_at)
-        return found
 
     def _newest(self, times, until):
-        """Returns the newest version known at a time, and since when."""
-        known = [
-            (self._changes[number].version, at)
-            for number, at in times.items()
-            if at <= until
-        ]
-        return max(known, default=(0, 0.0))
+        """Returns the newest of the changes that were known at a time, or ``None``."""
+        known = [self._changes[number] for number, at in times.items() if at <= until]
+        return max(known, key=lambda change: change.version, default=None)
 
     def _check_probes(self, accepted_at, refusals):
-        found = []
-        for probe in self._probes:
-            allowed = self._possible_changes(probe, accepted_at, refusals)
-            if not allowed or probe.status not in (200, 404):
+        for number, request in self._probes:
+            if request.outcome != "answered" or request.status not in (200, 404):
                 continue
-            if probe.change is None:
-                is_right = probe.status == 200 and any(
-                    change.moved_to == probe.service for change in allowed
-                )
+            allowed = self._possible_changes(request, accepted_at, refusals)
+            has_run = request.status == 200
+            service = self._service_of(request.request_id)
+            if number is None:
+                is_right = has_run and any(c.moved_to == service for c in allowed)
             else:
-                is_right = any(
-                    (probe.change in change.added) == (probe.status == 200)
-                    for change in allowed
-                )
-            if not is_right:
-                fields = probe._asdict()
-                fields["allowed"] = [
-                    (change.number, change.version) for change in allowed
-                ][:8]
-                fields["acknowledged"] = accepted_at.get(probe.change)
-                if refusal := refusals.get(probe.change):
-                    fields["refused"] = refusal.ended_at
-                text = "handled as only another version allows"
-                found.append(_violation(text, fields))
-        return found
-
-    def _possible_changes(self, probe, accepted_at, refusals):
-        """Returns the changes that may be in force at a node when a probe is handled.
+                is_right = any((number in c.added) == has_run for c in allowed)
+            if is_right:
+                continue
+            yield _violation(
+                "handled as only another version allows",
+                self._changes.get(number),
+                id=request.request_id,
+                node=request.node,
+                request=request.path,
+                sent=round(request.sent_at, 3),
+                ended=round(request.ended_at, 3),
+                status=request.status,
+                service=service,
+                acknowledged=accepted_at.get(number),
+                refused=refusals[number].ended_at if number in refusals else None,
+                allowed=[(c.number, c.version) for c in allowed][:8],
+            )
+
+    def _possible_changes(self, request, accepted_at, refusals):
+        """Returns the changes that may be in force when a node handles a request.
 
         A node that was disturbed may still use an older one.
         """
@@ -246,22 +215,14 @@
             change
             for change in self._changes.values()
             if change.is_valid
-            and change.created_at < probe.ended_at
+            and change.created_at < request.ended_at
             and change.number not in refusals
         ]
-        if self._is_disturbed(probe.node, probe.sent_at - STABLE_S, probe.ended_at):
-            return candidates
-        version, _ = self._newest(accepted_at, probe.sent_at - APPLY_S)
-        settled = [
-            number for number in accepted_at if self._changes[number].version == version
-        ]
-        if not settled:
+        since = request.sent_at - STABLE_S
+        settled = self._newest(accepted_at, request.sent_at - APPLY_S)
+        if settled is None or self._is_disturbed(request.node, since, request.ended_at):
             return candidates
-        return [
-            change
-            for change in candidates
-            if settled[0] in self._ancestry(change.number)
-        ]
+        return [c for c in candidates if settled.number in self._ancestry(c.number)]
 
     def _ancestry(self, number):
         numbers = set()
@@ -270,27 +231,17 @@
             number = self._changes[number].parent
         return numbers
 
-    def _describe_order(self, text, order, accepted_at):
-        fields = self._describe(text, order.change.number)
-        return fields | {
-            "process": order.process,
-            "sent": round(order.sent_at, 3),
-            "ended": round(order.ended_at, 3),
-            "status": order.status,
-            "acknowledged": round(accepted_at[order.change.number], 3),
-            "response": order.text,
-        }
 
-    def _describe(self, text, number):
-        change = self._changes[number]
-        fields = {
-            "change": number,
+def _canonical(document):
+    return json.dumps(document, sort_keys=True)
+
+
+def _violation(text, change=None, **fields):
+    described = {"rule": "CONFIG", "text": text}
+    if change is not None:
+        described |= {
+            "change": change.number,
             "version": change.version,
             "base": change.base,
-            "parent": change.parent,
         }
-        return _violation(text, fields)
-
-
-def _violation(text, fields):
-    return {"rule": "CONFIG", "text": text, **fields}
+    return described | fields
--- a/bench/soak_clients.py
+++ b/bench/soak_clients.py
@@ -5,14 +5,17 @@
 """
 
 import asyncio
+import contextlib
 import random
 import socket
 import time
 from collections import deque
+from dataclasses import dataclass, field
 
 DEADLINE_MS = 4000
 # A request without a response is given up after its deadline and a margin.
 GIVE_UP_S = 6.0
+CONNECT_TIMEOUT_S = 1.0
 RECONNECT_INTERVAL_S = 0.05
 SMALL_RECEIVE_BUFFER = 4096
 SLOW_READ_BYTES = 16384
@@ -29,46 +32,50 @@
     "idle",
     "new",
 )
+# Clients of these styles send on a connection until it ends, whatever the node says.
+IGNORING_CLOSE = ("eager", "slow-pipelined")
 
 
-class RequestRecord:
+@dataclass(eq=False)
+class Request:
     """One request of a client and what became of it; times are in Unix seconds.
 
     :param request_id: value of ``Attempt-Id``.
     :param node: number of the node that received the request.
-    :param method: HTTP method.
-    :param path: path with query.
+    :param is_behind: whether it was sent before earlier ones on its connection were
+        answered, or after a response that closes the connection.
+    :param outcome: ``answered``, ``cut`` (the connection ended first) or ``given up``.
+    :param has_stamp: whether the response is of an upstream.
+    :param answered_id: value of ``Attempt-Id`` in the response.
     """
 
-    def __init__(self, request_id, node, method, path):
-        self.request_id = request_id
-        self.node = node
-        self.method = method
-        self.path = path
-        self.style = ""
-        # Whether the request was sent before earlier ones on its connection were
-        # answered, or after a response that closes the connection.
-        self.is_behind = False
-        self.sent_at = 0.0
-        self.ended_at = None
-        # ``answered``, ``cut`` (the connection ended first) or ``given-up``.
-        self.outcome = ""
-        self.status = 0
-        self.has_stamp = False
-        self.received_bytes = 0
-        self.expected_body = b""
-        self.is_body_correct = False
-        self.answered_id = None
-        self.done = asyncio.Event()
-
-    def __repr__(self):
-        return f"<RequestRecord {self.request_id} {self.outcome}>"
+    request_id: str
+    node: int
+    style: str
+    method: str
+    path: str
+    size: int = 20
+    is_behind: bool = False
+    sent_at: float = 0.0
+    ended_at: float | None = None
+    outcome: str = ""
+    status: int = 0
+    has_stamp: bool = False
+    received_bytes: int = 0
+    is_body_correct: bool = False
+    answered_id: str | None = None
+    done: asyncio.Event = field(default_factory=asyncio.Event, repr=False)
 
     @property
     def is_non_idempotent(self):
         """Whether the request may run at most once."""
         return self.method == "POST"
 
+    @property
+    def age_s(self):
+        """Seconds until the request ended."""
+        return self.ended_at - self.sent_at
+
     def end(self, outcome):
         """Sets the outcome, unless the request has ended before."""
         if self.ended_at is None:
@@ -77,18 +84,27 @@
             self.done.set()
 
 
+def make_body(request_id, size):
+    """Returns the body that upstreams send for a request.
+
+    :param size: length in bytes.
+    """
+    line = request_id.encode() + b"\n"
+    return (line * (size // len(line) + 1))[:size]
+
+
 class KeptConnection:
     """Connection of a client on which several requests may be outstanding.
 
     :param address: tuple of IP address and port of the node.
-    :param reads_slowly: whether bodies are read slowly with a small buffer.
     :param checker: :class:`~bench.soak_answers.AnswerChecker`.
+    :param reads_slowly: whether bodies are read slowly with a small buffer.
     """
 
-    def __init__(self, address, reads_slowly, checker):
+    def __init__(self, address, checker, reads_slowly=False):
         self._address = address
-        self._reads_slowly = reads_slowly
         self._checker = checker
+        self._reads_slowly = reads_slowly
         self._pending = deque()
         self._reader = None
         self._writer = None
@@ -96,9 +112,6 @@
         self.is_closing = False
         self.is_open = False
 
-    def __repr__(self):
-        return f"<KeptConnection {len(self._pending)} outstanding>"
-
     async def open(self):
         """Connects to the node.
 
@@ -111,7 +124,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
             limit = SMALL_RECEIVE_BUFFER
         try:
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await asyncio.get_running_loop().sock_connect(sock, self._address)
             self._reader, self._writer = await asyncio.open_connection(
                 sock=sock, limit=limit
@@ -122,24 +135,23 @@
         self.is_open = True
         self._read_task = asyncio.ensure_future(self._read_responses())
 
-    def send(self, record, body=b""):
+    def send(self, request, body=b""):
         """Sends a request without waiting for earlier responses."""
-        record.is_behind = bool(self._pending) or self.is_closing
-        record.sent_at = time.time()
-        self._pending.append(record)
-        self._checker.record_request(record)
-        head = f"{record.method} {record.path} HTTP/1.1\r\nHost: soak\r\n"
-        head += f"Attempt-Id: {record.request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
+        request.is_behind = bool(self._pending) or self.is_closing
+        request.sent_at = time.time()
+        self._pending.append(request)
+        self._checker.record_request(request)
+        head = f"{request.method} {request.path} HTTP/1.1\r\nHost: soak\r\n"
+        head += f"Attempt-Id: {request.request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
         if self.is_open:
             self._writer.write(head.encode() + body)
         else:
-            self._end_pending()
+            self._end_pending("cut")
 
     def close(self):
         """Closes the connection; outstanding requests count as given up."""
-        for record in self._pending:
-            record.end("given-up")
+        self._end_pending("given up")
         if self._writer is not None:
             self._writer.close()
 
@@ -147,42 +159,44 @@
         try:
             while await self._read_response():
                 pass
-        except (OSError, EOFError, ValueError, asyncio.LimitOverrunError) as error:
-            if not isinstance(error, OSError | EOFError):
-                self._checker.record_malformed_response(self._pending, repr(error))
+        except (OSError, EOFError):
+            # The requests that it leaves without a response are recorded below.
+            pass
+        except (ValueError, LookupError, asyncio.LimitOverrunError) as error:
+            ids = [request.request_id for request in self._pending]
+            self._checker.record("MIXED", "malformed response", ids=ids, e=repr(error))
         self.is_open = False
-        self._end_pending()
+        self._end_pending("cut")
         self._writer.close()
 
-    def _end_pending(self):
+    def _end_pending(self, outcome):
         while self._pending:
-            self._pending.popleft().end("cut")
+            self._pending.popleft().end(outcome)
 
     async def _read_response(self):
-        head = await self._reader.readuntil(b"\r\n\r\n")
-        lines = head.decode("latin-1").split("\r\n")
-        headers = {}
-        for line in lines[1:]:
-            name, _, value = line.partition(":")
-            headers[name.lower()] = value.strip()
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        status_line, *lines = head.rstrip().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines)
         if not self._pending:
-            self._checker.record_unasked_response(self._address, lines[0])
+            address = self._address
+            self._checker.record(
+                "MIXED", "response without a request", address=address, head=head
+            )
             return False
-        record = self._pending[0]
-        record.received_bytes = len(head)
-        record.has_stamp = "server-stamp" in headers
-        record.answered_id = headers.get("attempt-id")
-        if headers.get("connection", "").lower() == "close":
+        request = self._pending[0]
+        request.received_bytes = len(head)
+        if headers.get("connection") == "close":
             self.is_closing = True
-        # Styles that do not wait send their next request now, before the body is read.
-        body = await self._read_body(int(headers["content-length"]), record)
-        record.status = int(lines[0].split()[1])
-        record.is_body_correct = body == record.expected_body
-        self._pending.popleft()
-        record.end("answered")
+        body = await self._read_body(int(headers["content-length"]), request)
+        request.status = int(status_line.split()[1])
+        request.has_stamp = "server-stamp" in headers
+        request.answered_id = headers.get("attempt-id")
+        request.is_body_correct = body == make_body(request.request_id, request.size)
+        if self._pending:
+            self._pending.popleft().end("answered")
         return True
 
-    async def _read_body(self, length, record):
+    async def _read_body(self, length, request):
         parts = []
         while length:
             if self._reads_slowly:
@@ -192,14 +206,29 @@
                 raise EOFError
             parts.append(data)
             length -= len(data)
-            record.received_bytes += len(data)
+            request.received_bytes += len(data)
         return b"".join(parts)
 
 
+async def send_once(address, checker, request):
+    """Sends a request on a connection of its own and waits until it has ended."""
+    connection = KeptConnection(address, checker)
+    try:
+        await connection.open()
+    except OSError:
+        request.end("not sent")
+        return
+    connection.send(request)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(GIVE_UP_S):
+            await request.done.wait()
+    connection.close()
+
+
 class KeptClient:
-    """Client that sends requests to one node in one style until it is stopped.
+    """Client that sends requests to one node in one style.
 
-    :param name: prefix of the request IDs.
+    :param name: prefix of the request IDs, and seed of the requests.
     :param node: number of the node.
     :param address: tuple of IP address and port of the node.
     :param style: one of :data:`STYLES`.
@@ -226,84 +255,59 @@
             except OSError:
                 await asyncio.sleep(RECONNECT_INTERVAL_S)
                 continue
-            records = self._send_next(connection)
-            await self._wait(connection, records)
-            await self._pause()
+            await self._exchange(connection)
+            if self._style == "idle":
+                await asyncio.sleep(self._rng.uniform(0.2, 2.0))
+            elif self._style != "eager":
+                await asyncio.sleep(self._rng.expovariate(1 / self._mean_gap_s))
         if self._connection is not None:
             self._connection.close()
 
     async def _usable_connection(self):
         connection = self._connection
         if connection is not None:
-            # Eager clients use a connection until it ends, whatever the node says.
-            ignores_close = self._style in ("eager", "slow-pipelined")
-            if connection.is_open and (ignores_close or not connection.is_closing):
-                if self._style != "new":
-                    return connection
+            is_usable = connection.is_open and (
+                self._style in IGNORING_CLOSE or not connection.is_closing
+            )
+            if is_usable and self._style != "new":
+                return connection
             connection.close()
-        self._connection = KeptConnection(
-            self._address, self._style.startswith("slow"), self._checker
-        )
+        is_slow = self._style.startswith("slow")
+        self._connection = KeptConnection(self._address, self._checker, is_slow)
         await self._connection.open()
         return self._connection
 
-    def _send_next(self, connection):
-        count = 1
-        if self._style == "pipelined":
-            count = self._rng.randint(2, 5)
-        elif self._style == "slow-pipelined":
-            count = 2
-        is_pipelined = count > 1
-        records = []
-        for _ in range(count):
-            record, body = self._next_request(is_pipelined)
-            connection.send(record, body)
-            records.append(record)
-        return records
-
-    def _next_request(self, is_pipelined):
+    async def _exchange(self, connection):
+        count = {"pipelined": self._rng.randint(2, 5), "slow-pipelined": 2}
+        requests = []
+        for _ in range(count.get(self._style, 1)):
+            requests.append(self._next_request())
+            is_post = requests[-1].is_non_idempotent
+            body = b"b" * self._rng.choice((0, 100, 5000)) if is_post else b""
+            connection.send(requests[-1], body)
+        for request in requests:
+            try:
+                async with asyncio.timeout_at(
+                    asyncio.get_running_loop().time() + GIVE_UP_S
+                ):
+                    await request.done.wait()
+            except TimeoutError:
+                if not request.received_bytes:
+                    connection.close()
+                await request.done.wait()
+
+    def _next_request(self):
         self._count += 1
         request_id = f"{self._name}.{self._count}"
         service = self._rng.choice(("front", "deep"))
-        is_large = self._style.startswith("slow")
-        is_non_idempotent = not (is_pipelined or is_large) and self._rng.random() < 0.3
+        is_repeatable = self._style.startswith("slow") or self._style == "pipelined"
+        is_post = not is_repeatable and self._rng.random() < 0.3
         work_ms = self._rng.randint(5, 150)
         if self._rng.random() < 0.06:
             work_ms = self._rng.randint(500, 2000)
-        size = LARGE_BODY_BYTES if is_large else self._rng.choice((20, 2000))
-        kind = "once" if is_non_idempotent else "get"
+        size = self._rng.choice((20, 2000))
+        if self._style.startswith("slow"):
+            size = LARGE_BODY_BYTES
+        kind, method = ("once", "POST") if is_post else ("get", "GET")
         path = f"/{service}/{kind}/{request_id}?work={work_ms}&size={size}"
-        method = "POST" if is_non_idempotent else "GET"
-        record = RequestRecord(request_id, self._node, method, path)
-        record.style = self._style
-        record.expected_body = make_body(request_id, size)
-        body = b"b" * self._rng.choice((0, 100, 5000)) if is_non_idempotent else b""
-        return record, body
-
-    async def _wait(self, connection, records):
-        for record in records:
-            remaining_s = record.sent_at + GIVE_UP_S - time.time()
-            try:
-                async with asyncio.timeout(max(remaining_s, 0.0)):
-                    await record.done.wait()
-            except TimeoutError:
-                if not record.received_bytes:
-                    connection.close()
-                await record.done.wait()
-
-    async def _pause(self):
-        if self._style == "eager":
-            return
-        if self._style == "idle":
-            await asyncio.sleep(self._rng.uniform(0.2, 2.0))
-            return
-        await asyncio.sleep(self._rng.expovariate(1 / self._mean_gap_s))
-
-
-def make_body(request_id, size):
-    """Returns the body that upstreams send for a request.
-
-    :param size: length in bytes.
-    """
-    line = request_id.encode() + b"\n"
-    return (line * (size // len(line) + 1))[:size]
+        return Request(request_id, self._node, self._style, method, path, size)
--- a/bench/soak_cluster.py
+++ b/bench/soak_cluster.py
@@ -65,16 +65,17 @@
             return ""
         return self.services[number - self.control_count]
 
-    def make_process(self, number, checker, process_class=None):
+    def make_process(self, number, checker, process_class=None, *arguments):
         """Returns a process that is not started yet.
 
         :param process_class: subclass of :class:`ManagedProcess`.
+        :param arguments: first arguments of the subclass.
         """
         role = "control" if number < self.control_count else "node"
         name = f"{role}-{number}"
         settings = self._settings(name, role, number)
         process_class = process_class or ManagedProcess
-        return process_class(self._folder, name, role, settings, checker)
+        return process_class(*arguments, self._folder, name, role, settings, checker)
 
     def _settings(self, name, role, number):
         ip = self.ip(number)
--- /dev/null
+++ b/bench/soak_signals.py
@@ -0,0 +1,204 @@
+"""Schedule of signals of the soak test, and processes that receive them."""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import time
+from typing import NamedTuple
+
+from bench.soak_cluster import GRACE_S, ManagedProcess
+
+MEAN_NODE_EVENT_INTERVAL_S = 1.2
+MEAN_CONTROL_EVENT_INTERVAL_S = 3.0
+MIN_EVENT_INTERVAL_S = 0.2
+FIRST_EVENT_AT_S = 0.7
+# Runs with more nodes than this have more events.
+USUAL_NODE_COUNT = 12
+# Time after SIGTERM at which a process is killed, a margin longer than its grace time.
+KILL_AFTER_S = GRACE_S + 1.0
+# Delay with which the exit of another process is seen.
+EXIT_SEEN_SLACK_S = 0.1
+RELOAD_EFFECT_S = 2.0
+# Slowed processes run in short slices, so that messages take longer, as between hosts
+# that are far from each other, and arrive one by one.
+SLICE_PAUSE_S = (0.002, 0.03)
+SLICE_RUN_S = (0.002, 0.01)
+NODE_EVENTS = {
+    "rolling": 5,
+    "stop": 3,
+    "stop-twice": 2,
+    "stop-paused": 1,
+    "reload": 2,
+    "kill": 1,
+    "pause": 1,
+    "reset": 1,
+}
+CONTROL_EVENTS = {
+    "kill-leader": 4,
+    "stop-leader": 3,
+    "pause-leader": 1,
+    "restart-all": 2,
+    "restart-all-slowed": 4,
+    "stop": 1,
+    "reload": 1,
+}
+
+
+class Event(NamedTuple):
+    """Event in the schedule of a run.
+
+    :param at_s: start, in seconds from the start of traffic.
+    :param target: number of the first process.
+    :param count: number of processes, signals or rounds.
+    :param gap_s: seconds between them.
+    :param for_s: seconds until a process that has ended is started, or of a pause.
+    """
+
+    at_s: float
+    kind: str
+    target: int
+    count: int
+    gap_s: float
+    for_s: float
+
+
+def draw_events(seed, seconds, control_count, node_count):
+    """Returns the random events of nodes and those of control processes.
+
+    :param seconds: duration of traffic in seconds.
+    """
+    rng = random.Random(f"stops {seed}")
+    nodes = range(control_count, control_count + node_count)
+    interval_s = MEAN_NODE_EVENT_INTERVAL_S / max(1.0, node_count / USUAL_NODE_COUNT)
+    return (
+        _draw(rng, seconds, NODE_EVENTS, interval_s, nodes),
+        _draw(
+            rng,
+            seconds,
+            CONTROL_EVENTS,
+            MEAN_CONTROL_EVENT_INTERVAL_S,
+            range(control_count),
+        ),
+    )
+
+
+def _draw(rng, seconds, kinds, mean_interval_s, targets):
+    events = []
+    at_s = FIRST_EVENT_AT_S
+    while at_s < seconds:
+        kind = rng.choices(list(kinds), kinds.values())[0]
+        target, count = rng.choice(targets), rng.randint(2, 4)
+        gap_s = round(rng.choice((0.05, 0.3, 1.5)) * rng.uniform(0.7, 1.3), 2)
+        for_s = rng.choice((0.0, 0.3, 1.0))
+        events.append(Event(round(at_s, 2), kind, target, count, gap_s, for_s))
+        at_s += MIN_EVENT_INTERVAL_S + rng.expovariate(1 / mean_interval_s)
+    return events
+
+
+def _wait_for_exit(pid):
+    """Returns the time at which a child process exits, in Unix seconds.
+
+    It is taken in a thread, since the event loop of the soak may be late.
+    """
+    # Another thread may have collected the exit code already.
+    with contextlib.suppress(ChildProcessError):
+        os.waitid(os.P_PID, pid, os.WEXITED | os.WNOWAIT)
+    return time.time()
+
+
+class SignalledProcess(ManagedProcess):
+    """Process that is stopped, reloaded, paused and killed.
+
+    :param number: number of the process.
+    :param answers: :class:`~bench.soak_answers.AnswerChecker`.
+    """
+
+    def __init__(self, number, answers, *arguments):
+        super().__init__(*arguments)
+        self._number = number
+        self._answers = answers
+        # A process that is being stopped, killed or paused gets no further event.
+        self.is_disturbed = False
+
+    async def apply(self, event):
+        """Applies an event, unless the process is disturbed already."""
+        if self.is_disturbed:
+            return
+        if event.kind == "reload":
+            for _ in range(event.count):
+                self._signal(signal.SIGHUP)
+                self._record("SIGHUP", time.time(), time.time() + RELOAD_EFFECT_S)
+                await asyncio.sleep(event.gap_s)
+            return
+        self.is_disturbed = True
+        try:
+            if event.kind.startswith("kill"):
+                await self.kill(event.for_s)
+            elif event.kind.startswith("pause"):
+                await self._pause(event.for_s)
+            else:
+                await self._stop(event)
+        finally:
+            self.is_disturbed = False
+
+    async def kill(self, for_s):
+        """Kills the process and starts it again after some seconds."""
+        started_at = time.time()
+        self._signal(signal.SIGKILL)
+        await self.process.wait()
+        await asyncio.sleep(for_s)
+        await self.start()
+        self._record("SIGKILL", started_at, time.time())
+
+    async def slow_down(self, for_s, rng):
+        """Lets the process run only in short slices for some seconds."""
+        until = time.time() + for_s
+        while time.time() < until:
+            self._signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(*SLICE_PAUSE_S))
+            self._signal(signal.SIGCONT)
+            await asyncio.sleep(rng.uniform(*SLICE_RUN_S))
+
+    async def _pause(self, for_s):
+        started_at = time.time()
+        self._signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s + MIN_EVENT_INTERVAL_S)
+        self._signal(signal.SIGCONT)
+        self._record("SIGSTOP", started_at, time.time())
+
+    async def _stop(self, event):
+        started_at = time.time()
+        self._signal(signal.SIGTERM)
+        exit_time = asyncio.ensure_future(
+            asyncio.to_thread(_wait_for_exit, self.process.pid)
+        )
+        if event.kind == "stop-twice":
+            await asyncio.sleep(event.gap_s)
+            self._signal(signal.SIGTERM)
+        elif event.kind == "stop-paused":
+            await self._pause(event.for_s)
+        try:
+            async with asyncio.timeout(started_at + KILL_AFTER_S - time.time()):
+                await asyncio.shield(exit_time)
+        except TimeoutError:
+            self._signal(signal.SIGKILL)
+        ended_at = await exit_time
+        await self.process.wait()
+        self._record("SIGTERM", started_at, ended_at)
+        after_s = round(ended_at - started_at, 2)
+        if after_s > GRACE_S + EXIT_SEEN_SLACK_S and event.kind != "stop-paused":
+            self._answers.record(
+                "GRACE",
+                "process outlived its grace time",
+                process=self.name,
+                signalled=round(started_at, 3),
+                after_s=after_s,
+            )
+        await asyncio.sleep(event.for_s)
+        await self.start()
+        self._record("start", ended_at, time.time())
+
+    def _record(self, kind, started_at, ended_at):
+        self._answers.record_window(self._number, kind, started_at, ended_at)
