--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -18,8 +18,9 @@
 from bench.soak_checks import SoakChecker
 from bench.soak_clients import STYLES, KeptClient, Request, make_body, send_once
 from bench.soak_cluster import GRACE_S, Cluster
+from bench.soak_documents import SERVICES
 from bench.soak_endpoints import HEADER_NAMES, StandIn
-from bench.soak_operators import SERVICES, Operators
+from bench.soak_operators import Operators
 from bench.soak_signals import SignalledProcess, draw_events
 
 USUAL_SIZE = (3, 4)
@@ -204,7 +205,9 @@
         while True:
             due_at = time.time() + LAG_PROBE_INTERVAL_S
             await asyncio.sleep(LAG_PROBE_INTERVAL_S)
-            self._max_lag_s = max(self._max_lag_s, time.time() - due_at)
+            lag_s = time.time() - due_at
+            self._max_lag_s = max(self._max_lag_s, lag_s)
+            self.answers.record_lag(due_at, lag_s)
 
     def _make_clients(self):
         styles = LARGE_STYLES if self._is_large else STYLES
--- /dev/null
+++ b/tests/test_soak_stops.py
@@ -0,0 +1,336 @@
+"""Checks of the soak run with planned stops, and a short run with real processes."""
+
+import asyncio
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from bench import soak_signals
+from bench.soak_answers import AnswerChecker, Run
+from bench.soak_changes import Change, ChangeChecker, Order
+from bench.soak_checks import SoakChecker
+from bench.soak_clients import KeptConnection, Request, make_body
+from bench.soak_documents import make_document
+from bench.soak_endpoints import free_ports
+from bench.soak_signals import SignalledProcess, draw_events
+
+ROOT = Path(__file__).parents[1]
+# Time of the SIGTERM of node 3 in the cases below; the node exits 5.5 s later.
+TERM_AT = 1000.0
+EXIT_AT = 1005.5
+
+
+def test_schedule_depends_only_on_the_seed():
+    assert draw_events(5, 30.0, 3, 4) == draw_events(5, 30.0, 3, 4)
+    assert draw_events(5, 30.0, 3, 4) != draw_events(6, 30.0, 3, 4)
+
+
+def test_events_target_only_processes_of_their_role():
+    nodes, controls = draw_events(1, 200.0, 3, 4)
+    assert {event.target for event in nodes} == {3, 4, 5, 6}
+    assert {event.target for event in controls} == {0, 1, 2}
+
+
+def request(method="GET", sent=TERM_AT + 1, ended=TERM_AT + 2, **fields):
+    values = {"outcome": "cut", "sent_at": sent, "ended_at": ended, **fields}
+    return Request("a1", 3, "steady", method, "/front/get/a1", **values)
+
+
+def answers(item, stops=True, started=True, run_until=None, faults=()):
+    """Returns a checker that has observed one request and a stop of its node."""
+    checker = AnswerChecker(lambda service: [3, 4])
+    checker.record_request(item)
+    if stops:
+        checker.record_window(3, "SIGTERM", TERM_AT, EXIT_AT)
+    if started:
+        checker.record_run_start("a1", 4, item.sent_at)
+    if run_until is not None:
+        checker.record_run("a1", Run(4, "front", item.sent_at, run_until, False))
+    for node, at in faults:
+        checker.record_window(node, "SIGKILL", at, at + 0.5)
+    return checker
+
+
+def answered(status, **fields):
+    return request(outcome="answered", status=status, **fields)
+
+
+LOST = {
+    "passed on and cut": answers(request()),
+    "passed on behind another and cut": answers(request(is_behind=True)),
+    "read and cut": answers(request(), started=False),
+    "cut at the exit": answers(request(sent=1005.0, ended=1005.6)),
+    "late work on a request sent late": answers(
+        request(sent=1003.5, ended=1005.3), run_until=1005.4
+    ),
+    "work that ended before the last sixth": answers(
+        request(sent=1002.9, ended=1005.3), run_until=1004.9
+    ),
+    "502 in place of a response": answers(answered(502)),
+    "504 in place of a response": answers(answered(504), run_until=TERM_AT + 1.5),
+    "503 in place of a response": answers(answered(503)),
+    "fault long before": answers(request(), faults=[(4, TERM_AT - 2.6)]),
+    "fault elsewhere": answers(request(), faults=[(5, TERM_AT + 1)]),
+    "sent before the stop": answers(request(sent=TERM_AT - 0.5)),
+}
+OTHER_VIOLATIONS = {
+    "ran twice": answers(request(method="POST", is_behind=True)),
+    "refused but ran": answers(answered(503, method="POST")),
+    "body of another request": answers(answered(200, has_stamp=True)),
+    "success without the stamp": answers(answered(200, is_body_correct=True)),
+    "response of another request": answers(answered(503, answered_id="a2")),
+    "allowed but refused": answers(answered(404), stops=False),
+    "never answered": answers(
+        request(ended=TERM_AT + 7, outcome="given up"), stops=False
+    ),
+}
+OTHER_VIOLATIONS["ran twice"].record_run_start("a1", 3, TERM_AT + 1.5)
+KEPT = {
+    "whole response": answers(
+        answered(200, has_stamp=True, is_body_correct=True, answered_id="a1")
+    ),
+    "failure of the upstream": answers(answered(502, has_stamp=True)),
+    "502 without an upstream": answers(answered(502), started=False),
+    "refused": answers(answered(503, method="POST"), started=False),
+    "request that crosses the close": answers(
+        request(ended=TERM_AT + 1.1), started=False
+    ),
+    "not passed on behind another": answers(request(is_behind=True), started=False),
+    "route timeout": answers(request(sent=1001.0, ended=1004.0)),
+    "late work": answers(request(sent=1002.9, ended=1005.3), run_until=1005.4),
+    "unfinished late work": answers(request(sent=1002.9, ended=1005.3)),
+    "fault at the upstream": answers(request(), faults=[(4, TERM_AT - 1)]),
+    "fault at the node": answers(request(), faults=[(3, TERM_AT + 1.5)]),
+    "fault at a host of the service": answers(
+        request(), started=False, faults=[(4, TERM_AT + 1)]
+    ),
+    "cut once without a stop": answers(request(), stops=False),
+    "other node stops": answers(request(), stops=False),
+}
+KEPT["other node stops"].record_window(4, "SIGTERM", TERM_AT, EXIT_AT)
+
+
+@pytest.mark.parametrize("case", LOST)
+def test_lost_response_around_a_stop_is_detected(case):
+    """Guards against a soak that misses requests that a stopping node cuts."""
+    violations = LOST[case].list_violations()
+    assert "LOST" in [violation["rule"] for violation in violations]
+    json.dumps(violations)
+
+
+@pytest.mark.parametrize("case", OTHER_VIOLATIONS)
+def test_wrong_response_is_detected(case):
+    assert OTHER_VIOLATIONS[case].list_violations()
+
+
+@pytest.mark.parametrize("case", KEPT)
+def test_allowed_response_is_accepted(case):
+    assert KEPT[case].list_violations() == []
+
+
+def test_requests_cut_often_without_a_stop_are_detected():
+    checker = answers(request(), stops=False)
+    for _ in range(3):
+        checker.record_request(request())
+    assert len(checker.list_violations()) == 4
+
+
+def test_late_observation_does_not_count_as_wait():
+    """Guards against violations that are only delays of the soak itself."""
+    checker = answers(request(ended=TERM_AT + 1.4), started=False)
+    assert checker.list_violations()
+    checker.record_lag(TERM_AT + 1.1, 0.3)
+    assert checker.list_violations() == []
+
+
+def make_change(number, version, base, parent, is_valid=True, at=1000.0):
+    added = (number,) if parent is None else (parent, number)
+    body = json.dumps({**make_document(version, base), "number": number}).encode()
+    return Change(number, version, base, parent, added, "deep", body, is_valid, at)
+
+
+FIRST = make_change(1, 1, 0, None, at=990.0)
+SECOND = make_change(2, 3, 1, 1)
+RIVAL = make_change(3, 3, 1, 1)
+THIRD = make_change(4, 4, 3, 2, at=1010.0)
+INVALID = make_change(5, 9, 1, 1, is_valid=False)
+
+
+class Scenario:
+    """Observations in which the first two changes were acknowledged at 991 and 1001."""
+
+    def __init__(self, is_disturbed=False):
+        self.checker = ChangeChecker(lambda *_: is_disturbed, lambda _: "deep")
+        for change in (FIRST, SECOND, RIVAL, INVALID):
+            self.checker.record_change(change)
+        self.order(FIRST, 200, 991.0).order(SECOND, 200, 1001.0)
+
+    def order(self, change, status, ended_at):
+        order = Order(change, 0, ended_at - 0.1, ended_at, status, "")
+        self.checker.record_order(order)
+        return self
+
+    def read(self, change, sent_at, is_final=False):
+        self.checker.record_read(0, sent_at, sent_at + 0.1, change.body, is_final)
+        return self
+
+    def probe(self, number, status, sent_at):
+        item = Request("a1", 3, "probe", "GET", "/added/2/a1")
+        item.sent_at, item.ended_at = sent_at, sent_at + 0.1
+        item.outcome, item.status = "answered", status
+        self.checker.record_probe(number, item)
+        return self
+
+    def third(self):
+        self.checker.record_change(THIRD)
+        return self
+
+
+BROKEN_CHANGES = {
+    "resend refused": Scenario().order(SECOND, 412, 1002.0),
+    "copy refused before the acknowledgement": Scenario().order(SECOND, 412, 1000.9),
+    "resend refused after others": Scenario()
+    .third()
+    .order(THIRD, 200, 1011.0)
+    .order(SECOND, 412, 1012.0),
+    "two changes on one base": Scenario().order(RIVAL, 200, 1002.0),
+    "invalid change acknowledged": Scenario().order(INVALID, 200, 1002.0),
+    "invalid change read": Scenario().read(INVALID, 1002.0),
+    "refused change read": Scenario()
+    .third()
+    .order(THIRD, 412, 1011.0)
+    .read(THIRD, 1012.0),
+    "older version read": Scenario().read(FIRST, 1003.1),
+    "older version read than before": Scenario()
+    .third()
+    .read(THIRD, 1011.0)
+    .read(SECOND, 1013.2),
+    "older version at the end": Scenario().read(FIRST, 1001.1, is_final=True),
+    "rival of the same number read": Scenario().read(RIVAL, 1003.1),
+    "unknown configuration read": Scenario().read(THIRD, 1011.0),
+    "added route not served": Scenario().probe(2, 404, 1003.1),
+    "route of a refused change served": Scenario()
+    .third()
+    .order(THIRD, 412, 1011.0)
+    .probe(4, 200, 1012.0),
+    "route of a refused change served by a disturbed node": Scenario(True)
+    .third()
+    .order(THIRD, 412, 1011.0)
+    .probe(4, 200, 1012.0),
+    "moved route not served": Scenario().probe(None, 404, 1003.1),
+}
+RIGHT_CHANGES = {
+    "resend acknowledged": Scenario().order(SECOND, 200, 1002.0),
+    "resend without a clear response": Scenario()
+    .order(SECOND, 0, 1002.0)
+    .order(SECOND, 503, 1003.0),
+    "rival refused": Scenario().order(RIVAL, 412, 1002.0),
+    "invalid change refused": Scenario().order(INVALID, 400, 1002.0),
+    "unclear change read": Scenario().third().read(THIRD, 1012.0, is_final=True),
+    "older version read soon": Scenario().read(FIRST, 1002.9),
+    "added route not served yet": Scenario().probe(2, 404, 1002.9),
+    "added route not served by a disturbed node": Scenario(True).probe(2, 404, 1005.0),
+    "added route served": Scenario().probe(2, 200, 1000.5),
+    "moved route served": Scenario().probe(None, 200, 1003.1),
+    "route of an unclear change served": Scenario().third().probe(4, 200, 1012.0),
+    "node without a configuration": Scenario().probe(2, 503, 1005.0),
+}
+
+
+@pytest.mark.parametrize("case", BROKEN_CHANGES)
+def test_broken_rule_on_changes_is_detected(case):
+    """Guards against a soak that misses refused, lost or late changes."""
+    violations = BROKEN_CHANGES[case].checker.list_violations()
+    assert violations
+    json.dumps(violations)
+
+
+@pytest.mark.parametrize("case", RIGHT_CHANGES)
+def test_allowed_treatment_of_changes_is_accepted(case):
+    assert RIGHT_CHANGES[case].checker.list_violations() == []
+
+
+RESPONSE = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n"
+RESPONSE += b"Content-Length: 20\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("sent", "outcome", "is_correct", "rules"),
+    [
+        (RESPONSE + make_body("a1", 20), "answered", True, []),
+        (RESPONSE + make_body("a2", 20), "answered", False, ["MIXED"]),
+        (RESPONSE + make_body("a1", 19), "cut", False, []),
+        (RESPONSE[:20], "cut", False, []),
+        (b"HTTP/1.1 200\r\n\r\n", "cut", False, ["MIXED"]),
+        ((RESPONSE + make_body("a1", 20)) * 2, "answered", True, ["MIXED"]),
+    ],
+)
+def test_client_records_what_a_connection_delivers(sent, outcome, is_correct, rules):
+    """Guards against a client that takes a cut or foreign response for a whole one."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(sent)
+        await asyncio.sleep(0.05)
+        writer.close()
+
+    async def scenario():
+        address = ("127.0.0.1", free_ports(1)[0])
+        server = await asyncio.start_server(serve, *address)
+        checker = AnswerChecker(lambda service: [])
+        connection = KeptConnection(address, checker, reads_slowly=True)
+        await connection.open()
+        item = Request("a1", 3, "slow", "GET", "/front/get/a1")
+        connection.send(item)
+        await item.done.wait()
+        await asyncio.sleep(0.1)
+        server.close()
+        assert (item.outcome, item.is_body_correct) == (outcome, is_correct)
+        assert [each["rule"] for each in checker.list_violations()] == rules
+
+    asyncio.run(scenario())
+
+
+def test_process_that_outlives_its_grace_time_is_detected(tmp_path, monkeypatch):
+    """Guards against a soak that waits for a process longer than its host does."""
+    monkeypatch.setattr(soak_signals, "GRACE_S", 0.3)
+    monkeypatch.setattr(soak_signals, "KILL_AFTER_S", 0.6)
+    program = (
+        "import signal, time; signal.signal(15, signal.SIG_IGN); print(flush=True)"
+    )
+
+    class StubbornProcess(SignalledProcess):
+        async def start(self):
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", program + "; time.sleep(9)", stdout=-1
+            )
+            await self.process.stdout.readline()
+
+    async def scenario():
+        checker = AnswerChecker(lambda service: [])
+        process = StubbornProcess(
+            3, checker, tmp_path, "node-3", "node", "", SoakChecker()
+        )
+        await process.start()
+        events, _ = draw_events(1, 30.0, 3, 1)
+        stop = next(event for event in events if event.kind == "stop")
+        await process.apply(stop._replace(for_s=0.0))
+        await process.close()
+        assert [each["rule"] for each in checker.list_violations()] == ["GRACE"]
+        assert checker.is_disturbed(3, time.time() - 0.1, time.time())
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.processes
+def test_guarantees_hold_around_planned_stops():
+    """Guards against cut responses of stopping nodes and refused resends."""
+    command = [sys.executable, "-m", "bench.soak", "1", "3", "stops"]
+    result = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, timeout=90
+    )
+    assert result.returncode == 0, result.stdout[-2000:]
