--- a/bench/soak_clients.py
+++ b/bench/soak_clients.py
@@ -153,6 +153,7 @@
         """Closes the connection; outstanding requests count as given up."""
         self._end_pending("given up")
         if self._writer is not None:
+            self._read_task.cancel()
             self._writer.close()
 
     async def _read_responses(self):
