Finish requests of operators before a control process stops

Callers could see connections closed without a response when a control process got SIGTERM, and wait 0.9 s for a reply of a stopping leader at the other control processes.

Cause: the stop announced the process as left and returned at once; the process exited with requests in flight.

Change: a stop first waits until the requests have a result, 0.9 s at most, while the process still takes part in the quorum; new requests get 503. Then it waits 50 ms for the last writes, as nodes do.

Evidence: test_control_process_stops_after_its_operator_requests failed before at the leader ("the leader changed") and at a follower (no reply), and test_stopping_control_process_accepts_no_operator_requests (no error).

--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -1,6 +1,7 @@
 """Configuration changes and reads, executed by the leader of the quorum."""
 
 import asyncio
+from contextlib import contextmanager
 
 from ..base._errors import ConflictError, FigpickError, NoQuorumError
 from ..base._logs import logger
@@ -12,6 +13,7 @@
 LEADER_POLL_S = 0.03
 # A request may contain a large change set.
 RETRY_DELAY_S = 0.1
+STOP_POLL_S = 0.01
 PUT = "put"
 READ = "read"
 
@@ -31,6 +33,8 @@
         self._leader_link = leader_link
         self._pending = {}
         self._last_number = 0
+        self._active_count = 0
+        self._is_stopping = False
 
     def __repr__(self):
         return f"<LeaderRequests {len(self._pending)} pending>"
@@ -47,8 +51,9 @@
         """
         failures = []
         try:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
-                return await self._send_until_served(kind, value, failures)
+            with self._counted():
+                async with asyncio.timeout(REPLY_TIMEOUT_S):
+                    return await self._send_until_served(kind, value, failures)
         except TimeoutError as error:
             reason = self._missing_reply() if not failures else failures[-1]
             raise NoQuorumError(reason) from error
@@ -61,9 +66,10 @@
         """
         number = request.number
         try:
-            if not self._member.is_leader:
-                raise NoQuorumError("no quorum: this process does not lead")
-            result = await self._serve_as_leader(request.kind, request.value)
+            with self._counted():
+                if not self._member.is_leader:
+                    raise NoQuorumError("no quorum: this process does not lead")
+                result = await self._serve_as_leader(request.kind, request.value)
         except ConflictError as error:
             reply = LeaderReply(number, "conflict", [str(error), error.current])
         except FigpickError as error:
@@ -87,6 +93,26 @@
         else:
             future.set_exception(NoQuorumError(*reply.value))
 
+    async def finish(self):
+        """Accepts no more requests and waits until those that run have a result."""
+        self._is_stopping = True
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                while self._active_count:
+                    await asyncio.sleep(STOP_POLL_S)
+        except TimeoutError:
+            log.warning("{} requests of operators have no result.", self._active_count)
+
+    @contextmanager
+    def _counted(self):
+        if self._is_stopping:
+            raise NoQuorumError("no quorum: this process stops")
+        self._active_count += 1
+        try:
+            yield
+        finally:
+            self._active_count -= 1
+
     async def _send_until_served(self, kind, value, failures):
         """Sends a request to each leader in turn until one serves it.
 
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -31,6 +31,7 @@
 from ._reconfiguration import describe_members, next_members, required_voters
 
 RECONFIGURATION_PERIOD_S = 0.3
+FLUSH_DELAY_S = 0.05
 log = logger("control")
 
 
@@ -131,15 +132,18 @@
         log.notice("Settings reloaded.", extra={"seeds": len(seeds)})
 
     async def drain(self):
-        """Announces that this process has left and closes the links that it dialled.
+        """Finishes requests of operators, then announces that this process has left.
 
-        Messages in the buffers of these links are written first.
+        Messages in the buffers of the links that it dialled are written first.
         """
+        await self._leader_requests.finish()
         self._announcer.update(state=LEFT)
         self._announce()
         for dialer in self._dialers.values():
             if dialer.link is not None:
                 dialer.link.finish()
+        # Responses and messages are written in the next iterations of the event loop.
+        await asyncio.sleep(FLUSH_DELAY_S)
         log.notice("Control process stops.")
 
     def close(self):
--- a/tests/test_resent_changes.py
+++ b/tests/test_resent_changes.py
@@ -14,11 +14,16 @@
     VersionConflictError,
 )
 from figpick.control import ControlProcess, ControlSettings
-from figpick.control._leader_requests import LEADER_POLL_S, PUT, LeaderRequests
+from figpick.control._leader_requests import (
+    LEADER_POLL_S,
+    PUT,
+    REPLY_TIMEOUT_S,
+    LeaderRequests,
+)
 from figpick.control._messages import LeaderReply, decode
 from figpick.control._quorum_member import LogPosition
 
-from .fleet import async_test, free_address
+from .fleet import async_test, free_address, wait_until
 
 # Copies that wait for a leader ask for it at moments spread over its polling period.
 COPIES = 45
@@ -187,7 +192,7 @@
 
     def __init__(self, folder):
         links = tuple(free_address() for _ in range(3))
-        self._settings = [
+        self.settings = [
             ControlSettings(f"c-{n}", "dc", link, links, True, str(folder / str(n)))
             for n, link in enumerate(links)
         ]
@@ -203,7 +208,7 @@
 
     def start(self):
         """Starts all processes with the data that they have."""
-        self.processes = [ControlProcess(each, Clock()) for each in self._settings]
+        self.processes = [ControlProcess(each, Clock()) for each in self.settings]
         self._tasks = [asyncio.ensure_future(each.run()) for each in self.processes]
 
     async def kill(self):
@@ -259,3 +264,56 @@
         ]
         results = await asyncio.gather(*resends, return_exceptions=True)
         assert results == [each.version for each in changes] * 3
+
+
+async def leader_of(controls):
+    """Waits for a leader and returns its process."""
+    await wait_until(lambda: any(each.member.is_leader for each in controls.processes))
+    return next(each for each in controls.processes if each.member.is_leader)
+
+
+@pytest.mark.parametrize("at_leader", [True, False])
+@async_test
+async def test_control_process_stops_after_its_operator_requests(
+    tmp_path, monkeypatch, at_leader
+):
+    """Guards against a stop that closes connections of operators without a response."""
+    async with Controls(tmp_path) as controls:
+        await controls.put(controls.processes[0], change(1, 0))
+        leader = await leader_of(controls)
+        other = next(each for each in controls.processes if each is not leader)
+        confirm = leader.member.confirm
+
+        async def confirm_late():
+            await asyncio.sleep(0.2)
+            return await confirm()
+
+        monkeypatch.setattr(leader.member, "confirm", confirm_late)
+        reading = leader if at_leader else other
+        task = asyncio.ensure_future(reading.read())
+        await asyncio.sleep(0.05)
+        await leader.drain()
+        leader.close()
+        async with asyncio.timeout(0.1):
+            assert (await task).version == 1
+
+
+@async_test
+async def test_stop_of_a_control_process_does_not_wait_without_a_quorum(tmp_path):
+    async with Controls(tmp_path) as controls:
+        alone = ControlProcess(controls.settings[0]._replace(name="x"), Clock())
+        task = asyncio.ensure_future(alone.read())
+        await asyncio.sleep(0)
+        async with asyncio.timeout(REPLY_TIMEOUT_S + 0.3):
+            await alone.drain()
+        task.cancel()
+
+
+@async_test
+async def test_stopping_control_process_accepts_no_operator_requests(tmp_path):
+    async with Controls(tmp_path) as controls:
+        process = controls.processes[0]
+        await controls.put(process, change(1, 0))
+        await process.drain()
+        with pytest.raises(NoQuorumError, match="this process stops"):
+            await process.read()
