Write the commit index alone where no entry follows

Callers of nodes that restart together with all control processes got the configuration before the newest one until a leader was known, however long ago the newest had been acknowledged.

Cause: the commit index was stored only with the next entry, so the last accepted change of a log on disk did not count as committed after a restart.

Change: the commit index is written alone when no entry has followed for 0.5 s, one synced line after a change or a burst of changes.

Evidence: test_control_process_knows_an_old_acknowledgement_right_after_a_restart failed before (version 1 a second after 2 was acknowledged).

--- a/src/figpick/consensus/_replica.py
+++ b/src/figpick/consensus/_replica.py
@@ -17,6 +17,9 @@
 # The log is compacted into a snapshot after this many entries or bytes.
 COMPACT_ENTRIES = 1000
 COMPACT_BYTES = 8 * 1024 * 1024
+# The commit index is written with the next entry. If none follows within this time, it
+# is written alone, so that a restarted process has its newest configuration at once.
+COMMIT_INDEX_DELAY_S = 0.5
 
 NOT_LEADER = "no quorum: this process no longer leads"
 UNKNOWN_OUTCOME = (
@@ -54,6 +57,7 @@
         self._completed = deque()
         self._is_processing = False
         self._failure = None
+        self._commit_index_due_at = None
         self._logged_leader = (self._raft.term, None)
 
     @property
@@ -256,6 +260,7 @@
                     NoQuorumError(UNKNOWN_OUTCOME), NoQuorumError(NOT_LEADER)
                 )
             self._compact()
+            self._store_commit_index(now)
         except FigpickError as error:
             self._end_participation(error)
 
@@ -334,6 +339,15 @@
         self._storage.save_snapshot(snapshot, entries)
         self._raft.compact(snapshot)
 
+    def _store_commit_index(self, now):
+        if self._applied_index <= self._storage.commit_index:
+            self._commit_index_due_at = None
+        elif self._commit_index_due_at is None:
+            self._commit_index_due_at = now + COMMIT_INDEX_DELAY_S
+        elif now >= self._commit_index_due_at:
+            self._storage.write_commit_index(self._applied_index)
+            self._commit_index_due_at = None
+
     def _end_participation(self, error):
         self._failure = error
         self._messages = []
--- a/src/figpick/consensus/_storage.py
+++ b/src/figpick/consensus/_storage.py
@@ -68,6 +68,11 @@
         """Size of the log file in bytes."""
         return self._log_bytes
 
+    @property
+    def commit_index(self):
+        """Commit index in the log file."""
+        return self._commit_index
+
     def load(self):
         """Loads the durable state.
 
@@ -106,7 +111,8 @@
     def write(self, output):
         """Writes and syncs the records of an output.
 
-        The commit index is added only to records that must be written anyway.
+        The commit index is added only to records that must be written anyway; see
+        :meth:`write_commit_index`.
 
         :param output: :class:`~figpick.consensus._consensus_core.Output`.
         :raises StorageError: when a write or sync fails; the content of the disk is
@@ -120,9 +126,16 @@
         if records:
             self._commit_index = max(self._commit_index, output.commit_index)
             records.append(["commit", self._commit_index])
-            line = _format_line(records)
-            self._call_files(self._files.append, LOG, line)
-            self._log_bytes += len(line)
+            self._append(records)
+
+    def write_commit_index(self, index):
+        """Writes and syncs the commit index alone.
+
+        :param index: last index known to be committed.
+        :raises StorageError: as for :meth:`write`.
+        """
+        self._commit_index = index
+        self._append([["commit", index]])
 
     def save_snapshot(self, snapshot, entries):
         """Replaces the snapshot and drops the entries that it covers.
@@ -142,6 +155,11 @@
         header = Header(self._identity, snapshot.index, snapshot.term)
         self._rewrite(header, entries)
 
+    def _append(self, records):
+        line = _format_line(records)
+        self._call_files(self._files.append, LOG, line)
+        self._log_bytes += len(line)
+
     def _rewrite(self, header, entries):
         records = [
             ["header", *header],
--- a/tests/test_resent_changes.py
+++ b/tests/test_resent_changes.py
@@ -317,3 +317,21 @@
         await process.drain()
         with pytest.raises(NoQuorumError, match="this process stops"):
             await process.read()
+
+
+@async_test
+async def test_control_process_knows_an_old_acknowledgement_right_after_a_restart(
+    tmp_path,
+):
+    """Guards against nodes that get an outdated configuration after a loss of power."""
+    async with Controls(tmp_path) as controls:
+        for version in (1, 2):
+            await controls.put(controls.processes[0], change(version, version - 1))
+        await asyncio.sleep(1.0)
+        await controls.kill()
+        alone = ControlProcess(controls.settings[0], Clock())
+        task = asyncio.ensure_future(alone.run())
+        await wait_until(lambda: alone.member.replica is not None)
+        task.cancel()
+        alone.close()
+        assert alone.member.registry.version == 2
