--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -59,6 +59,11 @@
         links = [dialer.link for dialer in self._dialers.values()]
         return [link for link in links if link is not None]
 
+    @property
+    def is_outdated(self):
+        """Whether a control process has announced a revision not received yet."""
+        return any(revision > self.revision for revision in self._revisions.values())
+
     def start(self):
         """Connects to the control processes named in the settings."""
         self.connect(self._settings.control_addresses)
