Refuse a service as unknown only on current knowledge

An application that called a service for the first time got 404 "unknown-service" for up to 5 s after the document of the service had been accepted, although changes are in effect everywhere within 3 s. Root requests that named the service reached the own service of the node meanwhile. An application whose node could reach no other process also got 404, for a service that exists.

Cause: a node remembers for 5 s that no process had a document, and did not compare this with the versions that it learns by gossip. A fetch without any reply counted as a reply without the document.

A node now fetches again when a version is known that was not known when the last fetch started. Until it has the document of a service whose version is known, it answers 503 "document-unavailable", and nested calls get the same when no process replied. Root requests without a known version still go to the own service of the node, since the host name may be an alias of it. A version that arrives during a fetch starts another one.

--- a/src/figpick/base/_errors.py
+++ b/src/figpick/base/_errors.py
@@ -155,6 +155,14 @@
         super().__init__(f"the document of service {service} has not been fetched")
 
 
+class DocumentUnavailableError(CallError):
+    """The document of a called service exists or may exist, but cannot be fetched."""
+
+    status = 503
+    reason = "document-unavailable"
+    outcome = OUTCOME_NOT_RUN
+
+
 class OverloadedError(CallError):
     """The call is refused because there is no free capacity."""
 
--- a/src/figpick/calls/_calls.py
+++ b/src/figpick/calls/_calls.py
@@ -134,7 +134,9 @@
 
     async def _fetch_document(self, service, start_line, headers):
         await self._node.fetcher.fetch(service, self._node.clock.monotonic())
-        self.headers_received(start_line, headers)
+        fetching = self.headers_received(start_line, headers)
+        if fetching is not None:
+            await fetching
 
     def data_received(self, chunk):
         if self._has_ended:
--- a/src/figpick/membership/_fetching.py
+++ b/src/figpick/membership/_fetching.py
@@ -1,9 +1,11 @@
 """Fetching of documents from other processes, and serving of own documents."""
 
 import asyncio
+from typing import NamedTuple
 
 from ..base._errors import (
     DocumentMissingError,
+    DocumentUnavailableError,
     FigpickError,
     PeerError,
     PeerRefusedError,
@@ -16,6 +18,8 @@
 FETCH_TIMEOUT_S = 1.0
 # Time after which a service that no process knew is requested again.
 UNKNOWN_RETRY_S = 5.0
+# Time after which a service that exists but could not be fetched is requested again.
+UNAVAILABLE_RETRY_S = 2.0
 MAX_UNKNOWN_SERVICES = 1000
 PEERS_QUERIED = 3
 NOT_FOUND = 404
@@ -23,6 +27,19 @@
 log = logger("documents")
 
 
+class UnknownService(NamedTuple):
+    """A service whose document could not be fetched.
+
+    :param queried_at: monotonic seconds.
+    :param version: newest version known when the fetch started, 0 if none.
+    :param has_reply: whether a process replied.
+    """
+
+    queried_at: float
+    version: int
+    has_reply: bool
+
+
 class DocumentFetcher:
     """Keeps the documents of services that this node calls or serves up to date.
 
@@ -49,9 +66,10 @@
         self._random = random
         self._rosters = {}
         self._sources = {}
-        self._unknown_queried_at = {}
+        self._unknown_services = {}
         self._task = None
         self._first_fetches = {}
+        self._replied_services = set()
         self.confirmed = False
 
     def has_newest(self, service):
@@ -81,10 +99,27 @@
 
         :param now: monotonic seconds.
         :raises DocumentMissingError: when the document must be fetched first.
+        :raises DocumentUnavailableError: when it could not be fetched, although its
+            version is known.
         """
-        queried_at = self._unknown_queried_at.get(service)
-        if queried_at is None or now - queried_at > UNKNOWN_RETRY_S:
+        unknown = self._unknown_services.get(service)
+        version = self._service_versions.get(service).version
+        retry_s = UNAVAILABLE_RETRY_S if version else UNKNOWN_RETRY_S
+        if unknown is None or now - unknown.queried_at > retry_s:
+            raise DocumentMissingError(service)
+        if version > unknown.version:
             raise DocumentMissingError(service)
+        if version:
+            raise _unavailable(service)
+
+    def require_reply(self, service):
+        """Checks that a process replied when an unknown service was requested last.
+
+        :raises DocumentUnavailableError: when none did.
+        """
+        unknown = self._unknown_services.get(service)
+        if unknown is not None and not unknown.has_reply:
+            raise _unavailable(service)
 
     async def fetch(self, service, now):
         """Fetches the document of a service that is called for the first time.
@@ -94,22 +129,27 @@
         :param now: monotonic seconds.
         :return: whether the document is available.
         """
-        task = self._first_fetches.get(service)
+        task, version = self._first_fetches.get(service, (None, 0))
         if task is None:
+            version = self._service_versions.get(service).version
             task = asyncio.ensure_future(self._fetch_first(service))
-            self._first_fetches[service] = task
+            self._first_fetches[service] = task, version
             task.add_done_callback(lambda _: self._first_fetches.pop(service, None))
         await asyncio.wait([task], timeout=FETCH_TIMEOUT_S)
         if service in self._node.documents:
             return True
-        if len(self._unknown_queried_at) >= MAX_UNKNOWN_SERVICES:
-            self._unknown_queried_at.clear()
-        self._unknown_queried_at[service] = now
+        if len(self._unknown_services) >= MAX_UNKNOWN_SERVICES:
+            self._unknown_services.clear()
+            self._replied_services.clear()
+        has_reply = service in self._replied_services
+        self._unknown_services[service] = UnknownService(now, version, has_reply)
         return False
 
     async def _fetch_first(self, service):
+        self._replied_services.discard(service)
         for address in self._addresses(service):
-            await self._fetch_from(address, [service])
+            if await self._fetch_from(address, [service]) is not None:
+                self._replied_services.add(service)
             if service in self._node.documents:
                 self._wanted.add(service)
                 return
@@ -161,7 +201,8 @@
 
     def stop(self):
         """Cancels running fetches."""
-        for task in [self._task, *self._first_fetches.values()]:
+        first_fetches = [task for task, _ in self._first_fetches.values()]
+        for task in [self._task, *first_fetches]:
             if task is not None:
                 task.cancel()
 
@@ -230,12 +271,13 @@
         return [member.peer_address for member in chosen]
 
     async def _fetch_from(self, address, services):
+        """Returns whether anything newer was fetched, or ``None`` without a reply."""
         try:
             message = {"v": 1, "services": services}
             reply = await self._client.send(address, "document", message)
         except PeerError as error:
             log.debug("Fetching documents from {} failed: {}.", address, error)
-            return False
+            return None
         return self._adopt_all(reply["documents"])
 
     async def _query_control(self, timeout_s):
@@ -300,6 +342,11 @@
         }
 
 
+def _unavailable(service):
+    message = f"the document of {service!r} could not be fetched"
+    return DocumentUnavailableError(message, retry_after_s=1)
+
+
 class ControlDocuments:
     """Serves the documents of a control process.
 
--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -375,6 +375,8 @@
         service = self._services.get(self._settings.get("service"))
         # A nested call that names a service must not reach a different one.
         if service is None or (is_service_name and is_nested):
+            if is_service_name and self.fetcher is not None:
+                self.fetcher.require_reply(host)
             raise UnknownServiceError(f"no document is known for {host!r}")
         return service
 
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -8,6 +8,7 @@
 from figpick.base._clock import Clock
 from figpick.base._errors import (
     DocumentMissingError,
+    DocumentUnavailableError,
     PeerRefusedError,
     PeerUnreachableError,
 )
@@ -206,6 +207,69 @@
     asyncio.run(scenario())
 
 
+def test_announced_service_is_fetched_although_it_was_unknown_before():
+    """Guards against a 404 for a service whose document was put a moment later."""
+
+    async def scenario():
+        network = Network()
+        serve(network, "control")
+        fetcher, node, service_versions = make_fetcher(network)
+        assert not await fetcher.fetch("scans", 0.0)
+        fetcher.require_recent_fetch("scans", 0.1)
+        service_versions.merge("scans", ServiceVersion(7, 0))
+        with pytest.raises(DocumentMissingError):
+            fetcher.require_recent_fetch("scans", 0.2)
+        # The process that announced the version cannot be reached yet.
+        assert not await fetcher.fetch("scans", 0.2)
+        with pytest.raises(DocumentUnavailableError):
+            fetcher.require_recent_fetch("scans", 0.3)
+        with pytest.raises(DocumentMissingError):
+            fetcher.require_recent_fetch("scans", 3.0)
+        serve(network, "control", entry("scans", 7))
+        assert await fetcher.fetch("scans", 3.0)
+        assert node.documents["scans"].version == 7
+
+    asyncio.run(scenario())
+
+
+def test_service_announced_during_its_fetch_is_fetched_again():
+    """Guards against a refusal by a process that replied before it had the document."""
+
+    async def scenario():
+        network = Network()
+        fetcher, _, service_versions = make_fetcher(network)
+
+        async def reply(message):
+            service_versions.merge("scans", ServiceVersion(7, 0))
+            return {"documents": []}
+
+        network.handlers["control", "document"] = reply
+        assert not await fetcher.fetch("scans", 0.0)
+        with pytest.raises(DocumentMissingError):
+            fetcher.require_recent_fetch("scans", 0.0)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("control_replies", [True, False])
+def test_service_is_absent_only_when_a_process_replied(control_replies):
+    """Guards against a 404 from a node that cannot reach any other process."""
+
+    async def scenario():
+        network = Network()
+        if control_replies:
+            serve(network, "control")
+        fetcher, _, _ = make_fetcher(network)
+        assert not await fetcher.fetch("scans", 0.0)
+        if control_replies:
+            fetcher.require_reply("scans")
+        else:
+            with pytest.raises(DocumentUnavailableError):
+                fetcher.require_reply("scans")
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("control_replies", [True, False])
 def test_restarted_node_is_confirmed_or_uses_the_highest_of_three_peers(
     control_replies,
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -3,7 +3,11 @@
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from figpick.base._errors import DocumentMissingError, UnknownServiceError
+from figpick.base._errors import (
+    DocumentMissingError,
+    DocumentUnavailableError,
+    UnknownServiceError,
+)
 from figpick.calls import _context
 from figpick.membership._members import FAILED, LEFT, Members
 from figpick.registry._documents import Service
@@ -83,11 +87,16 @@
     """A fetcher that finds no document."""
 
     requested = False
+    has_reply = False
 
     def require_recent_fetch(self, service, now):
         if not self.requested:
             raise DocumentMissingError(service)
 
+    def require_reply(self, service):
+        if not self.has_reply:
+            raise DocumentUnavailableError(service)
+
 
 def plan(node, host, context=None):
     headers = HTTPHeaders({"Host": host})
@@ -108,6 +117,9 @@
     with pytest.raises(DocumentMissingError):
         plan(node, "nowhere", context)
     node.fetcher.requested = True
+    with pytest.raises(DocumentUnavailableError):
+        plan(node, "nowhere", context)
+    node.fetcher.has_reply = True
     with pytest.raises(UnknownServiceError):
         plan(node, "nowhere", context)
     assert plan(node, "public.example.com").service.name == "parts"
