Decide changes of the quorum only on a committed membership

An operator who sent "members add" again after a lost reply was told that the process is a voter although that change could still be lost, and "members remove" answered 404 or "members add" 409 from a membership that was not committed or from a leader that had been replaced. A removal that was accepted while another operator added the same process was reverted: the process became a voter without having the log.

Cause: the leader read the newest membership of its log, committed or not, without asking the quorum whether it still led. After a wait for another change it repeated the step, but not the checks before it.

Each step now starts with a confirmed read and waits until the newest membership is committed, and the checks are part of the step, so that a wait repeats them.

All new tests failed before: the resend was answered while its change was uncommitted (as success and as 404), the former leader replied with success, 409 and 404 instead of "no quorum", and the removed process was a voter again.

--- a/src/figpick/roles/_control_members.py
+++ b/src/figpick/roles/_control_members.py
@@ -83,14 +83,13 @@
 
     async def _add(self, name, address):
         identity = await self._identify(name, address)
+        await self._settle()
         if self._members.voters.get(identity) == address:
             return
         if identity in self._members.voters:
             await self._apply(lambda members: _with_voter(members, identity, address))
             return
-        if name in map(name_of, set(self._members.addresses) - {identity}):
-            error = f"{name} is a member with an earlier disk; remove it first"
-            raise PeerRefusedError(CONFLICT, {"error": error})
+        _refuse_earlier_disk(self._members, identity)
         if identity not in self._members.learners:
             await self._apply(lambda members: _with_learner(members, identity, address))
         await self._wait_until_caught_up(identity)
@@ -114,6 +113,7 @@
         return reply["identity"]
 
     async def _remove(self, name):
+        await self._settle()
         identities = [each for each in self._members.addresses if name_of(each) == name]
         if not identities:
             error = f"{name!r} is not a member of the quorum"
@@ -130,6 +130,7 @@
     async def _apply(self, change):
         deadline = self._clock.monotonic() + CHANGE_TIMEOUT_S
         while True:
+            await self._settle()
             try:
                 await self._quorum.change_members(change(self._members))
                 return
@@ -138,6 +139,22 @@
                     raise PeerRefusedError(CONFLICT, {"error": str(error)}) from error
             await asyncio.sleep(RETRY_PAUSE_S)
 
+    async def _settle(self):
+        """Waits until the newest membership is committed and known to be current.
+
+        :raises NoQuorumError: when this process does not lead or the last change is
+            not committed in time.
+        """
+        await self._quorum.confirm()
+        deadline = self._clock.monotonic() + CHANGE_TIMEOUT_S
+        raft = self._quorum.replica.raft
+        while raft.is_leader and raft.log.members_index > raft.commit_index:
+            if self._clock.monotonic() > deadline:
+                raise NoQuorumError("no quorum: a change of members is not committed")
+            await asyncio.sleep(RETRY_PAUSE_S)
+        if not raft.is_leader:
+            raise NoQuorumError("no quorum: this process does not lead")
+
     async def _wait_until_caught_up(self, identity):
         deadline = self._clock.monotonic() + CATCH_UP_TIMEOUT_S
         while not self._has_caught_up(identity):
@@ -171,11 +188,22 @@
     return parsed
 
 
+def _refuse_earlier_disk(members, identity):
+    name = name_of(identity)
+    if name in map(name_of, set(members.addresses) - {identity}):
+        error = f"{name} is a member with an earlier disk; remove it first"
+        raise PeerRefusedError(CONFLICT, {"error": error})
+
+
 def _with_learner(members, identity, address):
+    _refuse_earlier_disk(members, identity)
     return Membership(members.voters, {**members.learners, identity: address})
 
 
 def _with_voter(members, identity, address):
+    if identity not in members.addresses:
+        error = f"{name_of(identity)} was removed while it was added"
+        raise PeerRefusedError(CONFLICT, {"error": error})
     voters = {**members.voters, identity: address}
     return Membership(voters, _drop(members.learners, identity))
 
