Answer requests of operators before a control process stops

An operator whose change, read or status request was in flight at a control process that was stopped got no reply: the connection was closed, also for a change that was accepted a moment later. Requests sent while the process stopped ended the same way.

Cause: only the node role was drained. The control role closed its connections and cancelled the quorum at once.

The control role now refuses new requests with "no quorum", which makes clients use the next process, and waits for those in flight for up to 6 s, the longest time that a request other than a change of members takes. Members still replicate meanwhile, and a request that waits for a leader ends at its next attempt.

--- a/src/figpick/roles/_compose.py
+++ b/src/figpick/roles/_compose.py
@@ -98,6 +98,8 @@
             if self._node is not None:
                 flush_members = self._dissemination.flush
                 await _shutdown.drain(self._node, flush_members, self.clock)
+            if self._control is not None:
+                await self._control.drain()
         finally:
             supervision.cancel()
             stop.cancel()
--- a/src/figpick/roles/_control.py
+++ b/src/figpick/roles/_control.py
@@ -22,6 +22,9 @@
 FORWARD_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.1
 ROSTER_PERIOD_S = 1.0
+# A request ends within this time, except for changes of members, which may be resent.
+STOP_TIMEOUT_S = FIND_LEADER_TIMEOUT_S + FORWARD_TIMEOUT_S
+STOP_POLL_PERIOD_S = 0.05
 
 log = logger("control")
 
@@ -41,6 +44,8 @@
         self._quorum = QuorumMember(settings, clock, client)
         self._membership = MembershipChanges(self._quorum, clock, client)
         self._propose_rosters = None
+        self._in_flight = 0
+        self._is_stopping = False
 
     @property
     def versions(self):
@@ -96,6 +101,19 @@
         supervisor.add("formation", self._quorum.form)
         supervisor.add_periodic("rosters", self._commit_rosters, ROSTER_PERIOD_S)
 
+    async def drain(self):
+        """Refuses new requests of operators and waits for those in flight.
+
+        The wait ends after ``STOP_TIMEOUT_S``.
+        """
+        self._is_stopping = True
+        deadline = self._clock.monotonic() + STOP_TIMEOUT_S
+        while self._in_flight:
+            if self._clock.monotonic() > deadline:
+                log.warning("Requests of operators are still in flight.")
+                return
+            await asyncio.sleep(STOP_POLL_PERIOD_S)
+
     async def put(self, message):
         """Commits a change of a service document.
 
@@ -209,6 +227,15 @@
         :param function: coroutine function that runs the request on the leader.
         :param timeout_s: seconds within which the leader must reply.
         """
+        if self._is_stopping:
+            raise NoQuorumError("no quorum: this process is stopping")
+        self._in_flight += 1
+        try:
+            return await self._retry_at_leader(kind, message, function, timeout_s)
+        finally:
+            self._in_flight -= 1
+
+    async def _retry_at_leader(self, kind, message, function, timeout_s):
         deadline = self._clock.monotonic() + FIND_LEADER_TIMEOUT_S
         while True:
             try:
@@ -219,7 +246,7 @@
                 failure = error
             if message.get("forwarded") or self._quorum.needs_operator:
                 raise failure
-            if self._clock.monotonic() > deadline:
+            if self._is_stopping or self._clock.monotonic() > deadline:
                 raise failure
             await asyncio.sleep(RETRY_PAUSE_S)
 
