Let calls in flight end when a component fails too often

Callers of a node whose background task failed again and again got closed connections without responses, although their calls were not affected by the fault.

Cause: a process that exceeds the restart limit of a component skipped the drain that a stop by a signal makes, and closed its connections at once.

Both ends of a process now drain its roles first. The process still exits with status 1 in this case, also when the limit is exceeded during the drain of a stop.

The new test failed before: a call in flight got a closed connection (status 0) instead of 200.

--- a/src/figpick/roles/_compose.py
+++ b/src/figpick/roles/_compose.py
@@ -80,7 +80,11 @@
         return self._node
 
     async def run(self):
-        """Runs until :meth:`request_stop` is called or a component fails too often."""
+        """Runs until :meth:`request_stop` is called or a component fails too often.
+
+        :raises RestartLimitError: when a component failed too often, once the calls in
+            flight have ended.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
@@ -93,13 +97,13 @@
         stop = asyncio.ensure_future(self._stop_requested.wait())
         try:
             await asyncio.wait([supervision, stop], return_when=asyncio.FIRST_COMPLETED)
-            if supervision.done():
-                supervision.result()
             if self._node is not None:
                 flush_members = self._dissemination.flush
                 await _shutdown.drain(self._node, flush_members, self.clock)
             if self._control is not None:
                 await self._control.drain()
+            if supervision.done():
+                supervision.result()
         finally:
             supervision.cancel()
             stop.cancel()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -3,9 +3,12 @@
 import asyncio
 import socket
 
+import pytest
+
 from bench.cluster import free_address
 from bench.local import LocalGraph, LocalNode, make_document
 from bench.origin import Origin, make_body
+from figpick.base._supervisor import RestartLimitError
 from figpick.calls._recorder import Recorder
 from figpick.claims._claim_holder import GRANTED, Reply
 from figpick.membership._members import LEFT
@@ -209,3 +212,36 @@
             await node.task
 
     asyncio.run(scenario())
+
+
+class FailingNode(LocalNode):
+    """A node with a component that fails again and again when it is told to."""
+
+    def start(self, documents, seeds):
+        super().start(documents, seeds)
+        self.must_fail = asyncio.Event()
+        self.process.supervisor.add("failing", self.fail)
+
+    async def fail(self):
+        await self.must_fail.wait()
+        raise ValueError("a fault of the test")
+
+
+def test_failure_of_a_component_interrupts_no_call():
+    """Guards against calls that are cut because a background task has failed."""
+
+    async def scenario():
+        origin, address = Origin(), free_address()
+        origin.listen(address)
+        node = FailingNode("parts-1", "parts", address)
+        async with LocalGraph([node], [make_document("parts")]) as graph:
+            request = call(graph, node, "POST", "/a?ms=2500")
+            task = asyncio.ensure_future(request)
+            await asyncio.sleep(0.2)
+            node.must_fail.set()
+            assert (await task).status == 200
+            with pytest.raises(RestartLimitError):
+                await node.task
+        await origin.stop()
+
+    asyncio.run(scenario())
