Close connections of a stopping node only when callers have the responses

A caller that read a response slowly and sent another request while the node stopped lost the response, although the node had counted the call as answered.

Cause: a response counted as sent once it was in the buffer of the kernel. The node then closed the connection; a request that arrived on the closed connection made the kernel reset it and discard what the caller had not yet received.

A node is now idle only when the send queues of its connections are empty, so that the host of the caller has each response before the connection is closed. A caller that acknowledges nothing holds a stop up until DRAIN_TIMEOUT_S at most.

--- a/src/figpick/calls/_calls.py
+++ b/src/figpick/calls/_calls.py
@@ -1,8 +1,10 @@
 """Accepts calls over HTTP and responds to them."""
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 
 import msgspec
 from tornado.httpserver import HTTPServer
@@ -38,6 +40,8 @@
 LINGER_S = 1.0
 # SO_LINGER value with which close() resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Number of bytes in the send queue of a socket.
+QUEUED = struct.Struct("i")
 
 log = logger("calls")
 
@@ -69,8 +73,11 @@
 
     @property
     def is_idle(self):
-        """Whether every request that was received has a completely sent response."""
-        return not any(call.has_begun for call in self._calls.values())
+        """Whether callers have received a complete response to every request."""
+        return not any(
+            call.has_begun or call.has_unacknowledged_bytes
+            for call in self._calls.values()
+        )
 
     def start_request(self, server_conn, request_conn):
         # The server starts the next request of a connection only when the response to
@@ -167,6 +174,23 @@
         """Whether the headers of the request were received."""
         return self._request_line is not None
 
+    @property
+    def has_unacknowledged_bytes(self):
+        """Whether the host of the caller has yet to receive bytes of a response.
+
+        Closing the connection could discard them: a caller that sends another request
+        meanwhile gets a reset.
+        """
+        stream = self._caller.stream
+        if stream.closed():
+            return False
+        try:
+            queued = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, bytes(QUEUED.size))
+        except OSError as error:
+            log.debug("The send queue of a connection is not known: {}.", error)
+            return False
+        return QUEUED.unpack(queued)[0] > 0
+
     @property
     def status(self):
         """HTTP status of the complete response from an upstream, 0 without one."""
--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -98,8 +98,8 @@
     def is_idle(self):
         """Whether no call is in flight, received or answered at this node or upstream.
 
-        A call is received from its headers on, and answered until its response was
-        sent and its claim holders know of its end.
+        A call is received from its headers on, and answered until its caller has the
+        response and its claim holders know of its end.
         """
         has_calls = self._in_flight > 0 or not self._call_server.is_idle
         has_work = has_calls or self.claims.has_deliveries
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -146,6 +146,31 @@
     asyncio.run(scenario())
 
 
+def test_request_after_a_shutdown_does_not_destroy_an_unread_response():
+    """Guards against a reset that discards a response the caller has not received."""
+    body = make_body(3, 0, 60_000)
+
+    async def scenario():
+        async with start_proxied_node() as (_, node, _, _):
+            reader, writer = await connect(node.call_address, 4096)
+            request = b"GET /body/60000/length/3 HTTP/1.1\r\nHost: parts\r\n\r\n"
+            writer.write(request)
+            await asyncio.sleep(0.3)
+            node.process.request_stop()
+            await asyncio.sleep(0.5)
+            writer.write(request)
+            await asyncio.sleep(0.2)
+            async with asyncio.timeout(5.0):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200 ")
+                assert await reader.readexactly(len(body)) == body
+            writer.close()
+            async with asyncio.timeout(5.0):
+                await node.task
+
+    asyncio.run(scenario())
+
+
 def test_end_of_a_claimed_call_reaches_its_holder_before_a_shutdown_ends():
     """Guards against a stop that loses the stored response of a keyed request."""
 
