Check the quarantine of a request again before it is sent

A request that was quarantined while its node opened a connection was still sent and could crash a further upstream. Opening a connection takes up to 1 s, the time within which a quarantined request must be refused on all nodes.

Cause: the quarantine was checked when a request got its permit and while it waited for the slot of suspects, but not after the connection was open.

The check is repeated once the connection is open, and no wait follows before the request is sent.

The new test failed before: the request was run and got 200 instead of 422 "not-run".

--- a/src/figpick/calls/_dispatch.py
+++ b/src/figpick/calls/_dispatch.py
@@ -4,7 +4,12 @@
 
 from tornado.iostream import StreamClosedError
 
-from ..base._errors import BrokenResponseError, CallError, NoUpstreamError
+from ..base._errors import (
+    BrokenResponseError,
+    CallError,
+    NoUpstreamError,
+    QuarantinedError,
+)
 from ..routing._upstream import UpstreamResult
 from . import _context
 from ._attempts import Attempt
@@ -134,6 +139,7 @@
                 if connection is None:
                     upstream_result = UpstreamResult(False, 0, 0.0, refused=True)
                 else:
+                    self._reject_quarantined(plan, connection)
                     result = await self._send(
                         plan, upstream, connection, is_backup, slot
                     )
@@ -177,6 +183,15 @@
         except StreamClosedError:
             return None
 
+    def _reject_quarantined(self, plan, connection):
+        # The request may have been quarantined while it waited for the connection.
+        now = self._node.clock.monotonic()
+        try:
+            self._node.quarantine_coordinator.reject_quarantined(plan, self._body, now)
+        except QuarantinedError:
+            connection.close()
+            raise
+
     async def _send(self, plan, upstream, connection, is_backup, slot):
         node = self._node
         self.has_sent = True
--- a/tests/test_quarantine_coordinator.py
+++ b/tests/test_quarantine_coordinator.py
@@ -9,6 +9,7 @@
 from figpick.base._errors import QuarantinedError
 from figpick.retries._quarantine import QUARANTINED, SUSPECTED, Event
 from figpick.retries._quarantine_coordinator import QuarantineCoordinator
+from tests.proxied_node import call, start_proxied_node
 
 PLAN = SimpleNamespace(
     service=SimpleNamespace(name="jobs"), method="GET", target="/x", key="", deadline=99
@@ -80,3 +81,33 @@
             await coordinator.acquire_slot(PLAN, BODY, SimpleNamespace(name="jobs-1"))
 
     asyncio.run(scenario())
+
+
+def test_quarantine_applies_to_a_request_that_waited_for_a_connection():
+    """Guards against a crash by a request that is quarantined while it connects."""
+
+    async def scenario():
+        async with start_proxied_node() as (graph, node, origin, _):
+            coordinator = node.node.quarantine_coordinator
+            (upstream,) = node.node.upstream_set("parts")
+            acquire_slot, connect = coordinator.acquire_slot, upstream.pool.connect
+            fingerprints = []
+
+            async def record_and_acquire_slot(plan, body, upstream):
+                fingerprints.append(coordinator._fingerprint(plan, body, always=True))
+                return await acquire_slot(plan, body, upstream)
+
+            async def connect_later(now):
+                event = Event(QUARANTINED, fingerprints[0], upstream.name, "parts")
+                await coordinator.handle_events({"events": [list(event)]})
+                return await connect(now)
+
+            coordinator.acquire_slot = record_and_acquire_slot
+            upstream.pool.connect = connect_later
+            response = await call(graph, node, "GET", "/a", {"X-Request": "poison"})
+            assert response.status == 422
+            assert response.outcome == "not-run"
+            assert origin.executions["poison"] == 0
+            assert upstream.permits.in_use == 0
+
+    asyncio.run(scenario())
