Answer a request that is not complete in time instead of aborting its connection

Callers that pipeline saw a connection end without the responses to requests that had been passed on, since a later request on it was not complete in time.

Cause: the timeout of a request aborted the connection with all open requests.

The incomplete request is now answered with 408 (not run) in its turn, and this response closes the connection; those before it are sent first.

test_incomplete_request_does_not_cost_the_responses_before_it failed before with asyncio and uvloop: the client received b'' in place of the first response.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -22,7 +22,9 @@
 LINGER_TIMEOUT_S = 2.0
 # A connection that is closing discards at most this many bytes of further requests.
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+STATUS_REQUEST_TIMEOUT = 408
 STATUS_UNAVAILABLE = 503
+REJECTION_TEXTS = {STATUS_REQUEST_TIMEOUT: "the request is not complete in time"}
 
 log = logger("entry")
 
@@ -225,7 +227,7 @@
             self._transport.resume_reading()
 
     def enforce_timeouts(self, now, limits):
-        """Aborts the connection if its client is idle or slow for too long.
+        """Ends the connection if its client is idle or slow for too long.
 
         :param now: monotonic seconds.
         :param limits: :class:`~figpick.configuration.Limits`.
@@ -244,7 +246,7 @@
             return
         started_at = self._reader.started_at
         if started_at is not None and now - started_at > limits.header_timeout_s:
-            self._cut("a request is not complete in time", now)
+            self._reader.reject(STATUS_REQUEST_TIMEOUT)
 
     def _on_request(self, request):
         if self._is_closing:
@@ -263,7 +265,8 @@
                 request, response, "the node stops"
             )
         else:
-            head, body = render_error_response(status, "the request is malformed")
+            text = REJECTION_TEXTS.get(status, "the request is malformed")
+            head, body = render_error_response(status, text)
             response.start(status, head, len(body), body, True)
 
     @property
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -417,3 +417,20 @@
         assert received.startswith(b"HTTP/1.1 503 ")
         assert received.count(b"HTTP/1.1 ") == 1
         assert not entry.forwarder.calls
+
+
+@on_each_loop
+async def test_incomplete_request_does_not_cost_the_responses_before_it():
+    """Guards against a timeout of one request that drops others of its connection."""
+    with patch.object(_entry, "TIMEOUT_CHECK_PERIOD_S", 0.05):
+        async with serve(header_timeout_s=0.1) as (entry, connect):
+            client = await connect()
+            await send(client, request(b"a1") + b"GET /a/ HTTP/1.1\r\n")
+            (call,) = await entry.forwarder.receive(1)
+            await asyncio.sleep(0.3)
+            respond(call, b"first")
+            received = await receive_all(client)
+            first, _, second = received.partition(b"first")
+            assert first.startswith(b"HTTP/1.1 200 ")
+            assert second.startswith(b"HTTP/1.1 408 ")
+            assert b"Connection: close\r\n" in second
