Do not count the time without reading towards the timeout of a request

Callers that pipeline many requests saw a connection end although they had sent the whole request in time.

Cause: the node stops reading above 64 open requests. The rest of a request that was received in part then stays unread, while its timeout goes on.

The timeout now counts from the moment the node reads again.

test_request_is_not_incomplete_while_the_node_does_not_read failed before with asyncio and uvloop: TimeoutError, the connection had been aborted.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -46,6 +46,7 @@
         self._is_reading_paused = False
         self._is_writing_paused = False
         self.writing_paused_at = None
+        self._reading_resumed_at = 0.0
         self.idle_since = 0.0
         self._last_request_id = b""
         self._is_lingering = False
@@ -224,6 +225,7 @@
             self.idle_since = self._entry.now()
         if self._is_reading_paused and len(responses) < MAX_PIPELINED_REQUESTS // 2:
             self._is_reading_paused = False
+            self._reading_resumed_at = self._entry.now()
             self._transport.resume_reading()
 
     def enforce_timeouts(self, now, limits):
@@ -245,7 +247,11 @@
                 self._cut("idle", now)
             return
         started_at = self._reader.started_at
-        if started_at is not None and now - started_at > limits.header_timeout_s:
+        if started_at is None or self._is_reading_paused:
+            return
+        # The client can only send the rest while this node reads.
+        waited_s = now - max(started_at, self._reading_resumed_at)
+        if waited_s > limits.header_timeout_s:
             self._reader.reject(STATUS_REQUEST_TIMEOUT)
 
     def _on_request(self, request):
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -434,3 +434,23 @@
             assert first.startswith(b"HTTP/1.1 200 ")
             assert second.startswith(b"HTTP/1.1 408 ")
             assert b"Connection: close\r\n" in second
+
+
+@on_each_loop
+async def test_request_is_not_incomplete_while_the_node_does_not_read():
+    """Guards against a timeout for the rest of a request that the node left unread."""
+    with (
+        patch.object(_entry, "TIMEOUT_CHECK_PERIOD_S", 0.05),
+        patch.object(_client_connections, "MAX_PIPELINED_REQUESTS", 4),
+    ):
+        async with serve(header_timeout_s=0.2) as (entry, connect):
+            client = await connect()
+            await send(client, request(b"a1") * 6 + request(b"a7")[:-2])
+            calls = await entry.forwarder.receive(6)
+            await send(client, b"\r\n")
+            await asyncio.sleep(0.5)
+            for call in list(calls):
+                respond(call, b"x")
+            calls = await entry.forwarder.receive(7)
+            respond(calls[6], b"seventh")
+            assert (await receive_until(client, b"seventh")).count(b" 200 OK") == 7
