Start the idle timeout of a connection when its client has the response

Callers that read slowly saw a connection end while they still received a response, and lost what the write buffer held; a further request sent on it met a reset.

Cause: a connection counted as idle from the moment its last response was handed to the write buffer, and the timeout aborted it, which drops that buffer.

A connection with undelivered bytes gets another idle timeout as long as its client makes progress, and an idle connection is closed without an abort. The send queue of the kernel is read only when the timeout has passed.

test_idle_timeout_starts_when_the_response_has_been_received failed before with asyncio and uvloop: TimeoutError, the next request on the connection was not read.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -244,7 +244,7 @@
             return
         if self.is_idle:
             if now - self.idle_since > limits.idle_timeout_s:
-                self._cut("idle", now)
+                self._close_idle(now)
             return
         started_at = self._reader.started_at
         if started_at is None or self._is_reading_paused:
@@ -279,6 +279,17 @@
     def _undelivered_bytes(self):
         return self.unsent_bytes + self.unacknowledged_bytes
 
+    def _close_idle(self, now):
+        undelivered = self._undelivered_bytes
+        if not undelivered:
+            self.close_gracefully()
+        elif undelivered == self._undelivered_before:
+            self._cut("the client does not read", now)
+        else:
+            # The client is still receiving a response.
+            self._undelivered_before = undelivered
+            self.idle_since = now
+
     def _cut(self, reason, now):
         requests = self.open_requests(now)
         if requests:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -139,13 +139,13 @@
     return bytes(received)
 
 
-async def receive_until(client, end):
-    """Returns the bytes up to a given end."""
+async def receive_until(client, end, piece_bytes=1):
+    """Returns the bytes up to a given end, received in pieces of a given size."""
     loop = asyncio.get_running_loop()
     received = b""
     async with asyncio.timeout(8.0):
         while not received.endswith(end):
-            data = await loop.sock_recv(client, 1)
+            data = await loop.sock_recv(client, piece_bytes)
             assert data, "the node closed the connection"
             received += data
     return received
@@ -454,3 +454,21 @@
             calls = await entry.forwarder.receive(7)
             respond(calls[6], b"seventh")
             assert (await receive_until(client, b"seventh")).count(b" 200 OK") == 7
+
+
+@on_each_loop
+async def test_idle_timeout_starts_when_the_response_has_been_received():
+    """Guards against closing a connection whose client still receives a response."""
+    with patch.object(_entry, "TIMEOUT_CHECK_PERIOD_S", 0.05):
+        async with serve(idle_timeout_s=0.3) as (entry, connect):
+            client = await connect(SMALL_RECEIVE_BUFFER_BYTES)
+            await send(client, request(b"a1"))
+            (call,) = await entry.forwarder.receive(1)
+            respond(call, b"x" * LATE_READ_BYTES)
+            await asyncio.sleep(0.5)
+            await receive_until(client, b"x" * LATE_READ_BYTES, piece_bytes=65536)
+            await send(client, request(b"a2"))
+            calls = await entry.forwarder.receive(2)
+            respond(calls[1], b"second")
+            await receive_until(client, b"second")
+            assert await receive_all(client) == b""
