Measure the read timeout of a client from its last progress

Callers that read a large response slowly saw it end in the middle.

Cause: the timeout of 15 s counted from the moment the write buffer was full until it was nearly empty again, however much the client read meanwhile. Below 13 KB/s each large response was cut.

The timeout now counts from the last moment at which the client's host acknowledged bytes.

test_slow_reader_that_makes_progress_receives_its_response failed before with asyncio and uvloop: AssertionError: the response was cut.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -15,7 +15,7 @@
 MAX_PIPELINED_REQUESTS = 64
 # A streamed response pauses while its client has more unread bytes than this.
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024
-# A client that leaves the write buffer full for this long is disconnected.
+# A client that reads nothing for this long, while bytes wait for it, is disconnected.
 CLIENT_READ_TIMEOUT_S = 15.0
 # After its last response a connection stays open until the client closes it, at most
 # for this long after the client's host has acknowledged all bytes.
@@ -45,12 +45,11 @@
         self._is_closing = False
         self._is_reading_paused = False
         self._is_writing_paused = False
-        self.writing_paused_at = None
         self._reading_resumed_at = 0.0
         self.idle_since = 0.0
         self._last_request_id = b""
         self._is_lingering = False
-        self._undelivered_before = 0
+        self._unread_before = 0
         self._progress_at = 0.0
         self.discarded_bytes = 0
 
@@ -83,11 +82,10 @@
 
     def pause_writing(self):
         self._is_writing_paused = True
-        self.writing_paused_at = self._entry.now()
+        self._note_progress(self._entry.now())
 
     def resume_writing(self):
         self._is_writing_paused = False
-        self.writing_paused_at = None
         self.flush()
 
     def connection_lost(self, error):
@@ -151,7 +149,7 @@
         """
         if self._is_lingering:
             return self._has_lingered(now)
-        return self.is_idle and self._undelivered_bytes == 0
+        return self.is_idle and self._unread_bytes == 0
 
     def open_requests(self, now):
         """Returns the requests without a whole response, as a list of dicts for logs.
@@ -163,14 +161,14 @@
             for response in self._responses
             if response.call is not None
         ]
-        if not self._responses and self._undelivered_bytes:
+        if not self._responses and self._unread_bytes:
             request_id = self._last_request_id.decode("latin-1")
             requests.append({"id": request_id, "state": "answered"})
         return requests
 
     def end_lingering(self):
         """Closes the connection if the client's host has all responses."""
-        if self._undelivered_bytes == 0:
+        if self._unread_bytes == 0:
             self.abort()
 
     def abort(self):
@@ -238,8 +236,8 @@
             if self._has_lingered(now):
                 self._cut("the client does not read", now)
             return
-        if self.writing_paused_at is not None:
-            if now - self.writing_paused_at > CLIENT_READ_TIMEOUT_S:
+        if self._is_writing_paused:
+            if self._seconds_without_progress(now) > CLIENT_READ_TIMEOUT_S:
                 self._cut("the client does not read", now)
             return
         if self.is_idle:
@@ -276,18 +274,19 @@
             response.start(status, head, len(body), body, True)
 
     @property
-    def _undelivered_bytes(self):
-        return self.unsent_bytes + self.unacknowledged_bytes
+    def _unread_bytes(self):
+        """Bytes that were written and that the client's host has not acknowledged."""
+        return self._transport.get_write_buffer_size() + self.unacknowledged_bytes
 
     def _close_idle(self, now):
-        undelivered = self._undelivered_bytes
-        if not undelivered:
+        unread = self._unread_bytes
+        if not unread:
             self.close_gracefully()
-        elif undelivered == self._undelivered_before:
+        elif unread == self._unread_before:
             self._cut("the client does not read", now)
         else:
             # The client is still receiving a response.
-            self._undelivered_before = undelivered
+            self._unread_before = unread
             self.idle_since = now
 
     def _cut(self, reason, now):
@@ -312,8 +311,7 @@
                 log_behind_close(response.call, self._entry.now())
         self._abandon_calls()
         self._is_lingering = True
-        self._undelivered_before = self._undelivered_bytes
-        self._progress_at = self._entry.now()
+        self._note_progress(self._entry.now())
         if self._is_reading_paused and self.discarded_bytes <= MAX_DISCARDED_BYTES:
             self._is_reading_paused = False
             self._transport.resume_reading()
@@ -327,12 +325,19 @@
 
     def _has_lingered(self, now):
         """Returns whether the client has had enough time to read and to close."""
-        undelivered = self._undelivered_bytes
-        if undelivered != self._undelivered_before:
-            self._undelivered_before = undelivered
-            self._progress_at = now
-        limit_s = CLIENT_READ_TIMEOUT_S if undelivered else LINGER_TIMEOUT_S
-        return now - self._progress_at > limit_s
+        waited_s = self._seconds_without_progress(now)
+        limit_s = CLIENT_READ_TIMEOUT_S if self._unread_before else LINGER_TIMEOUT_S
+        return waited_s > limit_s
+
+    def _note_progress(self, now):
+        self._unread_before = self._unread_bytes
+        self._progress_at = now
+
+    def _seconds_without_progress(self, now):
+        """Returns the seconds in which the client's host has acknowledged nothing."""
+        if self._unread_bytes != self._unread_before:
+            self._note_progress(now)
+        return now - self._progress_at
 
     def _abandon_calls(self):
         for response in self._responses:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -472,3 +472,27 @@
             respond(calls[1], b"second")
             await receive_until(client, b"second")
             assert await receive_all(client) == b""
+
+
+@on_each_loop
+async def test_slow_reader_that_makes_progress_receives_its_response():
+    """Guards against a read timeout that ends a response while its client reads."""
+    with (
+        patch.object(_client_connections, "CLIENT_READ_TIMEOUT_S", 0.4),
+        patch.object(_entry, "TIMEOUT_CHECK_PERIOD_S", 0.05),
+    ):
+        async with serve() as (entry, connect):
+            client = await connect(SMALL_RECEIVE_BUFFER_BYTES)
+            await send(client, request(b"a1"))
+            (call,) = await entry.forwarder.receive(1)
+            respond(call, b"x" * 12_000_000)
+            loop = asyncio.get_running_loop()
+            for _ in range(10):
+                assert await loop.sock_recv(client, 20_000)
+                await asyncio.sleep(0.1)
+            received = 0
+            async with asyncio.timeout(8.0):
+                while received < 11_000_000:
+                    data = await loop.sock_recv(client, 65536)
+                    assert data, "the response was cut"
+                    received += len(data)
