Keep the responses before one that an upstream breaks off

Callers that pipeline saw a connection reset without responses to requests that had been passed on, when the upstream of a later request broke off its response.

Cause: a response that breaks off aborted its connection at once, also while it waited for its turn, with the responses before it and with whatever the write buffer held.

A response of which nothing has been written becomes a 502, and the connection stays open. Otherwise the connection closes after the part that has arrived, without an abort; its length or the missing last chunk show that it is not complete.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -109,12 +109,6 @@
         )
         return not response.keeps_alive or (self._entry.is_stopping and is_last)
 
-    def abort_response(self, response):
-        """Aborts the connection in the middle of a response."""
-        if response in self._responses:
-            self.flush()
-            self._cut("an upstream broke off its response", self._entry.now())
-
     def stop_reading(self):
         """Refuses the request that is being received, and closes an idle connection.
 
@@ -211,7 +205,10 @@
                 self._transport.write(data)
                 if response.call is not None and not response.is_complete:
                     self._entry.forwarder.grant_credit(response.call, len(data))
-            if not response.is_complete:
+            if response.is_broken:
+                response.keeps_alive = False
+                self._is_closing = True
+            elif not response.is_complete:
                 return
             responses.popleft()
             if response.call is not None:
--- a/src/figpick/nodes/_client_responses.py
+++ b/src/figpick/nodes/_client_responses.py
@@ -1,5 +1,8 @@
 """Responses to the requests of one client connection."""
 
+from ..wire import render_error_response
+from ._calls import STATUS_FAILED
+
 
 class ResponseWriter:
     """Holds one response until its turn on the connection.
@@ -17,6 +20,7 @@
         "head",
         "pending",
         "is_complete",
+        "is_broken",
         "is_chunked",
     )
 
@@ -28,6 +32,7 @@
         self.head = None
         self.pending = []
         self.is_complete = False
+        self.is_broken = False
         self.is_chunked = False
 
     def start(self, status, head, length, body, is_last):
@@ -61,8 +66,19 @@
         self.connection.flush()
 
     def abort(self):
-        """Aborts the connection, so that the response does not look complete."""
-        self.connection.abort_response(self)
+        """Ends a response that cannot be completed.
+
+        An error takes its place if nothing of it has been written. Otherwise its
+        connection closes after it, so that it does not look complete.
+        """
+        if self.head is None:
+            self.is_broken = True
+            self.connection.flush()
+            return
+        self.pending = []
+        text = "the response of the upstream broke off"
+        head, body = render_error_response(STATUS_FAILED, text)
+        self.start(STATUS_FAILED, head, len(body), body, True)
 
     def _add_body(self, body, is_last):
         if not self.is_chunked:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -496,3 +496,37 @@
                     data = await loop.sock_recv(client, 65536)
                     assert data, "the response was cut"
                     received += len(data)
+
+
+@on_each_loop
+async def test_broken_response_does_not_cost_the_responses_before_it():
+    """Guards against a failure of one upstream that drops responses of others."""
+    async with serve() as (entry, connect):
+        client = await connect(SMALL_RECEIVE_BUFFER_BYTES)
+        last = request(b"a2", extra=b"Connection: close\r\n")
+        await send(client, request(b"a1") + last)
+        calls = await entry.forwarder.receive(2)
+        calls[1].response.start(200, OK_HEAD, 100, b"y" * 50, False)
+        calls[1].response.abort()
+        await asyncio.sleep(0.1)
+        respond(calls[0], b"x" * 8_000_000)
+        received = await receive_all(client)
+        first, _, second = received.partition(b"x" * 8_000_000)
+        assert first.startswith(b"HTTP/1.1 200 ")
+        assert second.startswith(b"HTTP/1.1 502 ")
+
+
+@on_each_loop
+async def test_response_that_breaks_off_does_not_look_complete():
+    """Guards against a truncated body that its client takes for the whole one."""
+    for length in (100, -1):
+        async with serve() as (entry, connect):
+            client = await connect()
+            await send(client, request(b"a1") + request(b"a2"))
+            calls = await entry.forwarder.receive(2)
+            calls[0].response.start(200, OK_HEAD, length, b"x" * 50, False)
+            calls[0].response.abort()
+            received = await receive_all(client)
+            assert received.count(b"HTTP/1.1 ") == 1
+            assert received.endswith((b"x" * 50, b"x" * 50 + b"\r\n"))
+            assert calls[1] in entry.forwarder.abandoned
