--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -15,14 +15,16 @@
 MAX_PIPELINED_REQUESTS = 64
 # A streamed response pauses while its client has more unread bytes than this.
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024
-# A client that leaves the write buffer full for this long is disconnected.
+# A client that reads nothing for this long, while bytes wait for it, is disconnected.
 CLIENT_READ_TIMEOUT_S = 15.0
 # After its last response a connection stays open until the client closes it, at most
 # for this long after the client's host has acknowledged all bytes.
 LINGER_TIMEOUT_S = 2.0
 # A connection that is closing discards at most this many bytes of further requests.
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+STATUS_REQUEST_TIMEOUT = 408
 STATUS_UNAVAILABLE = 503
+REJECTION_TEXTS = {STATUS_REQUEST_TIMEOUT: "the request is not complete in time"}
 
 log = logger("entry")
 
@@ -43,11 +45,11 @@
         self._is_closing = False
         self._is_reading_paused = False
         self._is_writing_paused = False
-        self.writing_paused_at = None
+        self._reading_resumed_at = 0.0
         self.idle_since = 0.0
         self._last_request_id = b""
         self._is_lingering = False
-        self._undelivered_before = 0
+        self._unread_before = 0
         self._progress_at = 0.0
         self.discarded_bytes = 0
 
@@ -80,11 +82,10 @@
 
     def pause_writing(self):
         self._is_writing_paused = True
-        self.writing_paused_at = self._entry.now()
+        self._note_progress(self._entry.now())
 
     def resume_writing(self):
         self._is_writing_paused = False
-        self.writing_paused_at = None
         self.flush()
 
     def connection_lost(self, error):
@@ -108,12 +109,6 @@
         )
         return not response.keeps_alive or (self._entry.is_stopping and is_last)
 
-    def abort_response(self, response):
-        """Aborts the connection in the middle of a response."""
-        if response in self._responses:
-            self.flush()
-            self._cut("an upstream broke off its response", self._entry.now())
-
     def stop_reading(self):
         """Refuses the request that is being received, and closes an idle connection.
 
@@ -148,7 +143,7 @@
         """
         if self._is_lingering:
             return self._has_lingered(now)
-        return self.is_idle and self._undelivered_bytes == 0
+        return self.is_idle and self._unread_bytes == 0
 
     def open_requests(self, now):
         """Returns the requests without a whole response, as a list of dicts for logs.
@@ -160,14 +155,14 @@
             for response in self._responses
             if response.call is not None
         ]
-        if not self._responses and self._undelivered_bytes:
+        if not self._responses and self._unread_bytes:
             request_id = self._last_request_id.decode("latin-1")
             requests.append({"id": request_id, "state": "answered"})
         return requests
 
     def end_lingering(self):
         """Closes the connection if the client's host has all responses."""
-        if self._undelivered_bytes == 0:
+        if self._unread_bytes == 0:
             self.abort()
 
     def abort(self):
@@ -210,7 +205,10 @@
                 self._transport.write(data)
                 if response.call is not None and not response.is_complete:
                     self._entry.forwarder.grant_credit(response.call, len(data))
-            if not response.is_complete:
+            if response.is_broken:
+                response.keeps_alive = False
+                self._is_closing = True
+            elif not response.is_complete:
                 return
             responses.popleft()
             if response.call is not None:
@@ -222,10 +220,11 @@
             self.idle_since = self._entry.now()
         if self._is_reading_paused and len(responses) < MAX_PIPELINED_REQUESTS // 2:
             self._is_reading_paused = False
+            self._reading_resumed_at = self._entry.now()
             self._transport.resume_reading()
 
     def enforce_timeouts(self, now, limits):
-        """Aborts the connection if its client is idle or slow for too long.
+        """Ends the connection if its client is idle or slow for too long.
 
         :param now: monotonic seconds.
         :param limits: :class:`~figpick.configuration.Limits`.
@@ -234,17 +233,21 @@
             if self._has_lingered(now):
                 self._cut("the client does not read", now)
             return
-        if self.writing_paused_at is not None:
-            if now - self.writing_paused_at > CLIENT_READ_TIMEOUT_S:
+        if self._is_writing_paused:
+            if self._seconds_without_progress(now) > CLIENT_READ_TIMEOUT_S:
                 self._cut("the client does not read", now)
             return
         if self.is_idle:
             if now - self.idle_since > limits.idle_timeout_s:
-                self._cut("idle", now)
+                self._close_idle(now)
             return
         started_at = self._reader.started_at
-        if started_at is not None and now - started_at > limits.header_timeout_s:
-            self._cut("a request is not complete in time", now)
+        if started_at is None or self._is_reading_paused:
+            return
+        # The client can only send the rest while this node reads.
+        waited_s = now - max(started_at, self._reading_resumed_at)
+        if waited_s > limits.header_timeout_s:
+            self._reader.reject(STATUS_REQUEST_TIMEOUT)
 
     def _on_request(self, request):
         if self._is_closing:
@@ -263,12 +266,25 @@
                 request, response, "the node stops"
             )
         else:
-            head, body = render_error_response(status, "the request is malformed")
+            text = REJECTION_TEXTS.get(status, "the request is malformed")
+            head, body = render_error_response(status, text)
             response.start(status, head, len(body), body, True)
 
     @property
-    def _undelivered_bytes(self):
-        return self.unsent_bytes + self.unacknowledged_bytes
+    def _unread_bytes(self):
+        """Bytes that were written and that the client's host has not acknowledged."""
+        return self._transport.get_write_buffer_size() + self.unacknowledged_bytes
+
+    def _close_idle(self, now):
+        unread = self._unread_bytes
+        if not unread:
+            self.close_gracefully()
+        elif unread == self._unread_before:
+            self._cut("the client does not read", now)
+        else:
+            # The client is still receiving a response.
+            self._unread_before = unread
+            self.idle_since = now
 
     def _cut(self, reason, now):
         requests = self.open_requests(now)
@@ -292,8 +308,7 @@
                 log_behind_close(response.call, self._entry.now())
         self._abandon_calls()
         self._is_lingering = True
-        self._undelivered_before = self._undelivered_bytes
-        self._progress_at = self._entry.now()
+        self._note_progress(self._entry.now())
         if self._is_reading_paused and self.discarded_bytes <= MAX_DISCARDED_BYTES:
             self._is_reading_paused = False
             self._transport.resume_reading()
@@ -307,12 +322,19 @@
 
     def _has_lingered(self, now):
         """Returns whether the client has had enough time to read and to close."""
-        undelivered = self._undelivered_bytes
-        if undelivered != self._undelivered_before:
-            self._undelivered_before = undelivered
-            self._progress_at = now
-        limit_s = CLIENT_READ_TIMEOUT_S if undelivered else LINGER_TIMEOUT_S
-        return now - self._progress_at > limit_s
+        waited_s = self._seconds_without_progress(now)
+        limit_s = CLIENT_READ_TIMEOUT_S if self._unread_before else LINGER_TIMEOUT_S
+        return waited_s > limit_s
+
+    def _note_progress(self, now):
+        self._unread_before = self._unread_bytes
+        self._progress_at = now
+
+    def _seconds_without_progress(self, now):
+        """Returns the seconds in which the client's host has acknowledged nothing."""
+        if self._unread_bytes != self._unread_before:
+            self._note_progress(now)
+        return now - self._progress_at
 
     def _abandon_calls(self):
         for response in self._responses:
