Wait until links are written and read before a node exits

Callers saw a 502 for calls that had run to their end on a node that was stopping.

Cause: a node counted as stopped when no call was open. What it had handed to links was still in its buffers, and the process ended 50 ms later; the links of callers were not finished at all. A close at once with unread bytes could also reset the connection.

Change: a node that has stopped ends sending on all of its links behind the last message and waits, within the grace time, until the peers have read everything and closed their end, or until 0.5 s after the last byte was written if a peer does not respond.

--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -20,6 +20,7 @@
 # Hosts that lost power together return within a second, so the first attempts are close
 # to each other.
 BACKOFF_FACTOR = 1.25
+FINISH_POLL_PERIOD_S = 0.01
 
 PING = "ping"
 PONG = "pong"
@@ -43,6 +44,7 @@
         self._transport = None
         self._reader = FrameReader()
         self._is_open = False
+        self._is_finishing = False
         self.last_received_at = 0.0
         self.peer = None
 
@@ -107,7 +109,7 @@
 
     def send(self, message):
         """Sends a message, or drops it if the link is closed."""
-        if self._is_open:
+        if self._is_open and not self._is_finishing:
             self._transport.write(encode_frame(message))
 
     def probe(self):
@@ -122,9 +124,38 @@
             self._on_closed(self)
 
     def finish(self):
-        """Closes the connection after all buffered messages have been written."""
-        if self._is_open:
-            self._transport.close()
+        """Ends sending once all buffered messages have been written.
+
+        The link stays open until its peer has read them and closes its end. To close
+        this end at once could reset the connection, which discards messages on the way.
+        """
+        if self._is_open and not self._is_finishing:
+            self._is_finishing = True
+            self._transport.write_eof()
+
+
+async def finish_links(links, unconfirmed_s, timeout_s, clock):
+    """Finishes links and waits until their peers have read everything.
+
+    :param links: list of :class:`Link`.
+    :param unconfirmed_s: seconds to wait for peers once all bytes have been written.
+    :param timeout_s: seconds after which the rest is discarded.
+    :param clock: :class:`~figpick.base._clock.Clock`.
+    :return: number of bytes that were not written.
+    """
+    for link in links:
+        link.finish()
+    now = clock.monotonic()
+    end_at = now + timeout_s
+    written_at = now
+    while any(link.is_open for link in links):
+        if any(link.unsent_bytes for link in links):
+            written_at = now
+        if now >= min(end_at, written_at + unconfirmed_s):
+            break
+        await asyncio.sleep(FINISH_POLL_PERIOD_S)
+        now = clock.monotonic()
+    return sum(link.unsent_bytes for link in links)
 
 
 async def listen(address, make_link):
@@ -185,6 +216,12 @@
         if self._link is not None:
             self._link.close()
 
+    def finish(self):
+        """Finishes the link and stops reconnecting."""
+        self.stop_reconnecting()
+        if self._link is not None:
+            self._link.finish()
+
     async def _run(self):
         delay_s = MIN_RECONNECT_DELAY_S
         timeout_s = MIN_CONNECT_TIMEOUT_S
--- a/src/figpick/nodes/_draining.py
+++ b/src/figpick/nodes/_draining.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ..base._logs import logger
+from ..links import finish_links
 
 # Clients stop using a node after two failed readiness checks, one second apart.
 CLIENT_LEAVE_DELAY_S = 2.6
@@ -11,6 +12,10 @@
 OWNER_STOP_DELAY_S = 1.8
 # Calls that are still running this long before the process is killed are aborted.
 EXIT_MARGIN_S = 0.8
+# Links are cut this long before the process is killed, whatever they still carry.
+FLUSH_MARGIN_S = 0.4
+# A peer that runs closes a finished link within a round trip.
+UNCONFIRMED_TIMEOUT_S = 0.5
 STOP_POLL_PERIOD_S = 0.05
 
 log = logger("node")
@@ -61,13 +66,13 @@
             "oldest_s": round(max(ages_s), 3),
         }
 
-    async def run(self, announce_left, finish):
+    async def run(self, announce_left, stop_links):
         """Stops the node and returns when the process may exit.
 
         Calls that exceed the grace period are aborted.
 
         :param announce_left: announces that the node has left.
-        :param finish: closes the links once pending messages have been written.
+        :param stop_links: ends accepting and dialling links.
         """
         started_at = self._clock.monotonic()
         self._entry.stop_keep_alive()
@@ -88,6 +93,15 @@
         after_s = round(self._clock.monotonic() - started_at, 2)
         log.notice("Node has stopped.", extra={"after_s": after_s, **self.open_work()})
         self._entry.close()
-        finish()
-        # The last writes are sent in the next iterations of the event loop.
-        await asyncio.sleep(STOP_POLL_PERIOD_S)
+        await self._finish_links(stop_links, started_at)
+
+    async def _finish_links(self, stop_links, started_at):
+        links = [link for role in self._links().values() for link in role]
+        stop_links()
+        last_exit_at = started_at + self._settings.grace_s - FLUSH_MARGIN_S
+        timeout_s = max(0.0, last_exit_at - self._clock.monotonic())
+        unsent_bytes = await finish_links(
+            links, UNCONFIRMED_TIMEOUT_S, timeout_s, self._clock
+        )
+        if unsent_bytes:
+            log.warning("Links end unsent.", extra={"unsent_bytes": unsent_bytes})
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -21,7 +21,6 @@
     """
 
     is_open = True
-    unsent_bytes = 0
 
     def __init__(self, on_message):
         self._on_message = on_message
@@ -184,6 +183,12 @@
         if peer is not None:
             self._remove(peer)
 
+    def finish(self):
+        """Finishes all links and stops reconnecting."""
+        for peer in (*self, *self._retired):
+            if peer.dialer is not None:
+                peer.dialer.finish()
+
     def stop_retired(self):
         """Closes the links to nodes that have left and owe no more responses."""
         for peer in [peer for peer in self._retired if not peer.attempts]:
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -161,7 +161,7 @@
         Calls that exceed the grace period are aborted.
         """
         self._is_stopping = True
-        await self._drainer.run(self._announce_left, self._controls.finish)
+        await self._drainer.run(self._announce_left, self._stop_links)
 
     def open_work(self):
         """Returns the open calls by state and the unsent bytes, as a JSON value."""
@@ -254,9 +254,19 @@
         self._announcer.update(state=LEFT)
         self._controls.announce()
 
+    def _stop_links(self):
+        if self._server is not None:
+            self._server.close()
+        self._peers.finish()
+        self._controls.finish()
+
     def _open_links(self):
         return {
-            "callers": list(self._caller_links.values()),
+            "callers": [
+                link
+                for (name, _), link in self._caller_links.items()
+                if name != self._settings.name
+            ],
             "owners": self._peers.open_links(),
             "controls": self._controls.open_links(),
         }
--- a/tests/test_stopping_links.py
+++ b/tests/test_stopping_links.py
@@ -1,5 +1,7 @@
 """What links still carry when a node at one of their ends stops or leaves."""
 
+import asyncio
+import socket
 
 import pytest
 
@@ -9,9 +11,71 @@
     Client,
     Fleet,
     async_test,
+    make_configuration,
+    make_routes,
     wait_until,
 )
 
+BODY = b"x" * 60_000
+CALLS = 8
+
+
+def long_routes(timeout_s=8.0):
+    """Returns the routes of the fleet with another timeout."""
+    return tuple(route._replace(timeout_s=timeout_s) for route in make_routes())
+
+
+def limit_send_buffer(link):
+    """Makes the network hold little, so that bytes wait in the process."""
+    link._transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, 65536
+    )
+
+
+@async_test
+async def test_responses_in_link_buffers_are_delivered_before_an_owner_exits(tmp_path):
+    """Guards against an exit that discards responses that links have not written."""
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        await fleet.put_configuration(make_configuration(2, 1, long_routes()))
+        caller, owner = fleet.hosts
+
+        async def respond(connection, request):
+            owner.upstream.record_run(request)
+            await asyncio.sleep(1.5)
+            connection.transport.write(owner.upstream.render(request, BODY))
+
+        owner.upstream.handler = respond
+        async with Client(caller.settings.call_address) as client:
+            assert (await client.call(b"/parts/1", b"a0"))[0] == 200
+            await wait_until(lambda: owner.node._caller_links)
+            (out,) = [
+                link
+                for (name, _), link in owner.node._caller_links.items()
+                if name == caller.settings.name
+            ]
+            (into,) = caller.node._peers.open_links()
+            limit_send_buffer(out)
+            draining = asyncio.ensure_future(owner.node.drain())
+            await asyncio.sleep(1.4)
+            for number in range(CALLS):
+                client.send(b"/parts/once/1", b"b%d" % number, method=b"POST")
+            await wait_until(lambda: len(owner.upstream.runs) > CALLS)
+            exiting = asyncio.ensure_future(exit_after(owner, draining))
+            await asyncio.sleep(1.3)
+            into._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            loop.call_later(1.0, into._transport.resume_reading)
+            responses = [await client.receive() for _ in range(CALLS)]
+            assert [status for status, _, _ in responses] == [200] * CALLS
+            await exiting
+
+
+async def exit_after(host, draining):
+    """Closes everything as soon as the node may exit, as the end of a process does."""
+    await draining
+    host.task.cancel()
+    host.node.close()
+
 
 @pytest.mark.parametrize(
     "changes",
