--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -86,6 +86,11 @@
         oldest = next(iter(self._open_calls), None)
         return now - oldest.started_at if oldest is not None else 0.0
 
+    @property
+    def counters(self):
+        """:class:`~figpick.nodes._counters.CallCounters` of the node."""
+        return self._counters
+
     @property
     def configuration(self):
         """The active :class:`~figpick.configuration.Configuration`, or ``None``."""
@@ -109,7 +114,7 @@
         """Refuses a request or forwards it.
 
         :param request: complete :class:`~figpick.wire.ClientRequest`.
-        :param response: :class:`~figpick.nodes._entry.ResponseWriter` for the response.
+        :param response: :class:`~figpick.nodes._client_responses.ResponseWriter`.
         :return: :class:`Call`.
         """
         now = self.now()
@@ -140,6 +145,23 @@
         self._start_call(call, now)
         return call
 
+    def refuse_request(self, request, response, reason):
+        """Refuses a request without looking at it.
+
+        :param request: :class:`~figpick.wire.ClientRequest`.
+        :param response: :class:`~figpick.nodes._client_responses.ResponseWriter`.
+        :param reason: reason of the refusal.
+        :return: :class:`Call`.
+        """
+        now = self.now()
+        call = Call(request, response, now)
+        call.request_id = request.header(self._names.request_id) or b""
+        call.is_done = True
+        self._counters.count(call, "refused")
+        log_refused_early(call, STATUS_NOT_RUN, reason, 1.0, self._version, now)
+        call.send_error(STATUS_NOT_RUN, f"not run: {reason}", STARTUP_WAIT_S)
+        return call
+
     def on_service_available(self, service):
         """Sends the calls that are waiting for a host of a service."""
         self._dispatcher.place_waiting(service)
