Bound the time in which a stopping node takes requests of clients

Clients that stay on a node that stops, as they may where few nodes are ready, saw connections end without a response although a server had run the request.

Cause: the node read requests as long as clients sent them, and aborted all connections 5.2 s after the signal. Clients that always have a request open keep it busy, so each request of the last service time was cut.

Change: from 2.6 s after the signal, when clients have had the time to leave, requests of clients are refused as not run and their connections closed. Nested calls are taken as long as a request runs at the upstream of this host, since it would fail without them. Links are finished while the last responses are still being read.

--- a/src/figpick/nodes/_draining.py
+++ b/src/figpick/nodes/_draining.py
@@ -5,7 +5,8 @@
 from ..base._logs import logger
 from ..links import finish_links
 
-# Clients stop using a node after two failed readiness checks, one second apart.
+# Clients stop using a node after two failed readiness checks, one second apart. Later
+# requests of clients that stay are refused, so that the others have time to finish.
 CLIENT_LEAVE_DELAY_S = 2.6
 # The upstream receives calls of other nodes until this long after the stop began,
 # shortly before the node exits. Most of them finish in the remaining time.
@@ -69,39 +70,50 @@
     async def run(self, announce_left, stop_links):
         """Stops the node and returns when the process may exit.
 
-        Calls that exceed the grace period are aborted.
+        Requests are read until their clients have had the time to leave. Calls that
+        exceed the grace period are aborted.
 
         :param announce_left: announces that the node has left.
         :param stop_links: ends accepting and dialling links.
         """
         started_at = self._clock.monotonic()
+        last_exit_at = started_at + self._settings.grace_s - FLUSH_MARGIN_S
+        end_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
         self._entry.stop_keep_alive()
         log.notice("Node stops.", extra=self.open_work())
-        await asyncio.sleep(OWNER_STOP_DELAY_S)
+        await self._wait(min(end_at, started_at + OWNER_STOP_DELAY_S))
         self._owner.stop_accepting()
-        end_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
-        while (now := self._clock.monotonic()) < end_at:
-            is_busy = self._owner.call_count or self._forwarder.in_flight
-            if now - started_at >= CLIENT_LEAVE_DELAY_S and not is_busy:
-                # A request could still arrive on an open connection, so connections
-                # are closed before the last check.
-                self._entry.close_idle()
-                if self._entry.is_drained:
-                    break
-            await asyncio.sleep(STOP_POLL_PERIOD_S)
+        await self._wait(min(end_at, started_at + CLIENT_LEAVE_DELAY_S))
+        self._forwarder.stop_accepting()
+        await self._wait(end_at, self._is_idle)
         announce_left()
-        after_s = round(self._clock.monotonic() - started_at, 2)
-        log.notice("Node has stopped.", extra={"after_s": after_s, **self.open_work()})
-        self._entry.close()
-        await self._finish_links(stop_links, started_at)
-
-    async def _finish_links(self, stop_links, started_at):
         links = [link for role in self._links().values() for link in role]
         stop_links()
-        last_exit_at = started_at + self._settings.grace_s - FLUSH_MARGIN_S
         timeout_s = max(0.0, last_exit_at - self._clock.monotonic())
-        unsent_bytes = await finish_links(
-            links, UNCONFIRMED_TIMEOUT_S, timeout_s, self._clock
+        unsent_bytes, _ = await asyncio.gather(
+            finish_links(links, UNCONFIRMED_TIMEOUT_S, timeout_s, self._clock),
+            self._wait(last_exit_at, self._has_closed_entry),
         )
         if unsent_bytes:
             log.warning("Links end unsent.", extra={"unsent_bytes": unsent_bytes})
+        after_s = round(self._clock.monotonic() - started_at, 2)
+        log.notice("Node has stopped.", extra={"after_s": after_s, **self.open_work()})
+        self._entry.close()
+
+    async def _wait(self, until, condition=None):
+        """Waits until a time, or until a condition is true.
+
+        :param until: monotonic seconds.
+        """
+        while (now := self._clock.monotonic()) < until:
+            if condition is not None and condition():
+                return
+            await asyncio.sleep(min(STOP_POLL_PERIOD_S, until - now))
+
+    def _is_idle(self):
+        return not self._owner.call_count and not self._forwarder.in_flight
+
+    def _has_closed_entry(self):
+        # Connections become idle one after the other.
+        self._entry.stop_reading()
+        return self._entry.is_drained
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -60,6 +60,7 @@
         self._configuration = None
         self._routes = RoutingTable()
         self._splits = {}
+        self._is_stopping = False
         # A dict, which keeps the order of arrival.
         self._open_calls = {}
 
@@ -96,6 +97,10 @@
         """The active :class:`~figpick.configuration.Configuration`, or ``None``."""
         return self._configuration
 
+    def stop_accepting(self):
+        """Refuses requests from now on, except the calls of running ones."""
+        self._is_stopping = True
+
     def use_peers(self, peers):
         """Sets the :class:`~figpick.nodes._peers.Peers` that calls are sent to."""
         self._dispatcher.peers = peers
@@ -137,6 +142,10 @@
             self._refuse_early(call, 400, "the deadline is not a number", None)
             return call
         self.policy.classify(call)
+        if self._is_stopping and not call.is_nested:
+            # Requests that run at the upstream on this host still need their calls.
+            self._refuse_early(call, STATUS_NOT_RUN, "the node stops", STARTUP_WAIT_S)
+            return call
         if not call.is_nested and not self.policy.admits(call, now):
             reason = "services below have no room"
             expected_wait_s = RETRY_TARGET_SHARE * (call.target_at - now)
--- /dev/null
+++ b/tests/test_bounded_stops.py
@@ -0,0 +1,113 @@
+"""Stops of nodes whose clients stay, and whose requests outlast the grace time."""
+
+import asyncio
+import time
+
+from figpick.wire import DEFAULT_HEADERS
+
+from .fleet import (
+    Client,
+    Fleet,
+    async_test,
+    make_configuration,
+    make_routes,
+    wait_until,
+)
+
+GRACE_S = 6.0
+
+
+async def exit_after_drain(host):
+    """Stops a node, closes it as the end of its process does, and returns the time."""
+    started = time.monotonic()
+    await host.node.drain()
+    host.task.cancel()
+    host.node.close()
+    return time.monotonic() - started
+
+
+async def allow_long_requests(fleet):
+    routes = tuple(route._replace(timeout_s=20.0) for route in make_routes())
+    await fleet.put_configuration(make_configuration(2, 1, routes))
+
+
+class PersistentClients:
+    """Clients that send request after request as long as a node accepts any.
+
+    :param address: address of the node.
+    """
+
+    def __init__(self, address):
+        self._address = address
+        self._count = 0
+        self.statuses = {}
+
+    async def run(self):
+        """Sends requests on one connection after the other until none is accepted."""
+        while True:
+            try:
+                async with Client(self._address) as client:
+                    while await self._send_one(client):
+                        pass
+            except EOFError:
+                continue
+            except OSError:
+                return
+
+    async def _send_one(self, client):
+        self._count += 1
+        request_id = b"c%d" % self._count
+        status, headers, _ = await client.call(
+            b"/parts/once/1", request_id, method=b"POST"
+        )
+        self.statuses[request_id.decode()] = status
+        return headers.get("connection") != "close"
+
+
+@async_test
+async def test_requests_of_clients_that_stay_are_not_cut_at_the_end_of_a_stop(tmp_path):
+    """Guards against reading requests until too little time is left to run them."""
+    async with Fleet(tmp_path) as fleet:
+        host = fleet.hosts[0]
+        for each in fleet.hosts:
+            each.upstream.delay_s = 0.9
+        clients = PersistentClients(host.settings.call_address)
+        tasks = []
+        stopping = asyncio.ensure_future(exit_after_drain(host))
+        for _ in range(12):
+            tasks.append(asyncio.ensure_future(clients.run()))
+            await asyncio.sleep(0.08)
+        assert await stopping < GRACE_S
+        await asyncio.gather(*tasks)
+        runs = {run for each in fleet.hosts for run in each.upstream.runs}
+        cut = {run for run in runs if clients.statuses.get(run) != 200}
+        assert len(runs) > 20
+        assert not cut
+
+
+@async_test
+async def test_running_requests_make_nested_calls_until_the_end_of_a_stop(tmp_path):
+    """Guards against refusing calls without which a running request fails."""
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        await allow_long_requests(fleet)
+        stopping_host, other = fleet.hosts
+        statuses = []
+
+        async def call_below(connection, request):
+            parent_id = request.header(DEFAULT_HEADERS.request_id)
+            stopping_host.upstream.record_run(request)
+            await asyncio.sleep(3.5)
+            async with Client(stopping_host.settings.call_address) as nested:
+                status, _, _ = await nested.call(b"/parts/1", parent_id + b".1")
+                statuses.append(status)
+            response = stopping_host.upstream.render(request, b"done")
+            connection.transport.write(response)
+
+        stopping_host.upstream.handler = call_below
+        async with Client(other.settings.call_address) as client:
+            client.send(b"/entries/once/1", b"f1", method=b"POST", deadline_ms=9000)
+            await wait_until(lambda: stopping_host.upstream.runs)
+            stopping = asyncio.ensure_future(exit_after_drain(stopping_host))
+            status, _, body = await client.receive()
+            assert (status, body, statuses) == (200, b"done", [200])
+        assert await stopping < 4.5
