End the calls that outlast a stop with a response that is true

Clients saw a closed connection for a request that was still open at the end of the grace time of their node: one that ran, and one that was only waiting in a queue.

Cause: the drain closed all connections at its end, whatever was open.

Change: shortly before, calls are withdrawn from their owners, which confirm those that the upstream does not have; these are refused as not run. All others get a 502, since they may have run. Only responses that have begun are cut off, and logged. No call is sent to a further host from then on.

Evidence: test_requests_that_outlast_the_grace_time_get_true_final_responses got 'IncompleteReadError: 0 bytes read' before. Now running calls get a 502, queued ones a 503 with Retry-After, and the upstream never receives the latter.

--- a/src/figpick/nodes/_call_logging.py
+++ b/src/figpick/nodes/_call_logging.py
@@ -13,6 +13,7 @@
 REFUSED = "Call refused."
 TIMED_OUT = "Call timed out."
 CONNECTION_LOST = "Call broke at the upstream."
+ENDED = "Call ended, since the node stops."
 NOT_RUN_BY_UPSTREAM = "The upstream did not run a call."
 BEHIND_CLOSE = "Call abandoned behind a response that closes the connection."
 CUT = "Client connection cut before its last response was sent."
@@ -115,6 +116,16 @@
         log.info(text, fields)
 
 
+def log_ended(call, now):
+    """Logs a call that is ended without a response of an upstream, at a stop.
+
+    :param call: :class:`~figpick.nodes._calls.Call`.
+    :param now: monotonic seconds.
+    """
+    if CALL_LOG_LIMITER.allow(ENDED, now):
+        log.info(ENDED, call_state(call, now))
+
+
 def log_connection_lost(execution, reason, now):
     """Logs a call whose upstream connection ended before the response was complete.
 
--- a/src/figpick/nodes/_draining.py
+++ b/src/figpick/nodes/_draining.py
@@ -11,8 +11,11 @@
 # The upstream receives calls of other nodes until this long after the stop began,
 # shortly before the node exits. Most of them finish in the remaining time.
 OWNER_STOP_DELAY_S = 1.8
-# Calls that are still running this long before the process is killed are aborted.
+# Calls that are still running this long before the process is killed are ended.
 EXIT_MARGIN_S = 0.8
+# Calls that wait for a slot are withdrawn this long before, so that owners can confirm
+# that they were not run.
+WITHDRAW_TIME_S = 0.3
 # Links are cut this long before the process is killed, whatever they still carry.
 FLUSH_MARGIN_S = 0.4
 # A peer that runs closes a finished link within a round trip.
@@ -70,8 +73,8 @@
     async def run(self, announce_left, stop_links):
         """Stops the node and returns when the process may exit.
 
-        Requests are read until their clients have had the time to leave. Calls that
-        exceed the grace period are aborted.
+        Requests are read until their clients have had the time to leave. All of them
+        get a response within the grace period.
 
         :param announce_left: announces that the node has left.
         :param stop_links: ends accepting and dialling links.
@@ -85,7 +88,13 @@
         self._owner.stop_accepting()
         await self._wait(min(end_at, started_at + CLIENT_LEAVE_DELAY_S))
         self._forwarder.stop_accepting()
-        await self._wait(end_at, self._is_idle)
+        await self._wait(end_at - WITHDRAW_TIME_S, self._is_idle)
+        if not self._is_idle():
+            self._forwarder.withdraw_calls()
+            await self._wait(end_at, self._is_idle)
+        if not self._is_idle():
+            log.warning("Node ends open calls.", extra=self.open_work())
+            self._forwarder.end_calls()
         announce_left()
         links = [link for role in self._links().values() for link in role]
         stop_links()
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -8,6 +8,7 @@
 * ``call``: number, then the fields of :class:`CallMessage`.
 * ``body``: number, bytes of the request body, whether they are the last.
 * ``cancel``: number, whether to abort the call if it is already running.
+* ``withdraw``: number. The owner refuses the call unless the upstream has it.
 * ``answer``: number, status, head, length or -1, bytes of the response body, whether
   they are the last, load, level, service time in ms.
 * ``part``: number, bytes of the response body, whether they are the last.
@@ -29,6 +30,7 @@
 CALL = "call"
 BODY_PART = "body"
 CANCEL = "cancel"
+WITHDRAW = "withdraw"
 RESPONSE = "answer"
 RESPONSE_PART = "part"
 RESPONSE_CUT_OFF = "broken"
@@ -49,6 +51,8 @@
 REASON_LINK_LOST = "link-lost"
 REASON_QUARANTINED = "quarantined"
 REASON_LEAVING = "leaving"
+# A node that stops has no time left for the call.
+REASON_STOPPED = "node-stops"
 REASON_WRONG_INSTANCE = "wrong-instance"
 REASON_NO_CONNECTION = "no-connection"
 REASON_MISDIRECTED = "misdirected"
--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -8,18 +8,22 @@
 
 from ..admission import FREE_CAPACITY_LEVEL, NO_CAPACITY_LEVEL
 from ..placing import Load
+from ._call_logging import log_ended
 from ._calls import STATUS_FAILED, STATUS_TIMEOUT
+from ._dispatching import STARTUP_WAIT_S
 from ._messages import (
     FAILED,
     NOT_RUN,
     REASON_LINK_LOST,
     REASON_QUARANTINED,
     REASON_QUEUE_TIMEOUT,
+    REASON_STOPPED,
     REASON_TIMEOUT,
     REASONS_AT_UPSTREAM,
     RESPONSE,
     RESPONSE_CUT_OFF,
     RESPONSE_PART,
+    WITHDRAW,
 )
 
 REASON_OWNER_LOST = "owner-lost"
@@ -35,6 +39,9 @@
 class AttemptOutcomes:
     """Base class of the forwarder that handles the outcomes of attempts."""
 
+    # Whether calls may be sent to further hosts.
+    _sends_again = True
+
     def on_link_lost(self, peer):
         """Fails the calls of a lost link unless it opens again in time."""
         loop = asyncio.get_running_loop()
@@ -67,6 +74,30 @@
         elif kind == RESPONSE_CUT_OFF:
             self._on_response_cut_off(attempt)
 
+    def withdraw_calls(self):
+        """Withdraws the calls that owners have not started, and sends none again."""
+        self._sends_again = False
+        for call in list(self._open_calls):
+            if call.hedge_timer is not None:
+                call.hedge_timer.cancel()
+                call.hedge_timer = None
+            if call.is_waiting_for_host:
+                self._finish_not_run(call, REASON_STOPPED, STARTUP_WAIT_S)
+            for attempt in call.attempts.values():
+                if attempt.peer.link is not None:
+                    attempt.peer.link.send((WITHDRAW, attempt.number))
+
+    def end_calls(self):
+        """Responds to all calls whose response has not begun."""
+        for call in list(self._open_calls):
+            attempts = list(call.attempts.values())
+            if call.is_done or any(attempt.is_streaming for attempt in attempts):
+                continue
+            log_ended(call, self.now())
+            # Without a confirmation of the owner, an attempt may have run.
+            call.may_have_run = call.may_have_run or bool(attempts)
+            self._finish_not_run(call, REASON_STOPPED, STARTUP_WAIT_S)
+
     def _fail_if_unattached(self, attempt):
         peer = attempt.peer
         if peer.link is None and peer.attempts.pop(attempt.number, None) is not None:
@@ -119,6 +150,7 @@
             status >= 500
             and status != STATUS_TIMEOUT
             and level >= FREE_CAPACITY_LEVEL
+            and self._sends_again
             and call.route.is_idempotent
             and not call.attempts
             and call.used_attempts + 1 < call.route.attempts
@@ -160,8 +192,10 @@
         limit = MAX_NESTED_PLACEMENTS if call.is_nested else MAX_PLACEMENTS
         # A nested call waits at each host for only a part of its remaining time, so it
         # may still run at another one.
-        is_final = reason == REASON_QUARANTINED or (
-            reason == REASON_QUEUE_TIMEOUT and not call.is_nested
+        is_final = (
+            not self._sends_again
+            or reason == REASON_QUARANTINED
+            or (reason == REASON_QUEUE_TIMEOUT and not call.is_nested)
         )
         may_place_again = (
             not is_final and call.placements < limit and now < call.respond_by
@@ -189,7 +223,8 @@
             call.level = NO_CAPACITY_LEVEL
         call.used_attempts += 1
         can_retry = (
-            call.route.is_idempotent
+            self._sends_again
+            and call.route.is_idempotent
             and reason != REASON_TIMEOUT
             and call.used_attempts < call.route.attempts
             and now < call.respond_by
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -25,6 +25,7 @@
     REASON_NO_CONNECTION,
     REASON_QUARANTINED,
     REASON_QUEUE_TIMEOUT,
+    REASON_STOPPED,
     REASON_TIMEOUT,
     REASON_WRONG_INSTANCE,
     RESPONSE_CUT_OFF,
@@ -190,6 +191,13 @@
         elif aborts_running:
             self._finish(execution)
 
+    def withdraw(self, peer, number):
+        """Refuses a call for good if it has not been sent to the upstream."""
+        execution = self._executions.get((peer, number))
+        if execution is not None and execution.sent_at is None:
+            self._queue.withdraw(execution.ticket)
+            self._finish_not_run(execution, REASON_STOPPED)
+
     def credit(self, peer, number, size):
         """Records that bytes of a response have been sent to the client."""
         execution = self._executions.get((peer, number))
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -14,7 +14,16 @@
 from ._draining import Drainer
 from ._entry import EntryServer
 from ._forwarding import Forwarder
-from ._messages import ATTACH, BODY_PART, CALL, CANCEL, CREDIT, HELLO, CallMessage
+from ._messages import (
+    ATTACH,
+    BODY_PART,
+    CALL,
+    CANCEL,
+    CREDIT,
+    HELLO,
+    WITHDRAW,
+    CallMessage,
+)
 from ._owner import Owner
 from ._peers import LocalLink, Peers
 
@@ -362,6 +371,8 @@
             self._owner.add_body(link.peer, *message[1:])
         elif kind == HELLO:
             self._handle_hello(link, message)
+        elif kind == WITHDRAW:
+            self._owner.withdraw(link.peer, message[1])
         elif kind == ATTACH:
             self._owner.attach(link, link.peer, message[1])
 
--- a/tests/test_bounded_stops.py
+++ b/tests/test_bounded_stops.py
@@ -6,6 +6,7 @@
 from figpick.wire import DEFAULT_HEADERS
 
 from .fleet import (
+    SLOTS,
     Client,
     Fleet,
     async_test,
@@ -85,6 +86,34 @@
         assert not cut
 
 
+@async_test
+async def test_requests_that_outlast_the_grace_time_get_true_final_responses(tmp_path):
+    """Guards against a stop that closes connections without a response."""
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        await allow_long_requests(fleet)
+        caller, owner = fleet.hosts
+        owner.upstream.delay_s = 9.0
+
+        async def call_once(number):
+            async with Client(caller.settings.call_address) as client:
+                request_id = b"d%d" % number
+                status, headers, _ = await client.call(
+                    b"/parts/once/1", request_id, method=b"POST", deadline_ms=20000
+                )
+                return status, "retry-after" in headers
+
+        calls = [asyncio.ensure_future(call_once(number)) for number in range(SLOTS)]
+        await asyncio.sleep(0.5)
+        counts = owner.node.open_work()["executions"]
+        assert counts["running"] and counts["queued"]
+        assert await exit_after_drain(caller) < GRACE_S
+        responses = await asyncio.gather(*calls)
+        assert responses.count((502, False)) == counts["running"]
+        assert responses.count((503, True)) == counts["queued"]
+        await asyncio.sleep(3.5)
+        assert len(owner.upstream.runs) == counts["running"]
+
+
 @async_test
 async def test_running_requests_make_nested_calls_until_the_end_of_a_stop(tmp_path):
     """Guards against refusing calls without which a running request fails."""
