Report the calls that outlast the stop of their owner before it exits

Callers of a node that exits with their call still running got no response for up to 1.8 s longer: the calling node first waited for the lost link to open again.

Cause: the owner ended with its process and reported nothing about its calls.

Change: at the end of the grace time the owner fails each call that the upstream has, reports the others as not run, and marks responses that have begun as cut off.

Evidence: test_calls_that_outlast_the_grace_time_of_their_owner_fail_at_its_end failed with 'TimeoutError' before: no response 0.2 s after the exit.

--- a/src/figpick/nodes/_draining.py
+++ b/src/figpick/nodes/_draining.py
@@ -94,6 +94,7 @@
             await self._wait(end_at, self._is_idle)
         if not self._is_idle():
             log.warning("Node ends open calls.", extra=self.open_work())
+            self._owner.end_calls()
             self._forwarder.end_calls()
         announce_left()
         links = [link for role in self._links().values() for link in role]
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -198,6 +198,16 @@
             self._queue.withdraw(execution.ticket)
             self._finish_not_run(execution, REASON_STOPPED)
 
+    def end_calls(self):
+        """Ends all calls and reports to their callers whether they may have run."""
+        for execution in list(self._executions.values()):
+            if execution.sent_at is None:
+                self.withdraw(execution.peer, execution.number)
+            elif execution.is_streaming:
+                self._finish(execution, (RESPONSE_CUT_OFF, execution.number))
+            else:
+                self._fail(execution, REASON_STOPPED)
+
     def credit(self, peer, number, size):
         """Records that bytes of a response have been sent to the client."""
         execution = self._executions.get((peer, number))
--- a/tests/test_bounded_stops.py
+++ b/tests/test_bounded_stops.py
@@ -114,6 +114,25 @@
         assert len(owner.upstream.runs) == counts["running"]
 
 
+@async_test
+async def test_calls_that_outlast_the_grace_time_of_their_owner_fail_at_its_end(
+    tmp_path,
+):
+    """Guards against callers that wait for the link of a node that has exited."""
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        await allow_long_requests(fleet)
+        caller, owner = fleet.hosts
+        owner.upstream.delay_s = 9.0
+        async with Client(caller.settings.call_address) as client:
+            client.send(b"/parts/once/1", b"e1", method=b"POST", deadline_ms=20000)
+            await wait_until(lambda: owner.upstream.runs)
+            stopping = asyncio.ensure_future(exit_after_drain(owner))
+            responding = asyncio.ensure_future(client.receive())
+            await stopping
+            async with asyncio.timeout(0.2):
+                assert (await responding)[0] == 502
+
+
 @async_test
 async def test_running_requests_make_nested_calls_until_the_end_of_a_stop(tmp_path):
     """Guards against refusing calls without which a running request fails."""
