Count the grace time of a stop from a signal that waited in a pause

A node that did not run when it was told to stop outlived its grace time and was killed, with its requests and the bytes in its buffers.

Cause: the drain counted the grace time from the moment at which the signal was handled. A signal that arrives while the host is frozen is handled seconds later.

Evidence: test_node_with_an_endless_request_exits_in_time_and_responds, with real processes and a freeze of 3 s, failed before: the process ended 8.4 s after the signal, with a grace time of 6 s. Without the freeze it held before. Processes that are stopped at five moments of their start ended in time before and still do.

--- a/src/figpick/nodes/_draining.py
+++ b/src/figpick/nodes/_draining.py
@@ -70,20 +70,22 @@
             "oldest_s": round(max(ages_s), 3),
         }
 
-    async def run(self, announce_left, stop_links):
+    async def run(self, started_at, announce_left, stop_links):
         """Stops the node and returns when the process may exit.
 
         Requests are read until their clients have had the time to leave. All of them
         get a response within the grace period.
 
+        :param started_at: monotonic seconds of the signal, from which the grace time
+            counts.
         :param announce_left: announces that the node has left.
         :param stop_links: ends accepting and dialling links.
         """
-        started_at = self._clock.monotonic()
         last_exit_at = started_at + self._settings.grace_s - FLUSH_MARGIN_S
         end_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
         self._entry.stop_keep_alive()
-        log.notice("Node stops.", extra=self.open_work())
+        since_s = round(self._clock.monotonic() - started_at, 2)
+        log.notice("Node stops.", extra={"since_s": since_s, **self.open_work()})
         await self._wait(min(end_at, started_at + OWNER_STOP_DELAY_S))
         self._owner.stop_accepting()
         await self._wait(min(end_at, started_at + CLIENT_LEAVE_DELAY_S))
