--- a/tests/test_process_exits.py
+++ b/tests/test_process_exits.py
@@ -166,6 +166,26 @@
     assert response.startswith(b"HTTP/1.1 502 ")
 
 
+def test_signals_during_a_stop_do_not_disturb_it(programs):
+    """Guards against a second stop or unreadable settings that break a stop."""
+    programs.start("control")
+    node = programs.start("node")
+    programs.configure()
+    with programs.send_request() as connection:
+        assert programs.upstream.running.wait(5.0)
+        started = time.monotonic()
+        node.send_signal(signal.SIGTERM)
+        programs.path("node").write_text("[self")
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+            time.sleep(0.5)
+            node.send_signal(number)
+        response = read_all(connection)
+    assert node.wait(3 * GRACE_S) == 0
+    assert time.monotonic() - started < GRACE_S
+    assert response.startswith(b"HTTP/1.1 502 ")
+    assert "Settings cannot be read" in programs.log("node")
+
+
 @pytest.mark.parametrize("role", ["control", "node"])
 @pytest.mark.parametrize("after_s", [0.05, 0.25, 0.45, 0.7, 1.0])
 def test_program_that_is_stopped_while_it_starts_exits_in_time(programs, role, after_s):
