--- a/bench/soak_answers.py
+++ b/bench/soak_answers.py
@@ -1,6 +1,7 @@
 """Checks of responses around planned stops, from what clients and upstreams observe."""
 
 from collections import Counter, defaultdict
+from dataclasses import asdict, dataclass
 from typing import NamedTuple
 
 from bench.soak_checks import NOT_RUN_STATUSES
@@ -28,19 +29,20 @@
 RESTARTS = ("start", "outage")
 
 
-class Run(NamedTuple):
+@dataclass
+class Run:
     """Execution of a request by an upstream; times are in Unix seconds.
 
     :param node: number of the node next to the upstream.
-    :param ended_at: time of the response.
+    :param ended_at: time of the response, ``None`` before.
     :param was_cut: whether the connection of the node had closed before.
     """
 
     node: int
     service: str
     started_at: float
-    ended_at: float
-    was_cut: bool
+    ended_at: float | None = None
+    was_cut: bool = False
 
 
 class Window(NamedTuple):
@@ -66,7 +68,6 @@
         self._hosts = hosts
         self._requests = []
         self._runs = defaultdict(list)
-        self._starts = defaultdict(list)
         self._windows = []
         self._lags = []
         self._violations = []
@@ -75,12 +76,8 @@
         """Records a request that is being sent."""
         self._requests.append(request)
 
-    def record_run_start(self, request_id, node, at):
-        """Records that an upstream began to execute a request."""
-        self._starts[request_id].append((node, round(at, 3)))
-
     def record_run(self, request_id, run):
-        """Records a complete execution."""
+        """Records an execution, which may not have ended yet."""
         self._runs[request_id].append(run)
 
     def record_window(self, node, kind, started_at, ended_at):
@@ -97,7 +94,7 @@
         self._violations.append({"rule": rule, "text": text, **fields})
 
     def service_of(self, request_id):
-        """Returns the service that completed a request, empty if none."""
+        """Returns the service that ran a request, empty if none."""
         runs = self._runs[request_id]
         return runs[-1].service if runs else ""
 
@@ -142,7 +139,7 @@
             plan = self._plan(request)
             if plan is not None:
                 violations.append(self._describe("LOST", request, text, plan))
-            elif request.outcome == "cut" and self._starts[request.request_id]:
+            elif request.outcome == "cut" and self._runs[request.request_id]:
                 cut_without_stop.append(self._describe("LOST", request, text))
         if len(cut_without_stop) > MAX_CUT_WITHOUT_STOP:
             violations += cut_without_stop
@@ -177,7 +174,7 @@
         return None
 
     def _run_violation(self, request):
-        count = len(self._starts[request.request_id])
+        count = len(self._runs[request.request_id])
         if not request.is_non_idempotent or not count:
             return None
         if count > 1:
@@ -187,9 +184,9 @@
 
     def _loss(self, request):
         """Returns how a request was left without the response of its upstream."""
-        starts = self._starts[request.request_id]
+        runs = self._runs[request.request_id]
         if request.outcome == "answered":
-            if starts and request.status >= 500 and not request.has_stamp:
+            if runs and request.status >= 500 and not request.has_stamp:
                 return f"{request.status} in place of the response of an upstream"
             return None
         lag_s = sum(
@@ -198,7 +195,7 @@
             if request.sent_at - lag_s <= at <= request.ended_at
         )
         was_read = not request.is_behind and request.age_s - lag_s > LOSS_SLACK_S
-        if request.outcome == "cut" and (starts or was_read):
+        if request.outcome == "cut" and (runs or was_read):
             return "connection ended without a whole response"
         return None
 
@@ -206,9 +203,9 @@
         limit_s = min(DEADLINE_MS / 1000, ROUTE_TIMEOUT_S) - TIME_SLACK_S
         if request.age_s >= limit_s or self._has_late_work(request):
             return True
-        starts = self._starts[request.request_id]
-        nodes = {request.node, *(node for node, _ in starts)}
-        if not starts:
+        runs = self._runs[request.request_id]
+        nodes = {request.node, *(run.node for run in runs)}
+        if not runs:
             nodes |= set(self._hosts(request.path.split("/")[1]))
         return self.has_fault(nodes, request.sent_at - STABLE_S, request.ended_at)
 
@@ -218,8 +215,7 @@
             return False
         late_at = plan.started_at + GRACE_S * 5 / 6
         runs = self._runs[request.request_id]
-        is_running = len(runs) < len(self._starts[request.request_id])
-        is_late = is_running or any(run.ended_at >= late_at for run in runs)
+        is_late = any((run.ended_at or late_at) >= late_at for run in runs)
         is_early = request.sent_at <= plan.started_at + LATE_WORK_SENT_S
         return is_early and is_late and request.ended_at >= late_at
 
@@ -254,8 +250,7 @@
             "status": request.status,
             "received": request.received_bytes,
             "behind": request.is_behind,
-            "starts": self._starts[request.request_id],
-            "runs": self._runs[request.request_id],
+            "runs": [asdict(run) for run in self._runs[request.request_id]],
         }
         if plan is not None:
             fields |= {
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -58,15 +58,13 @@
     async def run_request(self, connection, request):
         """Executes a request and sends its response."""
         request_id = (request.header(HEADER_NAMES.request_id) or b"").decode()
-        started_at = time.time()
-        self._answers.record_run_start(request_id, self._number, started_at)
+        run = Run(self._number, self._service, time.time())
+        self._answers.record_run(request_id, run)
         query = parse_qs(request.target.decode().partition("?")[2])
         await asyncio.sleep(int(query["work"][0]) / 1000)
         body = make_body(request_id, int(query["size"][0]))
-        was_cut = connection.transport.is_closing()
+        run.ended_at, run.was_cut = time.time(), connection.transport.is_closing()
         connection.send_response(request, b"200 OK", body, b"Server-Stamp: s\r\n")
-        run = Run(self._number, self._service, started_at, time.time(), was_cut)
-        self._answers.record_run(request_id, run)
 
 
 class StopSoak:
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -47,9 +47,7 @@
     if stops:
         checker.record_window(3, "SIGTERM", TERM_AT, EXIT_AT)
     if started:
-        checker.record_run_start("a1", 4, item.sent_at)
-    if run_until is not None:
-        checker.record_run("a1", Run(4, "front", item.sent_at, run_until, False))
+        checker.record_run("a1", Run(4, "front", item.sent_at, run_until))
     for node, at in faults:
         checker.record_window(node, "SIGKILL", at, at + 0.5)
     return checker
@@ -88,7 +86,7 @@
         request(ended=TERM_AT + 7, outcome="given up"), stops=False
     ),
 }
-OTHER_VIOLATIONS["ran twice"].record_run_start("a1", 3, TERM_AT + 1.5)
+OTHER_VIOLATIONS["ran twice"].record_run("a1", Run(3, "front", TERM_AT + 1.5))
 KEPT = {
     "whole response": answers(
         answered(200, has_stamp=True, is_body_correct=True, answered_id="a1")
