--- a/bench/soak_cluster.py
+++ b/bench/soak_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -16,9 +17,29 @@
 # A process that does not exit after SIGTERM is killed after its grace time and a
 # margin.
 EXIT_TIMEOUT_S = 8.0
+# Bound by the run that uses a network.
+CLAIM_PORT = 39000
 PORT_NAMES = ("app", "link", "outbound", "ready", "control")
 
 
+def _claim_network():
+    """Returns the number of a loopback network, and the socket that reserves it.
+
+    The metrics port is fixed, so concurrent runs need networks of their own.
+
+    :raises OSError: when all networks are in use.
+    """
+    claim = socket.socket()
+    for offset in range(NETWORK_COUNT):
+        network = 1 + (os.getpid() + offset) % NETWORK_COUNT
+        try:
+            claim.bind((f"127.{network}.255.1", CLAIM_PORT))
+        except OSError:
+            continue
+        return network, claim
+    raise OSError("all loopback networks are in use")
+
+
 class Cluster:
     """Addresses and settings of the processes of one run.
 
@@ -30,8 +51,7 @@
     """
 
     def __init__(self, folder, control_count, services):
-        # The metrics port is fixed, so concurrent runs need networks of their own.
-        self._network = 1 + os.getpid() % NETWORK_COUNT
+        self._network, self._claim = _claim_network()
         self._folder = folder
         self.control_count = control_count
         self.services = services
--- a/bench/soak_operators.py
+++ b/bench/soak_operators.py
@@ -24,6 +24,9 @@
 INVALID_SHARE = 0.1
 RESENT_SHARE = 0.3
 COPIES = 8
+# Copies whose responses are lost still wait at their control process, so that many wait
+# for the next leader.
+LOST_COPY_SHARE = 0.8
 COPY_INTERVAL_S = (0.0, 0.05)
 COPIES_AFTER_S = 0.5
 NEW_CHANGE_SHARE = 0.6
@@ -103,7 +106,7 @@
     async def _send_copies(self, change, disturbance):
         until = None
         while until is None or time.time() < until:
-            await self._send(change)
+            await self._send(change, self._wait_s(LOST_COPY_SHARE))
             if until is None and disturbance.done():
                 until = time.time() + COPIES_AFTER_S
             await asyncio.sleep(self._rng.uniform(*COPY_INTERVAL_S))
@@ -139,14 +142,18 @@
         """Sends a change until its response is clear; returns 0 when it never is."""
         until = time.time() + GIVE_UP_S
         while time.time() < until and not self.is_stopped:
-            is_lost = self._rng.random() < lost_share
-            wait_s = self._rng.uniform(*LOST_RESPONSE_S)
-            status = await self._send(change, wait_s if is_lost else RESPONSE_TIMEOUT_S)
+            status = await self._send(change, self._wait_s(lost_share))
             if status == 200 or status in CLEAR_REFUSALS:
                 return status
             await asyncio.sleep(self._rng.uniform(*RETRY_INTERVAL_S))
         return 0
 
+    def _wait_s(self, lost_share):
+        """Returns how long to wait for a response, which may be lost."""
+        if self._rng.random() < lost_share:
+            return self._rng.uniform(*LOST_RESPONSE_S)
+        return RESPONSE_TIMEOUT_S
+
     async def _send(self, change, timeout_s=RESPONSE_TIMEOUT_S):
         process = self._rng.randrange(len(self._addresses))
         sent_at = time.time()
--- a/bench/soak_signals.py
+++ b/bench/soak_signals.py
@@ -21,6 +21,8 @@
 # Delay with which the exit of another process is seen.
 EXIT_SEEN_SLACK_S = 0.1
 RELOAD_EFFECT_S = 2.0
+# SIGHUP ends a process that does not handle signals yet.
+STARTED_AFTER_S = 1.0
 # Slowed processes run in short slices, so that messages take longer, as between hosts
 # that are far from each other, and arrive one by one.
 SLICE_PAUSE_S = (0.002, 0.03)
@@ -121,6 +123,12 @@
         self._answers = answers
         # A process that is being stopped, killed or paused gets no further event.
         self.is_disturbed = False
+        self._started_at = 0.0
+
+    async def start(self):
+        """Starts the process."""
+        self._started_at = time.time()
+        await super().start()
 
     async def apply(self, event):
         """Applies an event, unless the process is disturbed already."""
@@ -128,7 +136,8 @@
             return
         if event.kind == "reload":
             for _ in range(event.count):
-                self._signal(signal.SIGHUP)
+                if time.time() - self._started_at > STARTED_AFTER_S:
+                    self._signal(signal.SIGHUP)
                 self._record("SIGHUP", time.time(), time.time() + RELOAD_EFFECT_S)
                 await asyncio.sleep(event.gap_s)
             return
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -14,6 +14,7 @@
 from bench.soak_changes import Change, ChangeChecker, Order
 from bench.soak_checks import SoakChecker
 from bench.soak_clients import KeptConnection, Request, make_body
+from bench.soak_cluster import Cluster
 from bench.soak_documents import make_document
 from bench.soak_endpoints import free_ports
 from bench.soak_signals import SignalledProcess, draw_events
@@ -29,6 +30,12 @@
     assert draw_events(5, 30.0, 3, 4) != draw_events(6, 30.0, 3, 4)
 
 
+def test_concurrent_runs_use_networks_of_their_own(tmp_path):
+    """Guards against runs whose processes take each other's fixed ports."""
+    clusters = [Cluster(tmp_path, 3, ("front",)) for _ in range(3)]
+    assert len({cluster.ip(0) for cluster in clusters}) == 3
+
+
 def test_events_target_only_processes_of_their_role():
     nodes, controls = draw_events(1, 200.0, 3, 4)
     assert {event.target for event in nodes} == {3, 4, 5, 6}
