Wait for the base of a change before it is refused

Callers that have several changes in progress could see a change refused that was in force: one copy was refused before its base had arrived at the leader, another was accepted after it.

Cause: a conflict was final although the base of the change was newer than the current version. Of all conflicts only this one can still be resolved: versions increase, so a change based on an older version is never accepted later.

Change: the leader waits up to 0.5 s for the base, then decides on a confirmed state as before. A base that does not arrive is refused with 412 still.

--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -13,6 +13,9 @@
 LEADER_POLL_S = 0.03
 # A request may contain a large change set.
 RETRY_DELAY_S = 0.1
+# Longest wait for the version that a change is based on.
+BASE_WAIT_S = 0.5
+BASE_POLL_S = 0.01
 STOP_POLL_S = 0.01
 PUT = "put"
 READ = "read"
@@ -187,6 +190,7 @@
         if decision == CONFLICT:
             # The registry may lack committed changes: a new leader learns of the last
             # ones after its election, and a leader that was cut off does not.
+            await self._wait_for_base(change)
             registry = await self._member.confirm()
             decision = registry.decide(change)
         if decision == CONFLICT:
@@ -195,6 +199,19 @@
             return change.version
         return await self._member.propose(change)
 
+    async def _wait_for_base(self, change):
+        """Waits for the version that a change is based on, if it may still arrive.
+
+        Operators have several changes in progress. A refusal would be wrong if the base
+        and then another copy of the change were accepted after it.
+        """
+        polls = int(BASE_WAIT_S / BASE_POLL_S)
+        while polls and self._member.is_leader:
+            if self._member.registry.version >= change.base:
+                return
+            polls -= 1
+            await asyncio.sleep(BASE_POLL_S)
+
     def _log_refused(self, change, position, error):
         """Logs a refusal with what this leader knew on arrival and knows now.
 
--- a/tests/test_resent_changes.py
+++ b/tests/test_resent_changes.py
@@ -335,3 +335,26 @@
         task.cancel()
         alone.close()
         assert alone.member.registry.version == 2
+
+
+@async_test
+async def test_change_sent_before_its_base_has_arrived_is_not_refused(tmp_path):
+    """Guards against a refusal of one copy of a change while another is accepted."""
+    async with Controls(tmp_path) as controls:
+        await controls.put(controls.processes[0], change(1, 0))
+        changes = [change(version, version - 1) for version in range(2, 10)]
+        puts = [
+            asyncio.ensure_future(controls.put(process, each))
+            for each in reversed(changes)
+            for process in controls.processes
+        ]
+        results = await asyncio.gather(*puts, return_exceptions=True)
+        assert results == [each.version for each in reversed(changes) for _ in range(3)]
+
+
+@async_test
+async def test_change_whose_base_never_arrives_is_refused(tmp_path):
+    async with Controls(tmp_path) as controls:
+        await controls.put(controls.processes[0], change(1, 0))
+        with pytest.raises(VersionConflictError):
+            await controls.put(controls.processes[1], change(9, 8))
