--- /dev/null
+++ b/src/figpick/nodes/_client_connections.py
@@ -0,0 +1,333 @@
+"""Connections of clients, on which responses keep the order of the requests."""
+
+import asyncio
+import fcntl
+import sys
+import termios
+from collections import deque
+
+from ..base._logs import logger
+from ..wire import RequestReader, render_error_response
+from ._call_logging import call_state, log_behind_close, log_cut
+from ._client_responses import ResponseWriter
+
+# Reading from a connection pauses above this number of open requests.
+MAX_PIPELINED_REQUESTS = 64
+# A streamed response pauses while its client has more unread bytes than this.
+WRITE_BUFFER_HIGH_BYTES = 256 * 1024
+# A client that leaves the write buffer full for this long is disconnected.
+CLIENT_READ_TIMEOUT_S = 15.0
+# After its last response a connection stays open until the client closes it, at most
+# for this long after the client's host has acknowledged all bytes.
+LINGER_TIMEOUT_S = 2.0
+# A connection that is closing discards at most this many bytes of further requests.
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+STATUS_UNAVAILABLE = 503
+
+log = logger("entry")
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection of a client.
+
+    :param entry: :class:`~figpick.nodes._entry.EntryServer` that accepted it.
+    """
+
+    def __init__(self, entry):
+        self._entry = entry
+        self._transport = None
+        self._responses = deque()
+        self._reader = RequestReader(
+            self._on_request, entry.max_header_bytes, entry.max_body_bytes
+        )
+        self._is_closing = False
+        self._is_reading_paused = False
+        self._is_writing_paused = False
+        self.writing_paused_at = None
+        self.idle_since = 0.0
+        self._last_request_id = b""
+        self._is_lingering = False
+        self._undelivered_before = 0
+        self._progress_at = 0.0
+        self.discarded_bytes = 0
+
+    def connection_made(self, transport):
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
+        self.idle_since = self._entry.now()
+        self._entry.connections.add(self)
+        if self._entry.is_closed:
+            # The event loop had accepted it before the server was closed.
+            self.abort()
+
+    def data_received(self, data):
+        if self._is_closing:
+            self.discarded_bytes += len(data)
+            if (
+                self.discarded_bytes > MAX_DISCARDED_BYTES
+                and not self._is_reading_paused
+            ):
+                self._is_reading_paused = True
+                self._transport.pause_reading()
+        else:
+            self._reader.feed(data, self._entry.now())
+            if (
+                len(self._responses) > MAX_PIPELINED_REQUESTS
+                and not self._is_reading_paused
+            ):
+                self._is_reading_paused = True
+                self._transport.pause_reading()
+
+    def pause_writing(self):
+        self._is_writing_paused = True
+        self.writing_paused_at = self._entry.now()
+
+    def resume_writing(self):
+        self._is_writing_paused = False
+        self.writing_paused_at = None
+        self.flush()
+
+    def connection_lost(self, error):
+        self._is_closing = True
+        self._entry.forget(self)
+        self._abandon_calls()
+
+    @property
+    def is_idle(self):
+        """Whether no request is being received or waiting for its response."""
+        return not self._responses and not self._reader.has_partial_request
+
+    def closes_after(self, response):
+        """Returns whether the connection closes after a response.
+
+        While the node stops, only the last pending response closes the connection:
+        requests after a response that closes it would be lost, although they may run.
+        """
+        is_last = (
+            response is self._responses[-1] and not self._reader.has_partial_request
+        )
+        return not response.keeps_alive or (self._entry.is_stopping and is_last)
+
+    def abort_response(self, response):
+        """Aborts the connection in the middle of a response."""
+        if response in self._responses:
+            self.flush()
+            self._cut("an upstream broke off its response", self._entry.now())
+
+    def stop_reading(self):
+        """Refuses the request that is being received, and closes an idle connection.
+
+        An idle connection whose client has not received all responses stays open: its
+        close would become a reset if the client has sent a further request.
+        """
+        if self._reader.has_partial_request:
+            self._reader.reject(STATUS_UNAVAILABLE)
+        elif not self._is_closing and self.is_drained(self._entry.now()):
+            self.close_gracefully()
+
+    def close_gracefully(self):
+        """Closes the connection after the written data has been sent."""
+        self._is_closing = True
+        self._transport.close()
+
+    @property
+    def unsent_bytes(self):
+        """Bytes of responses that were not yet handed to the kernel."""
+        pending = sum(len(part) for each in self._responses for part in each.pending)
+        return pending + self._transport.get_write_buffer_size()
+
+    @property
+    def unacknowledged_bytes(self):
+        """Bytes in the kernel that the client's host has not acknowledged."""
+        return _unacknowledged_bytes(self._transport)
+
+    def is_drained(self, now):
+        """Returns whether no request is open and the client has all responses.
+
+        :param now: monotonic seconds.
+        """
+        if self._is_lingering:
+            return self._has_lingered(now)
+        return self.is_idle and self._undelivered_bytes == 0
+
+    def open_requests(self, now):
+        """Returns the requests without a whole response, as a list of dicts for logs.
+
+        :param now: monotonic seconds.
+        """
+        requests = [
+            call_state(response.call, now)
+            for response in self._responses
+            if response.call is not None
+        ]
+        if not self._responses and self._undelivered_bytes:
+            request_id = self._last_request_id.decode("latin-1")
+            requests.append({"id": request_id, "state": "answered"})
+        return requests
+
+    def end_lingering(self):
+        """Closes the connection if the client's host has all responses."""
+        if self._undelivered_bytes == 0:
+            self.abort()
+
+    def abort(self):
+        """Closes the connection immediately."""
+        self._is_closing = True
+        self._transport.abort()
+
+    def close(self):
+        """Ends the connection; responses without their end are cut off.
+
+        Bytes that are already in the write buffer are still sent if the process runs
+        long enough.
+        """
+        self._is_closing = True
+        self._abandon_calls()
+        self._transport.close()
+
+    def flush(self):
+        """Writes the available response data, in the order of the requests."""
+        responses = self._responses
+        while (
+            responses
+            and not self._is_writing_paused
+            and not self._transport.is_closing()
+        ):
+            response = responses[0]
+            if response.head is not None:
+                response.keeps_alive = not self.closes_after(response)
+                closing = b""
+                if not response.keeps_alive:
+                    # Clients send requests behind a response that closes the connection
+                    # again, so none of them may be passed on.
+                    self._is_closing = True
+                    closing = b"Connection: close\r\n"
+                response.pending.insert(0, response.head + closing + b"\r\n")
+                response.head = None
+            if response.pending:
+                data = b"".join(response.pending)
+                response.pending = []
+                self._transport.write(data)
+                if response.call is not None and not response.is_complete:
+                    self._entry.forwarder.grant_credit(response.call, len(data))
+            if not response.is_complete:
+                return
+            responses.popleft()
+            if response.call is not None:
+                self._last_request_id = response.call.request_id
+            if not response.keeps_alive:
+                self._linger()
+                return
+        if not responses:
+            self.idle_since = self._entry.now()
+        if self._is_reading_paused and len(responses) < MAX_PIPELINED_REQUESTS // 2:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    def enforce_timeouts(self, now, limits):
+        """Aborts the connection if its client is idle or slow for too long.
+
+        :param now: monotonic seconds.
+        :param limits: :class:`~figpick.configuration.Limits`.
+        """
+        if self._is_lingering:
+            if self._has_lingered(now):
+                self._cut("the client does not read", now)
+            return
+        if self.writing_paused_at is not None:
+            if now - self.writing_paused_at > CLIENT_READ_TIMEOUT_S:
+                self._cut("the client does not read", now)
+            return
+        if self.is_idle:
+            if now - self.idle_since > limits.idle_timeout_s:
+                self._cut("idle", now)
+            return
+        started_at = self._reader.started_at
+        if started_at is not None and now - started_at > limits.header_timeout_s:
+            self._cut("a request is not complete in time", now)
+
+    def _on_request(self, request):
+        if self._is_closing:
+            return
+        is_head = request.method == b"HEAD"
+        response = ResponseWriter(self, request.keeps_alive, is_head)
+        self._responses.append(response)
+        status = request.error_status
+        if status is None and self._entry.is_refusing:
+            status = STATUS_UNAVAILABLE
+        forwarder = self._entry.forwarder
+        if status is None:
+            response.call = forwarder.handle_request(request, response)
+        elif status == STATUS_UNAVAILABLE:
+            response.call = forwarder.refuse_request(
+                request, response, "the node stops"
+            )
+        else:
+            head, body = render_error_response(status, "the request is malformed")
+            response.start(status, head, len(body), body, True)
+
+    @property
+    def _undelivered_bytes(self):
+        return self.unsent_bytes + self.unacknowledged_bytes
+
+    def _cut(self, reason, now):
+        requests = self.open_requests(now)
+        if requests:
+            self._entry.counters.count_connection_event("cut", len(requests))
+            unsent = self.unsent_bytes
+            log_cut(reason, requests, unsent, self.unacknowledged_bytes, now)
+        self.abort()
+
+    def _linger(self):
+        """Ends the writing side; the client closes the connection.
+
+        A close would be a reset as soon as the client sends more, which discards what
+        the client has not read yet.
+        """
+        # Requests after a response that closes the connection count as not read.
+        counters = self._entry.counters
+        for response in self._responses:
+            if response.call is not None:
+                counters.count_connection_event("behind-close")
+                log_behind_close(response.call, self._entry.now())
+        self._abandon_calls()
+        self._is_lingering = True
+        self._undelivered_before = self._undelivered_bytes
+        self._progress_at = self._entry.now()
+        if self._is_reading_paused and self.discarded_bytes <= MAX_DISCARDED_BYTES:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError as error:
+            log.debug("A client has reset its connection: {}.", error)
+            self.abort()
+            return
+        self._entry.add_lingering(self)
+
+    def _has_lingered(self, now):
+        """Returns whether the client has had enough time to read and to close."""
+        undelivered = self._undelivered_bytes
+        if undelivered != self._undelivered_before:
+            self._undelivered_before = undelivered
+            self._progress_at = now
+        limit_s = CLIENT_READ_TIMEOUT_S if undelivered else LINGER_TIMEOUT_S
+        return now - self._progress_at > limit_s
+
+    def _abandon_calls(self):
+        for response in self._responses:
+            if response.call is not None:
+                self._entry.forwarder.abandon(response.call)
+        self._responses.clear()
+
+
+def _unacknowledged_bytes(transport):
+    connection = transport.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0:
+        return 0
+    try:
+        size = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError as error:
+        log.debug("The send queue of a connection cannot be read: {}.", error)
+        return 0
+    return int.from_bytes(size, sys.byteorder)
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -59,6 +59,11 @@
         """Whether a control process has announced a revision not received yet."""
         return any(revision > self.revision for revision in self._revisions.values())
 
+    def open_links(self):
+        """Returns the open links."""
+        links = [dialer.link for dialer in self._dialers.values()]
+        return [link for link in links if link is not None]
+
     def start(self):
         """Connects to the control processes named in the settings."""
         self.connect(self._settings.control_addresses)
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -64,15 +64,36 @@
         self._configuration = None
         self._routes = RoutingTable()
         self._splits = {}
-        self._open_calls = 0
+        # A dict, which keeps the order of arrival.
+        self._open_calls = {}
 
     def __repr__(self):
-        return f"<Forwarder {self._open_calls} calls>"
+        return f"<Forwarder {self.in_flight} calls>"
 
     @property
     def in_flight(self):
         """The number of calls whose response is not complete."""
-        return self._open_calls
+        return len(self._open_calls)
+
+    def call_counts(self):
+        """Returns the number of open calls by state, as a dict."""
+        counts = {"waiting": 0, "sent": 0, "streaming": 0}
+        for call in self._open_calls:
+            counts[call.state] += 1
+        return counts
+
+    def oldest_call_age_s(self, now):
+        """Returns the seconds since the oldest open call arrived, 0 without calls.
+
+        :param now: monotonic seconds.
+        """
+        oldest = next(iter(self._open_calls), None)
+        return now - oldest.started_at if oldest is not None else 0.0
+
+    @property
+    def counters(self):
+        """:class:`~figpick.nodes._counters.CallCounters` of the node."""
+        return self._counters
 
     @property
     def configuration(self):
@@ -101,7 +122,7 @@
         """Refuses a request or forwards it.
 
         :param request: complete :class:`~figpick.wire.ClientRequest`.
-        :param response: :class:`~figpick.nodes._entry.ResponseWriter` for the response.
+        :param response: :class:`~figpick.nodes._client_responses.ResponseWriter`.
         :return: :class:`Call`.
         """
         now = self.now()
@@ -134,6 +155,23 @@
         self._start_call(call, now)
         return call
 
+    def refuse_request(self, request, response, reason):
+        """Refuses a request without looking at it.
+
+        :param request: :class:`~figpick.wire.ClientRequest`.
+        :param response: :class:`~figpick.nodes._client_responses.ResponseWriter`.
+        :param reason: reason of the refusal.
+        :return: :class:`Call`.
+        """
+        now = self.now()
+        call = Call(request, response, now)
+        call.request_id = request.header(self._names.request_id) or b""
+        call.is_done = True
+        self._counters.count(call, "refused")
+        log_refused_early(call, STATUS_NOT_RUN, reason, 1.0, self._version, now)
+        call.send_error(STATUS_NOT_RUN, f"not run: {reason}", STARTUP_WAIT_S)
+        return call
+
     def on_service_available(self, service):
         """Sends the calls that are waiting for a host of a service."""
         self._dispatcher.place_waiting(service)
@@ -194,7 +232,7 @@
         call.send_error(status, text, retry_after_s)
 
     def _start_call(self, call, now):
-        self._open_calls += 1
+        self._open_calls[call] = None
         route = call.route
         split = self._splits.get(route.name)
         call.service = split.next() if split else route.split[0][0]
@@ -250,7 +288,7 @@
 
     def _finish_call(self, call):
         call.is_done = True
-        self._open_calls -= 1
+        self._open_calls.pop(call, None)
         for timer in (call.timer, call.hedge_timer):
             if timer is not None:
                 timer.cancel()
