Bound the wait for the base of a change by time

Cause: the wait counted polls of 10 ms. On a busy machine each takes longer, so that the wait of 0.5 s reached the 0.9 s of the whole request, and a change got 503 instead of its response. test_change_whose_base_commits_during_the_wait_is_accepted failed so once in two runs at load average 24 on 8 cores ("no majority answered this leader").

Change: the wait ends 0.5 s after it began.

--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -205,11 +205,11 @@
         Operators have several changes in progress. A refusal would be wrong if the base
         and then another copy of the change were accepted after it.
         """
-        polls = int(BASE_WAIT_S / BASE_POLL_S)
-        while polls and self._member.is_leader:
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + BASE_WAIT_S
+        while self._member.is_leader and loop.time() < end_at:
             if self._member.registry.version >= change.base:
                 return
-            polls -= 1
             await asyncio.sleep(BASE_POLL_S)
 
     def _log_refused(self, change, position, error):
