Ignore repeated signals once a process has stopped

A host manager that sent SIGTERM twice saw a process end as killed by a signal (status -15), although it had stopped completely and logged so.

Cause: closing the event loop restores the default action of SIGTERM, and the interpreter takes some more time to exit.

A process that has stopped now ignores SIGTERM and SIGINT until it exits.

The new test sends SIGTERM every 2 ms until the process has ended.

--- a/src/figpick/roles/_compose.py
+++ b/src/figpick/roles/_compose.py
@@ -30,6 +30,7 @@
 from ._state import StateDump
 
 EXIT_FAILED = 1
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # The default first threshold of 700 triggers several collections per request.
 GC_THRESHOLDS = (20_000, 20, 50)
 
@@ -86,7 +87,7 @@
             flight have ended.
         """
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.request_stop)
         await self.start()
         # Objects created so far live as long as the process, so later collections
@@ -403,6 +404,11 @@
 async def _run_process(settings):
     configure_garbage_collection()
     await Process(settings).run()
+    # A repeated signal must not end the process as killed while it exits.
+    loop = asyncio.get_running_loop()
+    for number in STOP_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _loop_factory():
--- a/tests/test_control_stop.py
+++ b/tests/test_control_stop.py
@@ -1,6 +1,10 @@
 """Requests of operators to a control process that stops."""
 
 import asyncio
+import json
+import subprocess
+import sys
+import time
 from contextlib import asynccontextmanager
 
 import pytest
@@ -14,6 +18,13 @@
 from figpick.roles._compose import Process
 
 READY_TIMEOUT_S = 10.0
+SETTINGS = {
+    "name": "control-1",
+    "region": "region-1",
+    "data_center": "dc-1",
+    "roles": ["control"],
+    "shared_key": KEY,
+}
 
 
 def make_put(change, base=0):
@@ -26,14 +37,10 @@
     address = free_address()
     process = Process(
         {
-            "name": "control-1",
-            "region": "region-1",
-            "data_center": "dc-1",
-            "roles": ["control"],
+            **SETTINGS,
             "peer_address": address,
             "control": [{"name": "control-1", "address": address}],
             "data_folder": str(folder),
-            "shared_key": KEY,
         }
     )
     task = asyncio.ensure_future(process.run())
@@ -100,3 +107,33 @@
             assert (await first)["change"] == "a"
 
     asyncio.run(scenario())
+
+
+@pytest.mark.processes
+def test_repeated_signals_do_not_change_the_end_of_a_stop(tmp_path):
+    """Guards against a stop that is reported as killed after its work was done."""
+    address = free_address()
+    settings = {
+        **SETTINGS,
+        "peer_address": address,
+        "control": [{"name": "control-1", "address": address}],
+        "data_folder": str(tmp_path / "data"),
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings))
+    log = tmp_path / "log"
+    with log.open("wb") as file:
+        command = [sys.executable, "-m", "figpick", "run", str(path)]
+        process = subprocess.Popen(command, stdout=file, stderr=file)
+    try:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while b"has started" not in log.read_bytes():
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
+        while process.poll() is None:
+            assert time.monotonic() < deadline
+            process.terminate()
+            time.sleep(0.002)
+    finally:
+        process.kill()
+    assert process.returncode == 0
