Record the ends of nested calls

Each nested call ended with an AttributeError in its task, after the caller had its response. The execution that made it counted as in a downstream call from then on, so the time in downstream calls was missing from the service time of an upstream that calls other services, and one entry was kept for each such execution.

Cause: the status of a call was read from an attribute that was never set.

It is now read from the relay of the response, as for the records of the call.

The new test failed before: the execution was still counted after its call had ended.

--- a/src/figpick/calls/_calls.py
+++ b/src/figpick/calls/_calls.py
@@ -194,7 +194,8 @@
     @property
     def status(self):
         """HTTP status of the complete response from an upstream, 0 without one."""
-        return self._status
+        relay = self._relay
+        return relay.status if relay is not None and relay.is_complete else 0
 
     def cancel(self):
         """Cancels the call because its caller has closed the connection."""
@@ -284,7 +285,7 @@
         node, plan, relay = self._node, self._plan, self._relay
         if not plan.route.idempotent:
             node.finish_claim(plan, self._has_sent, relay.storable_response)
-        status = relay.status if relay.is_complete else 0
+        status = self.status
         name = self._dispatch.upstream_name if self._dispatch is not None else ""
         node.retries.record_call_end(plan, self._body, self._has_sent, status, name)
         if self._recording_start is not None:
--- a/tests/test_concurrency_limit.py
+++ b/tests/test_concurrency_limit.py
@@ -1,10 +1,14 @@
 """Tests that the adaptive limit follows the capacity of the upstream."""
 
+import asyncio
+
+from figpick.calls import _context
 from figpick.permits._concurrency_limit import (
     AdaptiveLimit,
     DownstreamCalls,
     Observation,
 )
+from tests.proxied_node import call, start_proxied_node
 
 NORMAL = Observation(completed=50, own_s=0.1, rate=100.0, shed=0)
 
@@ -43,3 +47,31 @@
     calls.end("e1", True, 1.5)
     assert calls.pop_total_s() == 0.5
     assert calls.count_unexplained_refusals(2, 1.6) == 1
+
+
+def test_end_of_a_nested_call_is_recorded():
+    """Guards against calls of an upstream that count as running forever."""
+
+    async def scenario():
+        async with start_proxied_node() as (graph, node, _, _):
+            register_root = node.node.retries.register_root
+            contexts, errors = [], []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: errors.append(context))
+
+            def record_context(plan):
+                plan = register_root(plan)
+                contexts.append(_context.encode(plan.context, node.node.key))
+                return plan
+
+            node.node.retries.register_root = record_context
+            assert (await call(graph, node, "GET", "/a")).status == 200
+            downstream = node.node.exchange.owner.downstream
+            headers = {_context.CONTEXT_HEADER: contexts[0]}
+            nested = await call(graph, node, "GET", "/a?ms=100", headers)
+            assert nested.status == 200
+            await asyncio.sleep(0.05)
+            assert not downstream._executions
+            assert not errors
+
+    asyncio.run(scenario())
