Answer requests while the log cannot be written

A caller whose request was refused got no answer at all from a node whose log was on a full or failing disk: the connection stayed open until the caller gave up.

Cause: lines about single calls are written directly to the log, and an error of that write other than a slow or missing reader was raised in the handler of the request. The same errors of other lines are caught by the log library.

Such a line is now dropped. The next line that can be written is followed by one with the number of lost lines and the reason.

The first new test failed before: a request without a route got no response within 8 s instead of 404 while the log was /dev/full. The second one guards the count.

--- a/src/figpick/base/_logs.py
+++ b/src/figpick/base/_logs.py
@@ -145,6 +145,8 @@
         self._name = name
         self._descriptor = descriptor
         self._encoder = msgspec.json.Encoder(enc_hook=repr)
+        self._lost_lines = 0
+        self._write_error = None
 
     def emit(self, record):
         """Writes one record."""
@@ -174,3 +176,12 @@
         except (BlockingIOError, BrokenPipeError):
             # The collector does not read: drop the line rather than block.
             return
+        except OSError as error:
+            # The request or task that is logged must not fail with a disk.
+            self._lost_lines += 1
+            self._write_error = str(error)
+            return
+        if self._lost_lines:
+            fields = {"lines": self._lost_lines, "reason": self._write_error}
+            self._lost_lines = 0
+            self.write("error", "logs", "Lines could not be written.", fields)
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -159,6 +159,43 @@
     os.close(write)
 
 
+@async_test
+async def test_request_is_answered_while_the_log_cannot_be_written(tmp_path):
+    """Guards against requests without an answer because the disk of the log is full."""
+    descriptor = os.open("/dev/full", os.O_WRONLY)
+    async with Fleet(tmp_path) as fleet:
+        handler = _logs.start_structured("info", "n", descriptor)
+        try:
+            async with Client(fleet.hosts[0].settings.call_address) as client:
+                assert (await client.call(b"/none/1", b"a"))[0] == 404
+                assert (await client.call(b"/parts/1", b"b"))[0] == 200
+        finally:
+            _logs.stop_structured(handler)
+            os.close(descriptor)
+
+
+def test_lines_that_could_not_be_written_are_counted_later(tmp_path):
+    """Guards against a gap in a log that nothing shows."""
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT)
+    full = os.open("/dev/full", os.O_WRONLY)
+    handler = _logs.JsonHandler("n", full, level="INFO")
+    log = _logs.logger("test")
+    with handler.applicationbound():
+        log.warning("First.")
+        log.warning("Second.")
+        os.dup2(descriptor, full)
+        log.warning("Third.")
+        log.warning("Fourth.")
+    os.close(descriptor)
+    os.close(full)
+    lines = [msgspec.json.decode(line) for line in path.read_bytes().splitlines()]
+    messages = [line["msg"] for line in lines]
+    assert messages == ["Third.", "Lines could not be written.", "Fourth."]
+    assert lines[1]["lines"] == 2
+    assert "No space left on device" in lines[1]["reason"]
+
+
 @pytest.mark.parametrize("level", ["info", "warning"])
 def test_lines_of_calls_are_those_of_the_log_library(level):
     """Guards against call logs whose format differs or that ignore the log level."""
