Answer 503 while a node has yet to learn of its own document

Callers of a node that had just started while no control process could be reached got 404 "unknown-service" for every request, although its service has a document.

Cause: a missing document of the own service was taken as a service without one. Only a control process can confirm that.

Such requests now get 503 "document-unavailable" with outcome "not-run" until a control process has confirmed the documents of the node, and while a version of the missing document is known.

The new test failed before: a request of a node without confirmed documents raised UnknownServiceError.

--- a/src/figpick/membership/_fetching.py
+++ b/src/figpick/membership/_fetching.py
@@ -121,6 +121,14 @@
         if unknown is not None and not unknown.has_reply:
             raise _unavailable(service)
 
+    def require_confirmed(self, service):
+        """Checks that a control process confirmed that a needed service is unknown.
+
+        :raises DocumentUnavailableError: when none did, or when its version is known.
+        """
+        if not self.confirmed or self._service_versions.get(service).version:
+            raise _unavailable(service)
+
     async def fetch(self, service, now):
         """Fetches the document of a service that is called for the first time.
 
--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -372,11 +372,15 @@
         is_service_name = _plans.is_service_name(host)
         if is_service_name and self.fetcher is not None:
             self.fetcher.require_recent_fetch(host, self.clock.monotonic())
-        service = self._services.get(self._settings.get("service"))
+        own_service = self._settings.get("service")
+        service = self._services.get(own_service)
         # A nested call that names a service must not reach a different one.
         if service is None or (is_service_name and is_nested):
-            if is_service_name and self.fetcher is not None:
-                self.fetcher.require_reply(host)
+            if self.fetcher is not None:
+                if is_service_name:
+                    self.fetcher.require_reply(host)
+                if service is None and own_service:
+                    self.fetcher.require_confirmed(own_service)
             raise UnknownServiceError(f"no document is known for {host!r}")
         return service
 
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -10,6 +10,7 @@
 )
 from figpick.calls import _context
 from figpick.membership._members import FAILED, LEFT, Members
+from figpick.membership._versions import ServiceVersion
 from figpick.registry._documents import Service
 from figpick.roles._compose import Process
 from figpick.routing._reachability import RECENT_SUCCESS_S, UpstreamReachability
@@ -124,3 +125,19 @@
         plan(node, "nowhere", context)
     assert plan(node, "public.example.com").service.name == "parts"
     assert plan(node, "10.0.0.1:8100", context).service.name == "parts"
+
+
+@pytest.mark.parametrize("host", ["10.0.0.1:8100", "localhost"])
+def test_own_service_is_absent_only_when_control_confirmed_it(host):
+    """Guards against a 404 from a node that has just started."""
+    node = Process({**SETTINGS, "service": "parts"}).node
+    with pytest.raises(DocumentUnavailableError):
+        plan(node, host)
+    node.fetcher.confirmed = True
+    with pytest.raises(UnknownServiceError):
+        plan(node, host)
+    node.fetcher._service_versions.merge("parts", ServiceVersion(3, 0))
+    with pytest.raises(DocumentUnavailableError):
+        plan(node, host)
+    node.adopt_document(PARTS, 3)
+    assert plan(node, host).service.name == "parts"
