Ignore the levels of a reply that a newer push overtook

A calling node admitted calls below the level that an owner had raised, and kept permits that other nodes waited for, until its next exchange with the owner up to 2 s later.

Cause: grants carry a sequence number and older ones are ignored, but the level, the levels of routes and the state of contention in the same message were always applied. A reply that arrives after a later push replaced them by older values.

They are now ignored together with an older grant. A push without a grant has no number, so a late reply can still replace its level.

The new test failed before: after the late reply the level was 0.0 instead of 5.5.

--- a/src/figpick/permits/_exchange.py
+++ b/src/figpick/permits/_exchange.py
@@ -195,12 +195,15 @@
         return upstream.permits.make_usage(self._usage_number, demand, now)
 
     def _apply_message(self, upstream, message, sent_at):
-        upstream.set_levels(
-            message["level"], message["routes"], self._clock.monotonic()
-        )
-        upstream.permits.contended = message["contended"]
-        if message["grant"] is not None:
-            upstream.permits.accept(Grant(*message["grant"]), sent_at)
+        grant = None if message["grant"] is None else Grant(*message["grant"])
+        # A reply may arrive after a push that the owner sent later.
+        if grant is None or not upstream.permits.is_outdated(grant):
+            upstream.set_levels(
+                message["level"], message["routes"], self._clock.monotonic()
+            )
+            upstream.permits.contended = message["contended"]
+        if grant is not None:
+            upstream.permits.accept(grant, sent_at)
 
     def _state_of(self, upstream):
         state = self._states.get(upstream.name)
--- a/src/figpick/permits/_permits.py
+++ b/src/figpick/permits/_permits.py
@@ -262,6 +262,11 @@
         if grant.lease_s and grant.incarnation == self.order[0]:
             self.expires_at = max(self.expires_at, sent_at + grant.lease_s)
 
+    def is_outdated(self, grant):
+        """Returns whether a newer grant of the same process of the owner is known."""
+        incarnation, sequence = self.order
+        return grant.incarnation == incarnation and grant.sequence < sequence
+
     def held(self, now):
         """Returns the number of permits that may be used.
 
--- a/tests/test_first_grant.py
+++ b/tests/test_first_grant.py
@@ -5,7 +5,10 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from figpick.base._clock import Clock
 from figpick.calls._plans import ClockReading, make_plan
+from figpick.membership._members import Members
+from figpick.permits._exchange import PermitExchange
 from figpick.permits._permits import Grant
 from figpick.registry._documents import Service
 from figpick.routing._upstream_set import UpstreamSet
@@ -36,3 +39,33 @@
         assert (await call).name == "b"
 
     asyncio.run(scenario())
+
+
+def test_late_reply_does_not_replace_the_levels_of_a_newer_push():
+    """Guards against calls admitted below a level that the owner has raised."""
+
+    def make_message(sequence, level, contended):
+        grant = [4, 1000, sequence, 5.0]
+        return {"grant": grant, "level": level, "routes": {}, "contended": contended}
+
+    async def scenario():
+        members = Members(record("own"))
+        members.merge(record("b"))
+        upstreams = UpstreamSet(Service(DOCUMENT, 1))
+        upstreams.update(members.get("b"), 0.0)
+        upstream = upstreams.get("b")
+
+        class Client:
+            async def send(self, address, kind, message):
+                push = make_message(2, 5.5, True)
+                await exchange.handle_push({**push, "owner": "b"})
+                return make_message(1, 0.0, False)
+
+        exchange = PermitExchange(members, Client(), Clock())
+        exchange._upstream_sets = {"parts": upstreams}
+        exchange._start(upstreams, upstream, time.monotonic())
+        await asyncio.sleep(0.05)
+        assert upstream.level("any", time.monotonic()) == 5.5
+        assert upstream.permits.contended
+
+    asyncio.run(scenario())
