Ignore an offered protocol upgrade instead of answering it twice

Clients that offer HTTP/2 in a request, as some libraries do by default, got the response of the upstream and then a 400 that belonged to no request, and their connection closed. A request with a body was run without the body.

Cause: the parser stops behind the head of a request that offers an upgrade and reports the request as complete; the reader passed it on and then rejected what followed.

The reader goes on behind the head, so that the offer is ignored. A request with a body is rejected before it is passed on, since the parser would take the body for further requests.

test_request_that_offers_an_upgrade_is_read_as_an_ordinary_one failed before with assert [b'/a/1', b''] == [b'/a/1', b'/b/2'], and test_body_behind_an_offered_upgrade_is_not_read_as_a_request with assert [None, 400] == [400].

--- a/src/figpick/wire/_requests.py
+++ b/src/figpick/wire/_requests.py
@@ -84,15 +84,17 @@
 
         :param now: monotonic time in seconds.
         """
-        if self._failed:
-            return
         self._now = now
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.reject(400)
-        except httptools.HttpParserError:
-            self.reject(400)
+        while data and not self._failed:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # The offer is ignored (RFC 9110, section 7.8). The parser stops behind
+                # the head of the request that makes it.
+                data = data[upgrade.args[0] :]
+            except httptools.HttpParserError:
+                self.reject(400)
 
     def on_message_begin(self):
         self._request = ClientRequest(self._now)
@@ -123,6 +125,9 @@
             b"/"
         ):
             self.reject(400)
+        elif self._parser.should_upgrade() and _has_body(request):
+            # The parser would take the body for requests.
+            self.reject(400)
 
     def on_body(self, body):
         if self._failed:
@@ -159,3 +164,9 @@
         self._head_bytes += size
         if self._head_bytes > self._max_header_bytes():
             self.reject(431)
+
+
+def _has_body(request):
+    length = request.header(b"content-length")
+    is_chunked = request.header(b"transfer-encoding") is not None
+    return is_chunked or length not in (None, b"0")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -150,3 +150,33 @@
     reader = make_reader(is_head=True)
     reader.feed(b"HTTP/1.1 200 OK\r\n%b: r1\r\nContent-Length: 10\r\n\r\n" % ID)
     assert reader.is_complete
+
+
+def test_request_that_offers_an_upgrade_is_read_as_an_ordinary_one():
+    """Guards against a second response to a client that offers another protocol."""
+    data = (
+        b"GET /a/1 HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        b"POST /b/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+    )
+    for piece_bytes in (None, 1, 7):
+        requests = read_requests(data, piece_bytes)
+        assert [request.target for request in requests] == [b"/a/1", b"/b/2"]
+        assert not any(request.error_status for request in requests)
+
+
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 24\r\n", b"Transfer-Encoding: chunked\r\n"]
+)
+def test_body_behind_an_offered_upgrade_is_not_read_as_a_request(framing):
+    """Guards against request smuggling, and against running a request without its body.
+
+    The parser takes such a body for the other protocol.
+    """
+    data = (
+        b"POST /a/1 HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+        + framing
+        + b"\r\nGET /b/ HTTP/1.1\r\nA: b\r\n\r\n"
+    )
+    for piece_bytes in (None, 1):
+        requests = read_requests(data, piece_bytes)
+        assert [request.error_status for request in requests] == [400]
