--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -64,6 +64,7 @@
         self._is_draining = False
         self._in_flight = 0
         self._server = None
+        self._call_server = CallServer(self)
         self.fetcher = None
         self.recorder = None
         self._reachability = UpstreamReachability(members)
@@ -95,14 +96,20 @@
 
     @property
     def is_idle(self):
-        """Whether no call is in flight at this node or at its upstream."""
-        return self._in_flight == 0 and self.exchange.pool.committed == 0
+        """Whether no call is in flight, received or answered at this node or upstream.
+
+        A call is received from its headers on, and answered until its response was
+        sent and its claim holders know of its end.
+        """
+        has_calls = self._in_flight > 0 or not self._call_server.is_idle
+        has_work = has_calls or self.claims.has_deliveries
+        return not has_work and self.exchange.pool.committed == 0
 
     def start(self):
         """Starts accepting calls."""
         ip, port = split_address(self._settings["call_address"])
         self._server = CallListener(
-            CallServer(self),
+            self._call_server,
             chunk_size=CHUNK_BYTES,
             max_buffer_size=MAX_BUFFER_BYTES,
             max_header_size=MAX_HEADER_BYTES,
@@ -130,6 +137,11 @@
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
+        if self.recorder is not None:
+            try:
+                await self.recorder.flush()
+            except OSError as error:
+                log.error("The last spans could not be recorded: {}.", error)
 
     def adopt_document(self, document, version):
         """Activates a service document unless the active one is as new or newer.
