Do not read the send queue of a connection that is closed

uvloop names the descriptor of a closed transport until the next iteration of the event loop, when it may belong to another connection. Found by reading; no failure of a caller was seen.

A test shows that a response to a client that has reset its connection is dropped without an error; it passed before as well.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -344,9 +344,10 @@
 
 
 def _unacknowledged_bytes(transport):
-    connection = transport.get_extra_info("socket")
-    if connection is None or connection.fileno() < 0:
+    if transport.is_closing():
+        # Its descriptor may belong to another connection already.
         return 0
+    connection = transport.get_extra_info("socket")
     try:
         size = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
     except OSError as error:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from contextlib import asynccontextmanager, suppress
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -530,3 +531,19 @@
             assert received.count(b"HTTP/1.1 ") == 1
             assert received.endswith((b"x" * 50, b"x" * 50 + b"\r\n"))
             assert calls[1] in entry.forwarder.abandoned
+
+
+@on_each_loop
+async def test_response_to_a_client_that_has_reset_its_connection_is_dropped():
+    """Guards against an error in the call whose response cannot be written."""
+    async with serve() as (entry, connect):
+        for size in (10, 1_000_000):
+            client = await connect()
+            await send(client, request(b"a1", extra=b"Connection: close\r\n"))
+            await wait_until(lambda: entry.forwarder.calls)
+            call = entry.forwarder.calls.pop()
+            reset = struct.pack("ii", 1, 0)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+            client.close()
+            respond(call, b"x" * size)
+            await wait_until(lambda: not entry.connections)
