Read a deadline of many digits as the longest one

Callers that send a deadline of more than 308 digits got no response at all.

Cause: the number does not fit into a floating-point number, and the error ended the handling of the request.

--- a/src/figpick/nodes/_entry_policy.py
+++ b/src/figpick/nodes/_entry_policy.py
@@ -42,7 +42,7 @@
     if value is not None:
         if not value.isdigit():
             return False
-        deadline_s = min(int(value) / 1000, MAX_DEADLINE_S)
+        deadline_s = min(float(value) / 1000, MAX_DEADLINE_S)
     call.deadline = now + deadline_s
     route = call.route
     call.respond_by = call.deadline - DEADLINE_MARGIN_S
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -19,7 +19,7 @@
 from figpick.nodes._entry import EntryServer
 from figpick.wire import DEFAULT_HEADERS
 
-from .fleet import free_address, wait_until
+from .fleet import Client, Fleet, async_test, free_address, wait_until
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
 # A response of this size fits into the send buffer of the kernel, but not into the
@@ -547,3 +547,15 @@
             client.close()
             respond(call, b"x" * size)
             await wait_until(lambda: not entry.connections)
+
+
+@async_test
+async def test_deadline_of_many_digits_does_not_end_the_connection(tmp_path):
+    """Guards against a header that ends its connection without a response."""
+    async with Fleet(tmp_path) as fleet:
+        async with Client(fleet.hosts[0].settings.call_address) as client:
+            for digits in (20, 400, 4000):
+                status, _, _ = await client.call(
+                    b"/parts/1", b"a%d" % digits, deadline_ms=10**digits
+                )
+                assert status == 200
