Respond to a request whose handling fails, and log the error

Callers whose request met an error of the node itself got no response; those of further requests on the connection waited as well.

Cause: the parser of requests turns an error of the functions that it calls into a parser error. The reader took it for a malformed request and queued a 400 behind the request, which nobody answered. Nothing was logged.

The error is logged, and the request is answered with 502, since it may have been passed on. The reader raises such errors instead of rejecting the request.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -199,6 +199,7 @@
                     closing = b"Connection: close\r\n"
                 response.pending.insert(0, response.head + closing + b"\r\n")
                 response.head = None
+                response.is_begun = True
             if response.pending:
                 data = b"".join(response.pending)
                 response.pending = []
@@ -260,7 +261,11 @@
             status = STATUS_UNAVAILABLE
         forwarder = self._entry.forwarder
         if status is None:
-            response.call = forwarder.handle_request(request, response)
+            try:
+                response.call = forwarder.handle_request(request, response)
+            except Exception:
+                log.exception("A request cannot be handled.")
+                response.abort("the node cannot handle the request")
         elif status == STATUS_UNAVAILABLE:
             response.call = forwarder.refuse_request(
                 request, response, "the node stops"
--- a/src/figpick/nodes/_client_responses.py
+++ b/src/figpick/nodes/_client_responses.py
@@ -19,6 +19,7 @@
         "is_head",
         "head",
         "pending",
+        "is_begun",
         "is_complete",
         "is_broken",
         "is_chunked",
@@ -31,6 +32,8 @@
         self.is_head = is_head
         self.head = None
         self.pending = []
+        # Whether the head has been written.
+        self.is_begun = False
         self.is_complete = False
         self.is_broken = False
         self.is_chunked = False
@@ -65,18 +68,19 @@
         self.is_complete = is_last
         self.connection.flush()
 
-    def abort(self):
+    def abort(self, text="the response of the upstream broke off"):
         """Ends a response that cannot be completed.
 
         An error takes its place if nothing of it has been written. Otherwise its
         connection closes after it, so that it does not look complete.
+
+        :param text: message of the error.
         """
-        if self.head is None:
+        if self.is_begun:
             self.is_broken = True
             self.connection.flush()
             return
         self.pending = []
-        text = "the response of the upstream broke off"
         head, body = render_error_response(STATUS_FAILED, text)
         self.start(STATUS_FAILED, head, len(body), body, True)
 
--- a/src/figpick/wire/_requests.py
+++ b/src/figpick/wire/_requests.py
@@ -93,6 +93,9 @@
                 # The offer is ignored (RFC 9110, section 7.8). The parser stops behind
                 # the head of the request that makes it.
                 data = data[upgrade.args[0] :]
+            except httptools.HttpParserCallbackError as error:
+                # The error of a function that the parser called.
+                raise error.__context__ or error from None
             except httptools.HttpParserError:
                 self.reject(400)
 
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -552,10 +552,33 @@
 @async_test
 async def test_deadline_of_many_digits_does_not_end_the_connection(tmp_path):
     """Guards against a header that ends its connection without a response."""
-    async with Fleet(tmp_path) as fleet:
-        async with Client(fleet.hosts[0].settings.call_address) as client:
-            for digits in (20, 400, 4000):
-                status, _, _ = await client.call(
-                    b"/parts/1", b"a%d" % digits, deadline_ms=10**digits
-                )
-                assert status == 200
+    async with (
+        Fleet(tmp_path) as fleet,
+        Client(fleet.hosts[0].settings.call_address) as client,
+    ):
+        for digits in (20, 400, 4000):
+            status, _, _ = await client.call(
+                b"/parts/1", b"a%d" % digits, deadline_ms=10**digits
+            )
+            assert status == 200
+
+
+@on_each_loop
+async def test_request_whose_handling_fails_gets_a_response():
+    """Guards against a request that waits for ever after an error of the node."""
+    with logbook.TestHandler() as logs:
+        async with serve() as (entry, connect):
+            client = await connect()
+            await send(client, request(b"a1"))
+            calls = await entry.forwarder.receive(1)
+            with patch.object(entry.forwarder, "handle_request", side_effect=KeyError):
+                await send(client, request(b"a2"))
+                await wait_until(lambda: logs.has_errors)
+            await send(client, request(b"a3", extra=b"Connection: close\r\n"))
+            await entry.forwarder.receive(2)
+            respond(calls[0], b"first")
+            respond(calls[1], b"third")
+            received = await receive_all(client)
+            first, _, others = received.partition(b"first")
+            assert others.startswith(b"HTTP/1.1 502 ")
+            assert others.endswith(b"third")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -180,3 +180,14 @@
     for piece_bytes in (None, 1):
         requests = read_requests(data, piece_bytes)
         assert [request.error_status for request in requests] == [400]
+
+
+def test_error_of_the_request_handler_is_raised():
+    """Guards against an error that is taken for a malformed request."""
+
+    def fail(request):
+        raise KeyError(request.target)
+
+    reader = RequestReader(fail, lambda: 1000, lambda: 100)
+    with pytest.raises(KeyError, match="/a/1"):
+        reader.feed(b"GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n", now=1.0)
