--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -75,6 +75,7 @@
         self._controls = ControlLinks(
             settings, self._token, self._announcer, clock, self
         )
+        self._forwarder.use_controls(self._controls)
         self._caller_links = {}
         self._drainer = Drainer(
             settings,
