Wait until other processes have read what a stopping control process sent

Operators at another control process saw 'the leader did not answer' although the leader had served their request before it stopped.

Cause: a stop waited 50 ms after it had closed the links that the process dialled; the links that others had opened, on which replies and configurations go, were not finished.

Change: the process ends sending on all of its links and waits until their peers have read everything, 0.5 s after the last byte or 2 s at most, as nodes do.

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -9,7 +9,7 @@
 from ..base._supervisor import Supervisor
 from ..configuration import ChangeSet
 from ..directory import CONTROL, LEFT, NODE, Announcer, Directory, HostRecord
-from ..links import Dialer, Link, listen
+from ..links import Dialer, Link, finish_links, listen
 from ._leader_requests import PUT, READ, LeaderRequests
 from ._messages import (
     CrashReport,
@@ -31,7 +31,10 @@
 from ._reconfiguration import describe_members, next_members, required_voters
 
 RECONFIGURATION_PERIOD_S = 0.3
-FLUSH_DELAY_S = 0.05
+# Time for the last messages to processes that read slowly.
+FLUSH_TIMEOUT_S = 2.0
+# A process that runs closes a finished link within a round trip.
+UNCONFIRMED_TIMEOUT_S = 0.5
 log = logger("control")
 
 
@@ -134,17 +137,22 @@
     async def drain(self):
         """Finishes requests of operators, then announces that this process has left.
 
-        Messages in the buffers of the links that it dialled are written first.
+        Returns when other processes have read everything that was sent to them, or
+        after a bounded time.
         """
         await self._leader_requests.finish()
         self._announcer.update(state=LEFT)
         self._announce()
+        links = [dialer.link for dialer in self._dialers.values()]
+        links = [*filter(None, links), *self._accepted_links]
+        if self._server is not None:
+            self._server.close()
         for dialer in self._dialers.values():
-            if dialer.link is not None:
-                dialer.link.finish()
-        # Responses and messages are written in the next iterations of the event loop.
-        await asyncio.sleep(FLUSH_DELAY_S)
-        log.notice("Control process stops.")
+            dialer.finish()
+        unsent_bytes = await finish_links(
+            links, UNCONFIRMED_TIMEOUT_S, FLUSH_TIMEOUT_S, self._clock
+        )
+        log.notice("Control process stops.", extra={"unsent_bytes": unsent_bytes})
 
     def close(self):
         """Closes the server and all links immediately."""
--- a/src/figpick/nodes/_draining.py
+++ b/src/figpick/nodes/_draining.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ..base._logs import logger
+from ..base._pauses import RECORD_PERIOD_S, PauseDetector
 from ..links import finish_links
 
 # Clients stop using a node after two failed readiness checks, one second apart. Later
@@ -44,6 +45,7 @@
         self._forwarder = forwarder
         self._owner = owner
         self._links = links
+        self._pauses = PauseDetector(clock.monotonic())
 
     def __repr__(self):
         return f"<Drainer {self.open_work()}>"
@@ -70,17 +72,23 @@
             "oldest_s": round(max(ages_s), 3),
         }
 
-    async def run(self, started_at, announce_left, stop_links):
+    async def record_pauses(self):
+        """Records that the process runs until cancelled."""
+        while True:
+            self._pauses.record(self._clock.monotonic())
+            await asyncio.sleep(RECORD_PERIOD_S)
+
+    async def run(self, announce_left, stop_links):
         """Stops the node and returns when the process may exit.
 
         Requests are read until their clients have had the time to leave. All of them
         get a response within the grace period.
 
-        :param started_at: monotonic seconds of the signal, from which the grace time
-            counts.
         :param announce_left: announces that the node has left.
         :param stop_links: ends accepting and dialling links.
         """
+        # The grace time counts from the signal, which may have waited.
+        started_at = self._pauses.earliest_signal_at(self._clock.monotonic())
         last_exit_at = started_at + self._settings.grace_s - FLUSH_MARGIN_S
         end_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
         self._entry.stop_keep_alive()
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -6,7 +6,6 @@
 from ..admission import CrashQuarantine
 from ..base._errors import FigpickError, InvalidDocumentError
 from ..base._logs import CALL_LOG_LIMITER, logger
-from ..base._pauses import RECORD_PERIOD_S, PauseDetector
 from ..base._supervisor import Supervisor
 from ..directory import LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Link, listen
@@ -85,14 +84,13 @@
             self._owner,
             self._open_links,
         )
-        self._pauses = PauseDetector(clock.monotonic())
         self._metrics = None
         self._server = None
         self._connect_local()
         self._supervisor = Supervisor("node", clock)
         self._supervisor.add("entry", self._entry.enforce_timeouts)
         self._supervisor.add("refresh", self._refresh)
-        self._supervisor.add("pauses", self._record_pauses)
+        self._supervisor.add("pauses", self._drainer.record_pauses)
         self._supervisor.add("summary", self._log_summary)
 
     def __repr__(self):
@@ -174,8 +172,7 @@
         Calls that exceed the grace period are aborted.
         """
         self._is_stopping = True
-        started_at = self._pauses.earliest_signal_at(self._clock.monotonic())
-        await self._drainer.run(started_at, self._announce_left, self._stop_links)
+        await self._drainer.run(self._announce_left, self._stop_links)
 
     def open_work(self):
         """Returns the open calls by state and the unsent bytes, as a JSON value."""
@@ -303,11 +300,6 @@
             self._peers.apply_record(self._announcer.record, self._clock.monotonic())
             self._controls.announce()
 
-    async def _record_pauses(self):
-        while True:
-            self._pauses.record(self._clock.monotonic())
-            await asyncio.sleep(RECORD_PERIOD_S)
-
     async def _refresh(self):
         while True:
             await asyncio.sleep(REFRESH_PERIOD_S)
