--- /dev/null
+++ b/bench/soak_answers.py
@@ -0,0 +1,268 @@
+"""Checks of responses around planned stops, from what clients and upstreams observe."""
+
+from collections import Counter, defaultdict
+from typing import NamedTuple
+
+from bench.soak_checks import NOT_RUN_STATUSES
+from bench.soak_clients import DEADLINE_MS, GIVE_UP_S
+from bench.soak_cluster import GRACE_S
+
+# Faults count as a cause of failures for this time after their end.
+STABLE_S = 3.0
+# A change is in force everywhere this time after its acknowledgement.
+APPLY_S = 2.0
+# A request that waited longer than this for its response counts as read by the node.
+LOSS_SLACK_S = 0.2
+ROUTE_TIMEOUT_S = 3.0
+# Clients see the end of a connection a little after the process has ended.
+EXIT_SLACK_S = 0.3
+# Responses that are given up for a time limit may be sent that much earlier.
+TIME_SLACK_S = 0.1
+# Requests sent no later than this after SIGTERM, which an upstream still runs in the
+# last sixth of the grace time, may be ended by the node.
+LATE_WORK_SENT_S = 3.0
+MAX_CUT_WITHOUT_STOP = 3
+MIN_LAG_S = 0.02
+PLANNED = ("SIGTERM", "SIGHUP")
+# Times in which nodes may use an older configuration, though no request may be lost.
+RESTARTS = ("start", "outage")
+
+
+class Run(NamedTuple):
+    """Execution of a request by an upstream; times are in Unix seconds.
+
+    :param node: number of the node next to the upstream.
+    :param ended_at: time of the response.
+    :param was_cut: whether the connection of the node had closed before.
+    """
+
+    node: int
+    service: str
+    started_at: float
+    ended_at: float
+    was_cut: bool
+
+
+class Window(NamedTuple):
+    """Time of a stop, reload, restart or fault, in Unix seconds.
+
+    :param node: number of the process, ``None`` for all nodes.
+    :param kind: one of :data:`PLANNED` or :data:`RESTARTS`, or a fault.
+    """
+
+    node: int | None
+    kind: str
+    started_at: float
+    ended_at: float
+
+
+class AnswerChecker:
+    """Records requests, their executions, and signals, and lists violations.
+
+    :param hosts: function that returns the numbers of the nodes of a service.
+    """
+
+    def __init__(self, hosts):
+        self._hosts = hosts
+        self._requests = []
+        self._runs = defaultdict(list)
+        self._starts = defaultdict(list)
+        self._windows = []
+        self._lags = []
+        self._violations = []
+
+    def record_request(self, request):
+        """Records a request that is being sent."""
+        self._requests.append(request)
+
+    def record_run_start(self, request_id, node, at):
+        """Records that an upstream began to execute a request."""
+        self._starts[request_id].append((node, round(at, 3)))
+
+    def record_run(self, request_id, run):
+        """Records a complete execution."""
+        self._runs[request_id].append(run)
+
+    def record_window(self, node, kind, started_at, ended_at):
+        """Records a :class:`Window`."""
+        self._windows.append(Window(node, kind, started_at, ended_at))
+
+    def record_lag(self, due_at, lag_s):
+        """Records that clients saw what happened at a time that much later."""
+        if lag_s > MIN_LAG_S:
+            self._lags.append((due_at, lag_s))
+
+    def record(self, rule, text, **fields):
+        """Records a violation."""
+        self._violations.append({"rule": rule, "text": text, **fields})
+
+    def service_of(self, request_id):
+        """Returns the service that completed a request, empty if none."""
+        runs = self._runs[request_id]
+        return runs[-1].service if runs else ""
+
+    def has_fault(self, nodes, since, until):
+        """Returns whether a fault at any of these hosts overlaps a time."""
+        kinds = (*PLANNED, *RESTARTS)
+        return any(
+            window.node in nodes and window.kind not in kinds
+            for window in self._overlapping(since, until)
+        )
+
+    def is_disturbed(self, node, since, until):
+        """Returns whether a stop, start, reload or fault of a node overlaps a time."""
+        return any(
+            window.node in (node, None) for window in self._overlapping(since, until)
+        )
+
+    def summary(self):
+        """Returns the figures of the run."""
+        outcomes = Counter(
+            str(request.status) if request.outcome == "answered" else request.outcome
+            for request in self._requests
+        )
+        windows = Counter(window.kind for window in self._windows)
+        return {
+            "outcomes": dict(sorted(outcomes.items())),
+            "windows": dict(sorted(windows.items())),
+        }
+
+    def list_violations(self):
+        """Returns a dict of fields for each violation."""
+        violations = list(self._violations)
+        cut_without_stop = []
+        for request in self._requests:
+            if text := self._response_violation(request):
+                violations.append(self._describe("MIXED", request, text))
+            if text := self._run_violation(request):
+                violations.append(self._describe("ONCE", request, text))
+            text = self._loss(request)
+            if not text or self._is_exempt(request):
+                continue
+            plan = self._plan(request)
+            if plan is not None:
+                violations.append(self._describe("LOST", request, text, plan))
+            elif request.outcome == "cut" and self._starts[request.request_id]:
+                cut_without_stop.append(self._describe("LOST", request, text))
+        if len(cut_without_stop) > MAX_CUT_WITHOUT_STOP:
+            violations += cut_without_stop
+        return violations
+
+    def _overlapping(self, since, until):
+        return (
+            window
+            for window in self._windows
+            if window.started_at <= until and window.ended_at >= since
+        )
+
+    def _response_violation(self, request):
+        if request.outcome == "given up":
+            since = request.sent_at - STABLE_S
+            has_waited = request.age_s >= GIVE_UP_S - TIME_SLACK_S
+            if has_waited and not self._is_any_disturbed(request, since):
+                return "no response long after the time limit"
+        if request.outcome != "answered":
+            return None
+        if request.answered_id not in (None, request.request_id):
+            return "another request's response"
+        if request.status == 200 and not (
+            request.has_stamp and request.is_body_correct
+        ):
+            return "not the body of the upstream"
+        is_own_refusal = 300 <= request.status < 500 and not request.has_stamp
+        # The other routes come and go.
+        is_permanent = request.path.startswith(("/front/", "/deep/"))
+        if is_own_refusal and is_permanent and request.status not in NOT_RUN_STATUSES:
+            return "refused, but allowed"
+        return None
+
+    def _run_violation(self, request):
+        count = len(self._starts[request.request_id])
+        if not request.is_non_idempotent or not count:
+            return None
+        if count > 1:
+            return f"ran {count} times"
+        is_refused = request.status in NOT_RUN_STATUSES
+        return "refused, but ran" if is_refused else None
+
+    def _loss(self, request):
+        """Returns how a request was left without the response of its upstream."""
+        starts = self._starts[request.request_id]
+        if request.outcome == "answered":
+            if starts and request.status >= 500 and not request.has_stamp:
+                return f"{request.status} in place of the response of an upstream"
+            return None
+        lag_s = sum(
+            lag_s
+            for at, lag_s in self._lags
+            if request.sent_at - lag_s <= at <= request.ended_at
+        )
+        was_read = not request.is_behind and request.age_s - lag_s > LOSS_SLACK_S
+        if request.outcome == "cut" and (starts or was_read):
+            return "connection ended without a whole response"
+        return None
+
+    def _is_exempt(self, request):
+        limit_s = min(DEADLINE_MS / 1000, ROUTE_TIMEOUT_S) - TIME_SLACK_S
+        if request.age_s >= limit_s or self._has_late_work(request):
+            return True
+        starts = self._starts[request.request_id]
+        nodes = {request.node, *(node for node, _ in starts)}
+        if not starts:
+            nodes |= set(self._hosts(request.path.split("/")[1]))
+        return self.has_fault(nodes, request.sent_at - STABLE_S, request.ended_at)
+
+    def _has_late_work(self, request):
+        plan = self._plan(request)
+        if plan is None or plan.kind != "SIGTERM":
+            return False
+        late_at = plan.started_at + GRACE_S * 5 / 6
+        runs = self._runs[request.request_id]
+        is_running = len(runs) < len(self._starts[request.request_id])
+        is_late = is_running or any(run.ended_at >= late_at for run in runs)
+        is_early = request.sent_at <= plan.started_at + LATE_WORK_SENT_S
+        return is_early and is_late and request.ended_at >= late_at
+
+    def _plan(self, request):
+        """Returns the stop or reload around which a request ended, stops first."""
+        for kind in PLANNED:
+            for window in self._windows:
+                if window.node != request.node or window.kind != kind:
+                    continue
+                if kind == "SIGHUP" and request.sent_at > window.ended_at:
+                    continue
+                slack_s = EXIT_SLACK_S if kind == "SIGTERM" else GRACE_S
+                if window.started_at <= request.ended_at <= window.ended_at + slack_s:
+                    return window
+        return None
+
+    def _is_any_disturbed(self, request, since):
+        nodes = [request.node, *self._hosts(request.path.split("/")[1])]
+        return any(self.is_disturbed(n, since, request.ended_at) for n in nodes)
+
+    def _describe(self, rule, request, text, plan=None):
+        fields = {
+            "rule": rule,
+            "text": text,
+            "id": request.request_id,
+            "node": request.node,
+            "style": request.style,
+            "request": f"{request.method} {request.path}",
+            "sent": round(request.sent_at, 3),
+            "ended": round(request.ended_at, 3),
+            "outcome": request.outcome,
+            "status": request.status,
+            "received": request.received_bytes,
+            "behind": request.is_behind,
+            "starts": self._starts[request.request_id],
+            "runs": self._runs[request.request_id],
+        }
+        if plan is not None:
+            fields |= {
+                "signal": plan.kind,
+                "signalled": round(plan.started_at, 3),
+                "sent_after_s": round(request.sent_at - plan.started_at, 3),
+                "ended_after_s": round(request.ended_at - plan.started_at, 3),
+                "exit_after_s": round(plan.ended_at - plan.started_at, 3),
+            }
+        return fields
--- /dev/null
+++ b/bench/soak_stops.py
@@ -0,0 +1,302 @@
+"""Soak run with planned stops, kept connections and operators that race.
+
+``python -m bench.soak SEED SECONDS stops [large]`` stops, reloads, pauses and kills
+processes in series that overlap. Clients use their connections until the node closes
+them, and two operators send changes again while leaders change. See ``docs/soak.md``.
+"""
+
+import asyncio
+import json
+import random
+import re
+import time
+from collections import Counter
+from urllib.parse import parse_qs
+
+from bench.soak_answers import STABLE_S, AnswerChecker, Run
+from bench.soak_changes import ChangeChecker
+from bench.soak_checks import SoakChecker
+from bench.soak_clients import STYLES, KeptClient, Request, make_body, send_once
+from bench.soak_cluster import GRACE_S, Cluster
+from bench.soak_documents import SERVICES
+from bench.soak_endpoints import HEADER_NAMES, StandIn
+from bench.soak_operators import Operators
+from bench.soak_signals import SignalledProcess, draw_events
+
+USUAL_SIZE = (3, 4)
+LARGE_SIZE = (5, 60)
+# Clients of one node in a large run.
+LARGE_STYLES = ("pipelined", "eager", "slow")
+STARTUP_TIMEOUT_S = 30.0
+RECOVERY_TIMEOUT_S = 15.0
+MEAN_CLIENT_GAP_S = 0.08
+MEAN_LARGE_CLIENT_GAP_S = 0.5
+PROBE_INTERVAL_S = 0.05
+RECENT_CHANGES = 30
+LAG_PROBE_INTERVAL_S = 0.05
+# A control process that has started again takes part in the quorum after this time.
+REJOIN_S = 0.7
+# Control processes that are killed together are back within a second.
+MAX_CONTROL_DOWN_S = 0.3
+# Restarted processes are slowed once they run, while they elect a leader.
+SLOWED_AFTER_S = 0.3
+SLOWED_S = 1.2
+
+
+class WorkingStandIn(StandIn):
+    """Stand-in upstream whose requests name their work and the size of the body.
+
+    :param number: number of its node.
+    :param answers: :class:`~bench.soak_answers.AnswerChecker`.
+    """
+
+    def __init__(self, number, answers, *arguments):
+        super().__init__(*arguments)
+        self._number = number
+        self._answers = answers
+
+    async def run_request(self, connection, request):
+        """Executes a request and sends its response."""
+        request_id = (request.header(HEADER_NAMES.request_id) or b"").decode()
+        started_at = time.time()
+        self._answers.record_run_start(request_id, self._number, started_at)
+        query = parse_qs(request.target.decode().partition("?")[2])
+        await asyncio.sleep(int(query["work"][0]) / 1000)
+        body = make_body(request_id, int(query["size"][0]))
+        was_cut = connection.transport.is_closing()
+        connection.send_response(request, b"200 OK", body, b"Server-Stamp: s\r\n")
+        run = Run(self._number, self._service, started_at, time.time(), was_cut)
+        self._answers.record_run(request_id, run)
+
+
+class StopSoak:
+    """One run with planned stops.
+
+    :param seed: seed of the schedule.
+    :param seconds: duration of traffic, in seconds.
+    :param folder: folder for settings, logs and data.
+    :param is_large: whether the run has more processes.
+    """
+
+    def __init__(self, seed, seconds, folder, is_large=False):
+        self._seed = seed
+        self._seconds = seconds
+        self._folder = folder
+        self._is_large = is_large
+        controls, nodes = LARGE_SIZE if is_large else USUAL_SIZE
+        self._cluster = Cluster(folder, controls, SERVICES * (nodes // 2))
+        self._checker = SoakChecker()
+        self.answers = AnswerChecker(self._hosts)
+        self.changes = ChangeChecker(self.answers.is_disturbed, self.answers.service_of)
+        addresses = [self._cluster.address(n, "control") for n in range(controls)]
+        self._operators = Operators(seed, addresses, self.changes)
+        self._processes = []
+        self._upstreams = []
+        self._probe_count = 0
+        self._max_lag_s = 0.0
+
+    @property
+    def _controls(self):
+        return self._processes[: self._cluster.control_count]
+
+    async def run(self):
+        """Runs the schedule; the checkers then hold the observations."""
+        cluster = self._cluster
+        node_events, control_events = draw_events(
+            self._seed, self._seconds, cluster.control_count, len(cluster.services)
+        )
+        for event in (*node_events, *control_events):
+            print(json.dumps(event._asdict()), flush=True)
+        try:
+            if await self._start():
+                await self._run_traffic(node_events, control_events)
+        finally:
+            for process in self._processes:
+                await process.close()
+            for upstream in self._upstreams:
+                upstream.stop()
+
+    def list_violations(self):
+        """Prints each violation and returns their number by rule and text."""
+        violations = self.answers.list_violations() + self.changes.list_violations()
+        for violation in violations:
+            print(json.dumps(violation), flush=True)
+        counts = Counter(f"{item['rule']}: {item['text']}" for item in violations)
+        broken = [f"{text} ({count})" for text, count in sorted(counts.items())]
+        return self._checker.list_violations() + broken
+
+    def summary(self):
+        """Returns the figures of the run."""
+        figures = {"max_lag_s": round(self._max_lag_s, 2)}
+        return self.answers.summary() | self.changes.summary() | figures
+
+    def _hosts(self, service):
+        numbers = self._cluster.node_numbers
+        if service not in SERVICES:
+            return list(numbers)
+        return [
+            number for number in numbers if self._cluster.service(number) == service
+        ]
+
+    async def _start(self):
+        cluster = self._cluster
+        for number in range(cluster.count):
+            self._processes.append(
+                cluster.make_process(
+                    number, self._checker, SignalledProcess, number, self.answers
+                )
+            )
+        for number in cluster.node_numbers:
+            address = cluster.address(number, "app")
+            control = cluster.address(number, "control")
+            names = (cluster.service(number), address, address, control)
+            upstream = WorkingStandIn(number, self.answers, *names, self._checker)
+            await upstream.start()
+            self._upstreams.append(upstream)
+        await asyncio.gather(*(process.start() for process in self._processes))
+        try:
+            async with asyncio.timeout(STARTUP_TIMEOUT_S):
+                await self._operators.start()
+        except TimeoutError:
+            self._checker.record_failed_start(STARTUP_TIMEOUT_S)
+            return False
+        return await self._wait_for_service(STARTUP_TIMEOUT_S)
+
+    async def _wait_for_service(self, timeout_s):
+        """Waits until each node answers requests to both services."""
+        started_at = time.time()
+        waiting = set(self._cluster.node_numbers)
+        while waiting and time.time() - started_at < timeout_s:
+            for number in sorted(waiting):
+                requests = [await self._probe(number, f"/{s}/get/") for s in SERVICES]
+                if all(request.status == 200 for request in requests):
+                    waiting.discard(number)
+            await asyncio.sleep(PROBE_INTERVAL_S)
+        self._checker.record_recovery(not waiting, time.time() - started_at)
+        return not waiting
+
+    async def _run_traffic(self, node_events, control_events):
+        started_at = time.time()
+        clients_until = started_at + self._seconds + GRACE_S
+        tasks = [
+            asyncio.ensure_future(coroutine)
+            for coroutine in (
+                self._operators.run(),
+                self._probe_changes(),
+                *(client.run(clients_until) for client in self._make_clients()),
+            )
+        ]
+        lag = asyncio.ensure_future(self._measure_lag())
+        await asyncio.gather(
+            *(self._apply(event, started_at) for event in node_events),
+            self._apply_control_events(control_events, started_at),
+        )
+        self._operators.is_stopped = True
+        await asyncio.gather(*tasks)
+        await self._wait_for_service(RECOVERY_TIMEOUT_S)
+        await asyncio.sleep(STABLE_S)
+        for number in self._cluster.node_numbers:
+            await self._probe_change(number, self._operators.newest.number)
+        await self._operators.read_final()
+        lag.cancel()
+
+    async def _measure_lag(self):
+        """Records how late the event loop of the soak runs."""
+        while True:
+            due_at = time.time() + LAG_PROBE_INTERVAL_S
+            await asyncio.sleep(LAG_PROBE_INTERVAL_S)
+            lag_s = time.time() - due_at
+            self._max_lag_s = max(self._max_lag_s, lag_s)
+            self.answers.record_lag(due_at, lag_s)
+
+    def _make_clients(self):
+        styles = LARGE_STYLES if self._is_large else STYLES
+        gap_s = MEAN_LARGE_CLIENT_GAP_S if self._is_large else MEAN_CLIENT_GAP_S
+        for number in self._cluster.node_numbers:
+            address = self._cluster.address(number, "outbound")
+            for index, style in enumerate(styles):
+                name = f"s{self._seed}-{number}-{index}"
+                yield KeptClient(name, number, address, style, self.answers, gap_s)
+
+    async def _apply(self, event, started_at):
+        await asyncio.sleep(started_at + event.at_s - time.time())
+        first, nodes = self._cluster.control_count, len(self._cluster.services)
+        if event.kind == "reset":
+            now = time.time()
+            self.answers.record_window(event.target, event.kind, now, now)
+            self._upstreams[event.target - first].reset()
+            return
+        tasks = []
+        for step in range(event.count if event.kind == "rolling" else 1):
+            process = self._processes[first + (event.target - first + step) % nodes]
+            tasks.append(asyncio.ensure_future(process.apply(event)))
+            await asyncio.sleep(event.gap_s)
+        await asyncio.gather(*tasks)
+
+    async def _apply_control_events(self, events, started_at):
+        """Applies the events of control processes, one after another."""
+        for event in events:
+            await asyncio.sleep(max(0.0, started_at + event.at_s - time.time()))
+            if event.kind == "reload":
+                await self._processes[event.target].apply(event)
+                continue
+            for _ in range(event.count if event.kind.startswith("restart") else 1):
+                await self._operators.resend_during(lambda e=event: self._disturb(e))
+
+    async def _disturb(self, event):
+        event = event._replace(for_s=min(event.for_s, MAX_CONTROL_DOWN_S))
+        if event.kind.startswith("restart"):
+            started_at = time.time()
+            await asyncio.gather(*(each.kill(event.for_s) for each in self._controls))
+            if event.kind.endswith("slowed"):
+                # The process that is not slowed is likely to lead.
+                await asyncio.sleep(SLOWED_AFTER_S)
+                rng = random.Random(f"slices {self._seed} {event.at_s}")
+                slowed = [*self._controls[: event.target]]
+                slowed += self._controls[event.target + 1 :]
+                await asyncio.gather(
+                    *(process.slow_down(SLOWED_S, rng) for process in slowed)
+                )
+            self.answers.record_window(None, "outage", started_at, time.time())
+        elif event.kind == "stop":
+            await self._processes[event.target].apply(event)
+        else:
+            for _ in range(event.count):
+                await self._processes[self._leader()].apply(event)
+                await asyncio.sleep(REJOIN_S)
+
+    def _leader(self):
+        """Returns the number of the control process that last became leader."""
+        newest = (0, self._cluster.ip(0))
+        for process in self._controls:
+            text = (self._folder / f"{process.name}.log").read_text(errors="replace")
+            for term, ip in re.findall(r"Leader of term (\d+) is ([\d.]+):", text):
+                newest = max(newest, (int(term), ip))
+        return int(newest[1].split(".")[2])
+
+    async def _probe_changes(self):
+        """Shows by requests which configuration is in force at each node."""
+        rng = random.Random(f"probes {self._seed}")
+        tasks = []
+        while not self._operators.is_stopped:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            count = len(self._operators.changes)
+            recent = rng.randint(max(1, count - RECENT_CHANGES), count)
+            change = rng.choice((None, self._operators.newest.number, recent))
+            number = rng.choice(self._cluster.node_numbers)
+            tasks.append(asyncio.ensure_future(self._probe_change(number, change)))
+        await asyncio.gather(*tasks)
+
+    async def _probe_change(self, number, change):
+        prefix = "/moved/" if change is None else f"/added/{change}/"
+        self.changes.record_probe(change, await self._probe(number, prefix))
+
+    async def _probe(self, number, prefix):
+        """Sends one request on a new connection."""
+        self._probe_count += 1
+        request_id = f"p{self._seed}-{self._probe_count}"
+        path = f"{prefix}{request_id}?work=1&size=20"
+        request = Request(request_id, number, "probe", "GET", path)
+        address = self._cluster.address(number, "outbound")
+        await send_once(address, self.answers, request)
+        return request
