--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -76,8 +76,7 @@
     def finish(self):
         """Closes the links once pending messages have been written."""
         for dialer in self._dialers.values():
-            if dialer.link is not None:
-                dialer.link.finish()
+            dialer.finish()
 
     def stop(self):
         """Closes the links at once and stops reconnecting."""
