--- a/src/figpick/nodes/_entry_policy.py
+++ b/src/figpick/nodes/_entry_policy.py
@@ -42,7 +42,7 @@
     if value is not None:
         if not value.isdigit():
             return False
-        deadline_s = min(int(value) / 1000, MAX_DEADLINE_S)
+        deadline_s = min(float(value) / 1000, MAX_DEADLINE_S)
     call.deadline = now + deadline_s
     return True
 
