--- a/bench/soak_clients.py
+++ b/bench/soak_clients.py
@@ -46,7 +46,8 @@
     :param node: number of the node that received the request.
     :param is_behind: whether it was sent before earlier ones on its connection were
         answered, or after a response that closes the connection.
-    :param outcome: ``answered``, ``cut`` (the connection ended first) or ``given up``.
+    :param outcome: ``answered``, ``cut`` (the connection ended first), ``reset`` (it
+        ended so because the node had not read all that was sent) or ``given up``.
     :param has_stamp: whether the response is of an upstream.
     :param answered_id: value of ``Attempt-Id`` in the response.
     """
@@ -151,7 +152,7 @@
         if self.is_open:
             self._writer.write(head.encode() + body)
         else:
-            self._end_pending("cut")
+            self._end_pending("reset")
 
     def close(self):
         """Closes the connection; outstanding requests count as given up."""
@@ -161,9 +162,12 @@
             self._writer.close()
 
     async def _read_responses(self):
+        outcome = "cut"
         try:
             while await self._read_response():
                 pass
+        except ConnectionResetError:
+            outcome = "reset"
         except (OSError, EOFError):
             # The requests that it leaves without a response are recorded below.
             pass
@@ -171,7 +175,7 @@
             ids = [request.request_id for request in self._pending]
             self._checker.record("MIXED", "malformed response", ids=ids, e=repr(error))
         self.is_open = False
-        self._end_pending("cut")
+        self._end_pending(outcome)
         self._writer.close()
 
     def _end_pending(self, outcome):
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -250,6 +250,7 @@
                 await asyncio.gather(*(p.kill(event.for_s) for p in self._controls))
             else:
                 await self._restart_slowed(event)
+            await self._operators.wait_until_read()
             self.answers.record_window(None, "outage", started_at, time.time())
         elif event.kind == "stop":
             await self._processes[event.target].apply(event)
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import subprocess
 import sys
 import time
@@ -66,6 +67,7 @@
 
 LOST = {
     "passed on and cut": answers(request()),
+    "passed on and reset": answers(request(outcome="reset")),
     "passed on behind another and cut": answers(request(is_behind=True)),
     "read and cut": answers(request(), started=False),
     "cut at the exit": answers(request(sent=1005.0, ended=1005.6)),
@@ -104,6 +106,7 @@
     "request that crosses the close": answers(
         request(ended=TERM_AT + 1.1), started=False
     ),
+    "not read before a reset": answers(request(outcome="reset"), started=False),
     "not passed on behind another": answers(request(is_behind=True), started=False),
     "route timeout": answers(request(sent=1001.0, ended=1004.0)),
     "late work": answers(request(sent=1002.9, ended=1005.3), run_until=1005.4),
@@ -300,6 +303,29 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("is_read", "outcome"), [(True, "cut"), (False, "reset")])
+def test_client_tells_whether_a_request_was_read(is_read, outcome):
+    """Guards against violations for requests that a node never read."""
+
+    async def scenario():
+        address = ("127.0.0.1", free_ports(1)[0])
+        checker = AnswerChecker(lambda service: [])
+        connection = KeptConnection(address, checker)
+        with socket.create_server(address) as server:
+            await connection.open()
+            node_socket, _ = server.accept()
+        item = Request("a1", 3, "steady", "GET", "/front/get/a1")
+        connection.send(item)
+        await asyncio.sleep(0.05)
+        if is_read:
+            assert node_socket.recv(1000)
+        node_socket.close()
+        await item.done.wait()
+        assert item.outcome == outcome
+
+    asyncio.run(scenario())
+
+
 def test_process_that_outlives_its_grace_time_is_detected(tmp_path, monkeypatch):
     """Guards against a soak that waits for a process longer than its host does."""
     monkeypatch.setattr(soak_signals, "GRACE_S", 0.3)
