--- a/tests/test_resent_changes.py
+++ b/tests/test_resent_changes.py
@@ -6,33 +6,26 @@
 import logbook
 import pytest
 
-from figpick.base._clock import Clock
 from figpick.base._errors import NoQuorumError
 from figpick.configuration import (
-    ChangeSet,
     ConfigurationRegistry,
     VersionConflictError,
 )
-from figpick.control import ControlProcess, ControlSettings
 from figpick.control._leader_requests import (
     LEADER_POLL_S,
     PUT,
-    REPLY_TIMEOUT_S,
     LeaderRequests,
 )
 from figpick.control._messages import LeaderReply, decode
 from figpick.control._quorum_member import LogPosition
 
-from .fleet import async_test, free_address, wait_until
+from .control_processes import Controls, change
+from .fleet import async_test
 
 # Copies that wait for a leader ask for it at moments spread over its polling period.
 COPIES = 45
 
 
-def change(version, base, digest=None):
-    return ChangeSet(version, base, digest or f"digest-of-{version}", "")
-
-
 class StandInLeader:
     """A leader whose registry applies the rest of its log while it is confirmed.
 
@@ -184,51 +177,6 @@
         await put_at_follower(links)
 
 
-class Controls:
-    """Three control processes in the event loop of the test.
-
-    :param folder: folder for their data.
-    """
-
-    def __init__(self, folder):
-        links = tuple(free_address() for _ in range(3))
-        self.settings = [
-            ControlSettings(f"c-{n}", "dc", link, links, True, str(folder / str(n)))
-            for n, link in enumerate(links)
-        ]
-        self._tasks = []
-        self.processes = []
-
-    async def __aenter__(self):
-        self.start()
-        return self
-
-    async def __aexit__(self, *error):
-        await self.kill()
-
-    def start(self):
-        """Starts all processes with the data that they have."""
-        self.processes = [ControlProcess(each, Clock()) for each in self.settings]
-        self._tasks = [asyncio.ensure_future(each.run()) for each in self.processes]
-
-    async def kill(self):
-        """Ends all processes as a loss of power does."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for process in self.processes:
-            process.close()
-
-    async def put(self, process, new):
-        """Sends a change set until it gets a clear response."""
-        async with asyncio.timeout(8.0):
-            while True:
-                try:
-                    return await process.put(new)
-                except NoQuorumError:
-                    await asyncio.sleep(0.01)
-
-
 @async_test
 async def test_copies_of_a_change_are_all_acknowledged_after_an_election(tmp_path):
     """A new leader does not know at first that the base of the copies is committed."""
@@ -266,77 +214,6 @@
         assert results == [each.version for each in changes] * 3
 
 
-async def leader_of(controls):
-    """Waits for a leader and returns its process."""
-    await wait_until(lambda: any(each.member.is_leader for each in controls.processes))
-    return next(each for each in controls.processes if each.member.is_leader)
-
-
-@pytest.mark.parametrize("at_leader", [True, False])
-@async_test
-async def test_control_process_stops_after_its_operator_requests(
-    tmp_path, monkeypatch, at_leader
-):
-    """Guards against a stop that closes connections of operators without a response."""
-    async with Controls(tmp_path) as controls:
-        await controls.put(controls.processes[0], change(1, 0))
-        leader = await leader_of(controls)
-        other = next(each for each in controls.processes if each is not leader)
-        confirm = leader.member.confirm
-
-        async def confirm_late():
-            await asyncio.sleep(0.2)
-            return await confirm()
-
-        monkeypatch.setattr(leader.member, "confirm", confirm_late)
-        reading = leader if at_leader else other
-        task = asyncio.ensure_future(reading.read())
-        await asyncio.sleep(0.05)
-        await leader.drain()
-        leader.close()
-        async with asyncio.timeout(0.1):
-            assert (await task).version == 1
-
-
-@async_test
-async def test_stop_of_a_control_process_does_not_wait_without_a_quorum(tmp_path):
-    async with Controls(tmp_path) as controls:
-        alone = ControlProcess(controls.settings[0]._replace(name="x"), Clock())
-        task = asyncio.ensure_future(alone.read())
-        await asyncio.sleep(0)
-        async with asyncio.timeout(REPLY_TIMEOUT_S + 0.3):
-            await alone.drain()
-        task.cancel()
-
-
-@async_test
-async def test_stopping_control_process_accepts_no_operator_requests(tmp_path):
-    async with Controls(tmp_path) as controls:
-        process = controls.processes[0]
-        await controls.put(process, change(1, 0))
-        await process.drain()
-        with pytest.raises(NoQuorumError, match="this process stops"):
-            await process.read()
-
-
-@async_test
-async def test_control_process_knows_an_old_acknowledgement_right_after_a_restart(
-    tmp_path,
-):
-    """Guards against nodes that get an outdated configuration after a loss of power."""
-    async with Controls(tmp_path) as controls:
-        for version in (1, 2):
-            await controls.put(controls.processes[0], change(version, version - 1))
-        await asyncio.sleep(1.0)
-        await controls.kill()
-        alone = ControlProcess(controls.settings[0], Clock())
-        task = asyncio.ensure_future(alone.run())
-        await wait_until(lambda: alone.member.replica is not None)
-        task.cancel()
-        alone.close()
-        assert alone.member.registry.version == 2
-
-
 @async_test
 async def test_change_sent_before_its_base_has_arrived_is_not_refused(tmp_path):
     """Guards against a refusal of one copy of a change while another is accepted."""
