Keep the lock of a data folder after a disk error

Cause: after a disk error the folder is opened again and locked by a second descriptor. The storage before it is part of a reference cycle (its error holds its frames) and is collected later, which closes the first descriptor; a POSIX lock ends when the process closes any descriptor of the file. A second process could then write to the folder of a running one.

Change: a process opens each lock file once.

Evidence: test_data_folder_stays_locked_after_a_disk_error failed before in three of three runs (a second process got the lock).

--- a/src/figpick/base/_files.py
+++ b/src/figpick/base/_files.py
@@ -8,6 +8,10 @@
 
 from ._errors import StorageError
 
+# Lock files by process id and path. A lock ends when the process closes any descriptor
+# of its file, so the file is opened once, also if the folder is opened again.
+_lock_files = {}
+
 
 class Files:
     """Reads and writes the files of a data folder; file names are relative to it.
@@ -19,7 +23,6 @@
     def __init__(self, folder):
         self._folder = folder
         self._open_files = {}
-        self._lock = None
         try:
             os.makedirs(folder, exist_ok=True)
         except OSError as error:
@@ -35,14 +38,19 @@
         :raises StorageError: when another process holds the lock.
         """
         path = self.path("lock")
+        key = os.getpid(), os.path.realpath(path)
+        if key in _lock_files:
+            return
         try:
-            self._lock = open(path, "wb")  # noqa: SIM115
+            file = open(path, "wb")  # noqa: SIM115
         except OSError as error:
             raise StorageError(f"{path}: {error.strerror}") from error
         try:
-            fcntl.lockf(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.lockf(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as error:
+            file.close()
             raise StorageError(f"{path}: locked by another process") from error
+        _lock_files[key] = file
 
     def read(self, name):
         """Returns the content of a file, or ``None`` if it does not exist.
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -1,11 +1,17 @@
 """Control processes that stop, restart, or have a disk error."""
 
 import asyncio
+import gc
+import os
+import subprocess
+import sys
+from contextlib import suppress
 
 import pytest
 
 from figpick.base._clock import Clock
-from figpick.base._errors import NoQuorumError
+from figpick.base._errors import NoQuorumError, StorageError
+from figpick.consensus._storage import Storage
 from figpick.control import ControlProcess
 from figpick.control._leader_requests import REPLY_TIMEOUT_S
 
@@ -82,3 +88,47 @@
         task.cancel()
         alone.close()
         assert alone.member.registry.version == 2
+
+
+LOCK_PROGRAM = """
+import sys
+from figpick.base._errors import StorageError
+from figpick.base._files import Files
+try:
+    Files(sys.argv[1]).lock()
+except StorageError as error:
+    print(error)
+"""
+
+
+@async_test
+async def test_data_folder_stays_locked_after_a_disk_error(tmp_path, monkeypatch):
+    """Guards against a second process that writes to the folder of a running one."""
+    async with Controls(tmp_path) as controls:
+        await controls.put(controls.processes[0], change(1, 0))
+        member = controls.processes[0].member
+        write = Storage.write
+
+        def fail(storage, output):
+            if storage.identity == member.identity:
+                raise StorageError("log: cannot be written: Input/output error")
+            write(storage, output)
+
+        monkeypatch.setattr(Storage, "write", fail)
+        with suppress(NoQuorumError):
+            await controls.processes[1].put(change(2, 1))
+        await wait_until(lambda: member.replica.failure is not None)
+        monkeypatch.undo()
+        await wait_until(lambda: member.replica.failure is None)
+        gc.collect()
+        folder = controls.settings[0].data_folder
+        result = await asyncio.to_thread(
+            subprocess.run,
+            [sys.executable, "-c", LOCK_PROGRAM, folder],
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=True,
+        )
+        assert result.stdout.strip() == f"{folder}/lock: locked by another process"
