--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -54,16 +54,16 @@
         """Number of control processes with an open link."""
         return sum(dialer.link is not None for dialer in self._dialers.values())
 
-    @property
-    def is_outdated(self):
-        """Whether a control process has announced a revision not received yet."""
-        return any(revision > self.revision for revision in self._revisions.values())
-
     def open_links(self):
         """Returns the open links."""
         links = [dialer.link for dialer in self._dialers.values()]
         return [link for link in links if link is not None]
 
+    @property
+    def is_outdated(self):
+        """Whether a control process has announced a revision not received yet."""
+        return any(revision > self.revision for revision in self._revisions.values())
+
     def start(self):
         """Connects to the control processes named in the settings."""
         self.connect(self._settings.control_addresses)
@@ -76,8 +76,7 @@
     def finish(self):
         """Closes the links once pending messages have been written."""
         for dialer in self._dialers.values():
-            if dialer.link is not None:
-                dialer.link.finish()
+            dialer.finish()
 
     def stop(self):
         """Closes the links at once and stops reconnecting."""
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -6,6 +6,7 @@
 from ..admission import CrashQuarantine
 from ..base._errors import FigpickError, InvalidDocumentError
 from ..base._logs import CALL_LOG_LIMITER, logger
+from ..base._pauses import RECORD_PERIOD_S, PauseDetector
 from ..base._supervisor import Supervisor
 from ..directory import LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Link, listen
@@ -14,7 +15,16 @@
 from ._draining import Drainer
 from ._entry import EntryServer
 from ._forwarding import Forwarder
-from ._messages import ATTACH, BODY_PART, CALL, CANCEL, CREDIT, HELLO, CallMessage
+from ._messages import (
+    ATTACH,
+    BODY_PART,
+    CALL,
+    CANCEL,
+    CREDIT,
+    HELLO,
+    WITHDRAW,
+    CallMessage,
+)
 from ._owner import Owner
 from ._peers import LocalLink, Peers
 
@@ -75,12 +85,14 @@
             self._owner,
             self._open_links,
         )
+        self._pauses = PauseDetector(clock.monotonic())
         self._metrics = None
         self._server = None
         self._connect_local()
         self._supervisor = Supervisor("node", clock)
         self._supervisor.add("entry", self._entry.enforce_timeouts)
         self._supervisor.add("refresh", self._refresh)
+        self._supervisor.add("pauses", self._record_pauses)
         self._supervisor.add("summary", self._log_summary)
 
     def __repr__(self):
@@ -162,7 +174,8 @@
         Calls that exceed the grace period are aborted.
         """
         self._is_stopping = True
-        await self._drainer.run(self._announce_left, self._controls.finish)
+        started_at = self._pauses.earliest_signal_at(self._clock.monotonic())
+        await self._drainer.run(started_at, self._announce_left, self._stop_links)
 
     def open_work(self):
         """Returns the open calls by state and the unsent bytes, as a JSON value."""
@@ -255,9 +268,19 @@
         self._announcer.update(state=LEFT)
         self._controls.announce()
 
+    def _stop_links(self):
+        if self._server is not None:
+            self._server.close()
+        self._peers.finish()
+        self._controls.finish()
+
     def _open_links(self):
         return {
-            "callers": list(self._caller_links.values()),
+            "callers": [
+                link
+                for (name, _), link in self._caller_links.items()
+                if name != self._settings.name
+            ],
             "owners": self._peers.open_links(),
             "controls": self._controls.open_links(),
         }
@@ -280,6 +303,11 @@
             self._peers.apply_record(self._announcer.record, self._clock.monotonic())
             self._controls.announce()
 
+    async def _record_pauses(self):
+        while True:
+            self._pauses.record(self._clock.monotonic())
+            await asyncio.sleep(RECORD_PERIOD_S)
+
     async def _refresh(self):
         while True:
             await asyncio.sleep(REFRESH_PERIOD_S)
@@ -353,6 +381,8 @@
             self._owner.add_body(link.peer, *message[1:])
         elif kind == HELLO:
             self._handle_hello(link, message)
+        elif kind == WITHDRAW:
+            self._owner.withdraw(link.peer, message[1])
         elif kind == ATTACH:
             self._owner.attach(link, link.peer, message[1])
 
