Apply each quarantine event once

A late copy of a crash counted as a second crash, which makes the cause of a later crash ambiguous, so that the request behind it is not quarantined.

Cause: each event is sent directly and by gossip. The copy by gossip was applied again, although the state had changed since; a copy more than 1 s late is outside of the time within which breaks count as one crash.

Events carry an identity, and a node applies each of them once. Older releases ignore the additional field, and their events are applied as before. A node that learns of a release before the quarantine itself still refuses the request.

The new test failed before for both delays: a late copy of a crash made two crashes of one, and the released request was quarantined again.

--- a/src/figpick/retries/_quarantine.py
+++ b/src/figpick/retries/_quarantine.py
@@ -30,12 +30,15 @@
     :param fingerprint: identifies equal requests.
     :param upstream: name of the upstream that crashed, or empty.
     :param request: service, method and target, shown to operators.
+    :param event_id: identifies the event among its copies, empty in events of older
+        releases.
     """
 
     kind: str
     fingerprint: str
     upstream: str = ""
     request: str = ""
+    event_id: str = ""
 
 
 class Quarantine:
--- a/src/figpick/retries/_quarantine_coordinator.py
+++ b/src/figpick/retries/_quarantine_coordinator.py
@@ -12,12 +12,14 @@
     PeerError,
     QuarantinedError,
 )
+from ..base._expiring_table import ExpiringTable
 from ..base._logs import logger
 from ..calls import _context, _plans
 from ._quarantine import Event, Quarantine, SuspectSlot
 
 EVENT_KIND = "quarantine"
 EVENT_LIFETIME_S = 60.0
+MAX_APPLIED_EVENTS = 10_000
 # Events of one crash are sent in one message.
 BATCH_DELAY_S = 0.005
 SLOT_TIMEOUT_S = 0.2
@@ -53,6 +55,8 @@
         self._quarantine = Quarantine()
         self._slot = SuspectSlot()
         self._events = []
+        # Copies arrive by gossip until the lifetime of an event ends.
+        self._applied_ids = ExpiringTable(2 * EVENT_LIFETIME_S, MAX_APPLIED_EVENTS)
         self._last_break_at = {}
         self._tasks = set()
         self.publish = None
@@ -154,13 +158,19 @@
         )
 
     def apply_events(self, payload):
-        """Applies events of another node.
+        """Applies the events of another node that were not applied before.
 
         :param payload: list of events, each a list of the fields of :class:`Event`.
         """
         now = self._clock.monotonic()
         for fields in payload:
-            self._quarantine.apply_event(Event(*fields[: len(Event._fields)]), now)
+            event = Event(*fields[: len(Event._fields)])
+            # Each event is sent directly and by gossip, so a copy may arrive late.
+            if event.event_id:
+                if self._applied_ids.get(event.event_id, now):
+                    continue
+                self._applied_ids.put(event.event_id, True, now)
+            self._quarantine.apply_event(event, now)
 
     async def handle_events(self, message):
         """Handles events that another node sends directly."""
@@ -235,7 +245,7 @@
         return reply["taken"]
 
     def _publish_event(self, event):
-        self._events.append(event)
+        self._events.append(event._replace(event_id=_context.new_id()))
         if len(self._events) == 1:
             asyncio.get_running_loop().call_later(BATCH_DELAY_S, self._flush_events)
 
--- a/tests/test_quarantine_coordinator.py
+++ b/tests/test_quarantine_coordinator.py
@@ -111,3 +111,34 @@
             assert upstream.permits.in_use == 0
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 2.0])
+def test_late_copy_of_an_event_is_ignored(delay_s):
+    """Guards against a copy that counts as a second crash or undoes a release."""
+
+    async def scenario():
+        sent = []
+        sender, receiver = make_coordinator(), make_coordinator()
+        sender.publish = lambda kind, payload, retention_s: sent.append(payload)
+        upstream = SimpleNamespace(name="jobs-2", pool=Pool(0))
+        await sender.report_broken_connection(PLAN, BODY, upstream, None)
+        await asyncio.sleep(0.05)
+        fingerprint = Event(*sent[0][0]).fingerprint
+        sender._publish_event(sender._quarantine.quarantine(fingerprint, "", "", 1.0))
+        await asyncio.sleep(0.05)
+        crash, quarantine = sent
+
+        await receiver.handle_events({"events": crash})
+        receiver._clock.monotonic = lambda: 1.0 + delay_s
+        receiver.apply_events(crash)
+        assert len(receiver._quarantine._suspects.get(fingerprint, 1.0)) == 1
+
+        await receiver.handle_events({"events": quarantine})
+        reply = await receiver.unquarantine({"fingerprint": fingerprint})
+        assert reply["quarantined"]
+        receiver.apply_events(quarantine)
+        reply = await receiver.unquarantine({"fingerprint": fingerprint})
+        assert not reply["quarantined"]
+
+    asyncio.run(scenario())
