--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -108,14 +108,6 @@
         now = self.now()
         return all(connection.is_drained(now) for connection in self.connections)
 
-    def close_idle(self):
-        """Stops listening and closes the connections without a request."""
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close_gracefully()
-
     def close(self):
         """Stops listening and ends all connections.
 
