--- a/src/figpick/nodes/_call_logging.py
+++ b/src/figpick/nodes/_call_logging.py
@@ -16,7 +16,7 @@
 ENDED = "Call ended, since the node stops."
 NOT_RUN_BY_UPSTREAM = "The upstream did not run a call."
 BEHIND_CLOSE = "Call abandoned behind a response that closes the connection."
-CUT = "Client connection cut before its last response was sent."
+CUT = "Connection of a request cut."
 
 
 def log_refused_early(call, status, reason, share, version, now):
@@ -176,7 +176,7 @@
 
 
 def log_cut(reason, requests, unsent_bytes, unacknowledged_bytes, now):
-    """Logs a client connection that the node ends with responses outstanding.
+    """Logs the requests of a client connection that ends with responses outstanding.
 
     :param reason: reason for which it ends.
     :param requests: dicts of the state of its requests, see :func:`call_state`.
@@ -184,14 +184,15 @@
     :param unacknowledged_bytes: bytes in the kernel without an acknowledgement.
     :param now: monotonic seconds.
     """
-    if CALL_LOG_LIMITER.allow(CUT, now):
-        fields = {
-            "reason": reason,
-            "requests": requests,
-            "unsent_bytes": unsent_bytes,
-            "unacknowledged_bytes": unacknowledged_bytes,
-        }
-        entry_log.info(CUT, fields)
+    for request in requests:
+        if CALL_LOG_LIMITER.allow(CUT, now):
+            fields = {
+                **request,
+                "reason": reason,
+                "unsent_bytes": unsent_bytes,
+                "unacknowledged_bytes": unacknowledged_bytes,
+            }
+            entry_log.info(CUT, fields)
 
 
 def call_state(call, now):
