Play overlapping stops of calling nodes and owners

Guards against requests that are lost between a stopping caller and a stopping owner: every request that ran has a response, 503 is true, nothing runs twice, each node exits within its grace time.

--- a/tests/test_bounded_stops.py
+++ b/tests/test_bounded_stops.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import pytest
+
 from figpick.wire import DEFAULT_HEADERS
 
 from .fleet import (
@@ -159,3 +161,74 @@
             status, _, body = await client.receive()
             assert (status, body, statuses) == (200, b"done", [200])
         assert await stopping < 4.5
+
+
+class CheckedClients(PersistentClients):
+    """Clients whose responses are compared with what upstreams have run."""
+
+    def __init__(self, address, name):
+        super().__init__(address)
+        self._name = name
+        self.unanswered = set()
+
+    async def _send_one(self, client):
+        self._count += 1
+        request_id = f"{self._name}{self._count}"
+        target = b"/parts/once/1" if self._count % 2 else b"/parts/1"
+        client.send(target, request_id.encode(), method=b"POST")
+        self.unanswered.add(request_id)
+        async with asyncio.timeout(8.0):
+            status, headers, _ = await client.receive()
+        self.unanswered.discard(request_id)
+        self.statuses[request_id] = status
+        await asyncio.sleep(0.05)
+        return headers.get("connection") != "close"
+
+
+@pytest.mark.parametrize(
+    "stops",
+    [
+        ((0, 0.0), (2, 0.0)),
+        ((2, 0.0), (0, 1.0), (3, 1.5)),
+        ((0, 0.0), (1, 0.5), (2, 1.0), (3, 1.5)),
+    ],
+    ids=["caller-and-owner", "caller-and-all-owners", "all"],
+)
+@async_test
+async def test_overlapping_stops_lose_no_request_and_tell_the_truth(tmp_path, stops):
+    """Guards against requests lost between a stopping caller and a stopping owner."""
+    services = ("entries", "entries", "parts", "parts")
+    async with Fleet(tmp_path, services=services) as fleet:
+        for host in fleet.hosts:
+            host.upstream.delay_s = 0.6
+        clients = [
+            CheckedClients(host.settings.call_address, name)
+            for host, name in zip(fleet.hosts[:2], "gh", strict=True)
+        ]
+        tasks = [
+            asyncio.ensure_future(each.run()) for each in clients for _ in range(12)
+        ]
+        await asyncio.sleep(0.5)
+
+        async def stop_later(number, after_s):
+            await asyncio.sleep(after_s)
+            assert await exit_after_drain(fleet.hosts[number]) < GRACE_S
+
+        await asyncio.gather(*(stop_later(*stop) for stop in stops))
+        for host in fleet.hosts[:2]:
+            host.task.cancel()
+            if host.node.is_ready:
+                await host.node.drain()
+                host.node.close()
+        await asyncio.gather(*tasks)
+        runs = [run for host in fleet.hosts for run in host.upstream.runs]
+        statuses = {**clients[0].statuses, **clients[1].statuses}
+        unanswered = clients[0].unanswered | clients[1].unanswered
+        assert len(set(runs)) > 30
+        assert not unanswered & set(runs)
+        refused = {each for each, status in statuses.items() if status == 503}
+        assert not refused & set(runs)
+        once = [run for run in runs if int(run[1:]) % 2]
+        assert len(once) == len(set(once))
+        failed = {each for each, status in statuses.items() if status in (502, 504)}
+        assert not failed
