--- a/tests/test_stopping_links.py
+++ b/tests/test_stopping_links.py
@@ -105,3 +105,42 @@
                 assert (await client.call(b"/parts/1", request_id))[0] == 200
             assert owner.upstream.runs == ["a1"]
             assert len(other.upstream.runs) == 5
+
+
+@async_test
+async def test_node_that_leaves_and_returns_serves_while_old_calls_end(tmp_path):
+    """Guards against two links to one process that close each other in turn."""
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        await fleet.put_configuration(make_configuration(2, 1, long_routes()))
+        caller, owner = fleet.hosts
+        async with (
+            Client(caller.settings.call_address) as waiting,
+            Client(caller.settings.call_address) as client,
+        ):
+            assert (await client.call(b"/parts/1", b"a0"))[0] == 200
+            owner.upstream.delay_s = 5.0
+            waiting.send(b"/parts/once/1", b"a1", method=b"POST")
+            await wait_until(lambda: "a1" in owner.upstream.runs)
+            record = owner.node._announcer.record
+            left = record._replace(version=record.version + 1, state=LEFT)
+            caller.node.on_record(left)
+            owner.task.cancel()
+            owner.node.close()
+            owner.upstream.delay_s = 0.0
+            await asyncio.sleep(0.1)
+            fleet.start_node(owner)
+            await wait_until(lambda: owner.node.is_ready)
+            owner.node.handle_report(owner.upstream.report())
+            await wait_until(
+                lambda: any(peer.accepts_calls for peer in caller.node._peers)
+            )
+            (link,) = [
+                peer.link for peer in caller.node._peers if peer.dialer is not None
+            ]
+            for number in range(10):
+                request_id = b"c%d" % number
+                assert (await client.call(b"/parts/1", request_id))[0] == 200
+                await asyncio.sleep(0.05)
+            assert link.is_open
+            assert (await waiting.receive())[0] == 502
+            await wait_until(lambda: not caller.node._peers._retired)
