--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -98,8 +98,8 @@
     def is_idle(self):
         """Whether no call is in flight, received or answered at this node or upstream.
 
-        A call is received from its headers on, and answered until its response was
-        sent and its claim holders know of its end.
+        A call is received from its headers on, and answered until its caller has the
+        response and its claim holders know of its end.
         """
         has_calls = self._in_flight > 0 or not self._call_server.is_idle
         has_work = has_calls or self.claims.has_deliveries
@@ -375,6 +375,8 @@
         service = self._services.get(self._settings.get("service"))
         # A nested call that names a service must not reach a different one.
         if service is None or (is_service_name and is_nested):
+            if is_service_name and self.fetcher is not None:
+                self.fetcher.require_reply(host)
             raise UnknownServiceError(f"no document is known for {host!r}")
         return service
 
