--- a/bench/soak_signals.py
+++ b/bench/soak_signals.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import time
+from pathlib import Path
 from typing import NamedTuple
 
 from bench.soak_cluster import GRACE_S, ManagedProcess
@@ -21,8 +22,6 @@
 # Delay with which the exit of another process is seen.
 EXIT_SEEN_SLACK_S = 0.1
 RELOAD_EFFECT_S = 2.0
-# SIGHUP ends a process that does not handle signals yet.
-STARTED_AFTER_S = 1.0
 # Slowed processes run in short slices, so that messages take longer, as between hosts
 # that are far from each other, and arrive one by one.
 SLICE_PAUSE_S = (0.002, 0.03)
@@ -123,11 +122,11 @@
         self._answers = answers
         # A process that is being stopped, killed or paused gets no further event.
         self.is_disturbed = False
-        self._started_at = 0.0
+        self._start_count = 0
 
     async def start(self):
         """Starts the process."""
-        self._started_at = time.time()
+        self._start_count += 1
         await super().start()
 
     async def apply(self, event):
@@ -136,7 +135,8 @@
             return
         if event.kind == "reload":
             for _ in range(event.count):
-                if time.time() - self._started_at > STARTED_AFTER_S:
+                # It would end a process that does not handle signals yet.
+                if self._has_started():
                     self._signal(signal.SIGHUP)
                 self._record("SIGHUP", time.time(), time.time() + RELOAD_EFFECT_S)
                 await asyncio.sleep(event.gap_s)
@@ -209,5 +209,9 @@
         await self.start()
         self._record("start", ended_at, time.time())
 
+    def _has_started(self):
+        text = Path(self._log.name).read_text(errors="replace")
+        return text.count(" starts.") >= self._start_count
+
     def _record(self, kind, started_at, ended_at):
         self._answers.record_window(self._number, kind, started_at, ended_at)
