Take the instance of an owner only with the service it runs

What callers saw: a request was run by an upstream of another service, for as long as the record of the host was not updated at the calling node.

Cause: the load report of an owner names the instance of its upstream, and the calling node used that instance for the service of the record that it knew. The report goes over the direct link, the record over a control process, so the report of an upstream of another service arrives first.

The report now names the service too. A calling node takes no instance of a service other than that of the record, so it sends no calls there until the record arrives, which then brings the instance. Reports of earlier releases have no service and are handled as before.

--- a/src/figpick/directory/_reports.py
+++ b/src/figpick/directory/_reports.py
@@ -68,6 +68,11 @@
         """The identity of the upstream, empty without an upstream."""
         return self._report.instance if self._report else ""
 
+    @property
+    def service(self):
+        """The service of the upstream, empty without an upstream."""
+        return self._report.service if self._report else ""
+
     @property
     def slots(self):
         """Requests that may run at the same time, 0 unless new ones are accepted."""
--- a/src/figpick/nodes/_owner_links.py
+++ b/src/figpick/nodes/_owner_links.py
@@ -17,7 +17,7 @@
     def add_link(self, link):
         """Starts reporting load changes on a link."""
         self._links.add(link)
-        link.send((LOAD, self.load(), self.view.instance))
+        link.send(self._load_report())
 
     def remove_link(self, link):
         """Removes a closed link; its caller may attach the calls to another link."""
@@ -71,7 +71,10 @@
         if len(self._finished) > MAX_FINISHED_CALLS:
             del self._finished[next(iter(self._finished))]
 
+    def _load_report(self):
+        return LOAD, self.load(), self.view.instance, self.view.service
+
     def _report_load(self):
-        message = (LOAD, self.load(), self.view.instance)
+        message = self._load_report()
         for link in list(self._links):
             link.send(message)
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -262,6 +262,7 @@
             self._retire(peer)
             return None
         self._withhold(peer)
+        peer.instance = record.instance
         self._peers[peer.name] = peer
         self._services[record.service].append(peer)
         return peer
@@ -276,16 +277,22 @@
             self._handle_hello(peer, link, message)
             return
         if message[0] == LOAD:
-            self.handle_load(peer, message[1], message[2])
+            self.handle_load(peer, *message[1:])
             return
         if peer.link is link:
             self._handlers.on_peer_message(peer, message)
 
-    def handle_load(self, peer, load, instance):
-        """Handles a load report of an owner, with the instance of its upstream."""
+    def handle_load(self, peer, load, instance, service=None):
+        """Handles a load report of an owner.
+
+        :param instance: instance of its upstream, empty without an upstream.
+        :param service: service of its upstream, ``None`` from earlier releases.
+        """
         peer.target.update_load(Load(*load), self._clock.monotonic())
         if instance:
-            peer.instance = instance
+            # The report of another service can overtake the record of the node.
+            is_same_service = service in (None, peer.record.service)
+            peer.instance = instance if is_same_service else ""
         if peer.accepts_calls:
             self._handlers.on_service_available(peer.record.service)
 
