Report a call as not run only if its result cannot have been forgotten

What callers saw: nothing yet; a request that is not idempotent could run twice at a busy owner, or get a 503 although it had run.

Cause: an owner keeps the results of the last 8192 calls for callers whose link was lost. A call without a kept result counts as never received and is answered with `not-run`, also if its result was dropped to make room for later ones.

Callers number their calls in ascending order. The owner now remembers the highest number of each caller whose result it dropped; calls up to it count as calls that may have run.

--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -72,6 +72,7 @@
         self._links = set()
         self._executions = {}
         self._finished = {}
+        self._last_forgotten = {}
         self.running_requests = RunningRequests()
         self._broken_calls = deque(maxlen=MAX_BROKEN_CALLS)
         self._failures = FailureShare()
--- a/src/figpick/nodes/_owner_links.py
+++ b/src/figpick/nodes/_owner_links.py
@@ -52,10 +52,12 @@
                 execution.link = link
 
     def _result(self, key):
-        _, number = key
-        if key not in self._finished:
+        peer, number = key
+        # Calls with lower numbers may have run, although their results are not kept.
+        is_forgotten = number <= self._last_forgotten.get(peer, 0)
+        if key not in self._finished and not is_forgotten:
             return (NOT_RUN, number, REASON_LINK_LOST, 0, self.load(), 1.0)
-        message = self._finished[key]
+        message = self._finished.get(key)
         return message or (FAILED, number, REASON_LINK_LOST, self.load())
 
     def _abort_unattached(self, executions, link):
@@ -69,7 +71,10 @@
     def _remember_result(self, key, message):
         self._finished[key] = message
         if len(self._finished) > MAX_FINISHED_CALLS:
-            del self._finished[next(iter(self._finished))]
+            peer, number = oldest = next(iter(self._finished))
+            del self._finished[oldest]
+            known = self._last_forgotten.get(peer, 0)
+            self._last_forgotten[peer] = max(known, number)
 
     def _load_report(self):
         return LOAD, self.load(), self.view.instance, self.view.service
