Finish links only when the network has delivered what was written

What callers would see: a 502 or a lost response near the end of a stop, where the link to their node is narrow.

Cause: a link counted as finished half a second after its bytes were handed to the kernel, although the send queue can hold more than the network delivers in that time. The process then exits, and the next message of the peer resets the connection, which discards the rest of the queue.

Evidence: the new test failed before.

The wait now goes on while the host of a peer acknowledges bytes. A peer that receives nothing is still given up after half a second, and the time limit holds. The loss at a process exit is concluded from the state of the queue, and was not played.

--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -1,6 +1,9 @@
 """A connection between two processes, and the dialer that keeps one open."""
 
 import asyncio
+import fcntl
+import sys
+import termios
 
 from ..base._logs import logger
 from ._frames import FrameError, FrameReader, encode_frame
@@ -63,6 +66,19 @@
             return 0
         return self._transport.get_write_buffer_size()
 
+    @property
+    def unacknowledged_bytes(self):
+        """Number of written bytes that the host of the peer has yet to receive."""
+        if not self._is_open or self._transport.is_closing():
+            return 0
+        connection = self._transport.get_extra_info("socket")
+        try:
+            size = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+        except OSError as error:
+            log.debug("The send queue of a link cannot be read: {}.", error)
+            return 0
+        return int.from_bytes(size, sys.byteorder)
+
     def connection_made(self, transport):
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
@@ -142,7 +158,8 @@
     """Finishes links and waits until their peers have read everything.
 
     :param links: list of :class:`Link`.
-    :param unconfirmed_s: seconds to wait for peers once all bytes have been written.
+    :param unconfirmed_s: seconds to wait for peers once all bytes have been written and
+        their hosts receive no more of them.
     :param timeout_s: seconds after which the rest is discarded.
     :param clock: :class:`~figpick.base._clock.Clock`.
     :return: number of bytes that were not written.
@@ -152,8 +169,13 @@
     now = clock.monotonic()
     end_at = now + timeout_s
     written_at = now
+    unacknowledged = None
     while any(link.is_open for link in links):
-        if any(link.unsent_bytes for link in links):
+        before, unacknowledged = (
+            unacknowledged,
+            [link.unacknowledged_bytes for link in links],
+        )
+        if any(link.unsent_bytes for link in links) or unacknowledged != before:
             written_at = now
         if now >= min(end_at, written_at + unconfirmed_s):
             break
--- a/tests/test_finishing_links.py
+++ b/tests/test_finishing_links.py
@@ -115,3 +115,31 @@
             assert not pair.near.is_open
 
     run(scenario, loop_factory)
+
+
+class SlowLink:
+    """A link whose bytes are all written, and received by its peer in one second."""
+
+    unsent_bytes = 0
+
+    def __init__(self):
+        self._started_at = time.monotonic()
+
+    @property
+    def unacknowledged_bytes(self):
+        elapsed_s = time.monotonic() - self._started_at
+        return max(0, int(100_000 * (1.0 - elapsed_s)))
+
+    @property
+    def is_open(self):
+        return self.unacknowledged_bytes > 0
+
+    def finish(self):
+        """Does nothing; the link is finished from the start."""
+
+
+def test_finishing_waits_while_the_network_delivers_what_was_written():
+    """Guards against an exit whose reset discards bytes in the send queue."""
+    link = SlowLink()
+    asyncio.run(finish_links([link], 0.3, 4.0, Clock()))
+    assert not link.is_open
