Reply to a request of an operator whose handling fails at the leader

What callers saw: a wait of 0.9 s and "the leader did not answer", although the leader had ended the request with an error, of which its logs had no line.

Cause: only errors of figpick itself were turned into a reply. Any other one ended the task without a reply.

Evidence: the new test sends fields that no change set has. Before the change the task ended with a TypeError.

Every error now gets a line at the leader and a reply that says that there is no result; the process that asked then tries again until its time is over.

--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -77,6 +77,9 @@
             reply = LeaderReply(number, "conflict", [str(error), error.current])
         except FigpickError as error:
             reply = LeaderReply(number, "no-quorum", [str(error)])
+        except Exception as error:
+            log.exception("A request of {} cannot be served.", link.peer)
+            reply = LeaderReply(number, "no-quorum", [f"no result: {error!r}"])
         else:
             reply = LeaderReply(number, "", result)
         link.send(encode(reply))
--- a/tests/test_resent_changes.py
+++ b/tests/test_resent_changes.py
@@ -16,7 +16,7 @@
     PUT,
     LeaderRequests,
 )
-from figpick.control._messages import LeaderReply, decode
+from figpick.control._messages import LeaderReply, LeaderRequest, decode
 from figpick.control._quorum_member import LogPosition
 
 from .control_processes import Controls, change
@@ -235,3 +235,17 @@
         await controls.put(controls.processes[0], change(1, 0))
         with pytest.raises(VersionConflictError):
             await controls.put(controls.processes[1], change(9, 8))
+
+
+@async_test
+async def test_request_that_the_leader_cannot_handle_gets_a_reply():
+    """Guards against a wait for the timeout, without a line on the error."""
+    replies = []
+    link = SimpleNamespace(peer="control-1", send=replies.append)
+    requests = LeaderRequests(StandInLeader([]), lambda: None)
+    with logbook.TestHandler() as handler:
+        await requests.serve(link, LeaderRequest(3, PUT, {"unknown": 1}))
+    assert decode(replies[0])[:2] == (3, "no-quorum")
+    assert [record.message for record in handler.records] == [
+        "A request of control-1 cannot be served."
+    ]
