--- a/bench/soak_changes.py
+++ b/bench/soak_changes.py
@@ -3,7 +3,7 @@
 import json
 from typing import NamedTuple
 
-from bench.soak_answers import APPLY_S, STABLE_S
+from bench.soak_responses import APPLY_S, STABLE_S
 
 CLEAR_REFUSALS = (400, 409, 412, 413, 422)
 
--- a/bench/soak_clients.py
+++ b/bench/soak_clients.py
@@ -102,7 +102,7 @@
     """Connection of a client on which several requests may be outstanding.
 
     :param address: tuple of IP address and port of the node.
-    :param checker: :class:`~bench.soak_answers.AnswerChecker`.
+    :param checker: :class:`~bench.soak_responses.ResponseChecker`.
     :param reads_slowly: whether bodies are read slowly with a small buffer.
     """
 
@@ -242,7 +242,7 @@
     :param node: number of the node.
     :param address: tuple of IP address and port of the node.
     :param style: one of :data:`STYLES`.
-    :param checker: :class:`~bench.soak_answers.AnswerChecker`.
+    :param checker: :class:`~bench.soak_responses.ResponseChecker`.
     :param mean_gap_s: mean time between responses and next requests.
     """
 
--- a/bench/soak_answers.py
+++ b/bench/soak_responses.py
@@ -58,7 +58,7 @@
     ended_at: float
 
 
-class AnswerChecker:
+class ResponseChecker:
     """Records requests, their executions, and signals, and lists violations.
 
     :param hosts: function that returns the numbers of the nodes of a service.
--- a/bench/soak_signals.py
+++ b/bench/soak_signals.py
@@ -113,13 +113,13 @@
     """Process that is stopped, reloaded, paused and killed.
 
     :param number: number of the process.
-    :param answers: :class:`~bench.soak_answers.AnswerChecker`.
+    :param responses: :class:`~bench.soak_responses.ResponseChecker`.
     """
 
-    def __init__(self, number, answers, *arguments):
+    def __init__(self, number, responses, *arguments):
         super().__init__(*arguments)
         self._number = number
-        self._answers = answers
+        self._responses = responses
         # A process that is being stopped, killed or paused gets no further event.
         self.is_disturbed = False
         self._start_count = 0
@@ -198,7 +198,7 @@
         self._record("SIGTERM", started_at, ended_at)
         after_s = round(ended_at - started_at, 2)
         if after_s > GRACE_S + EXIT_SEEN_SLACK_S and event.kind != "stop-paused":
-            self._answers.record(
+            self._responses.record(
                 "GRACE",
                 "process outlived its grace time",
                 process=self.name,
@@ -214,4 +214,4 @@
         return text.count(" starts.") >= self._start_count
 
     def _record(self, kind, started_at, ended_at):
-        self._answers.record_window(self._number, kind, started_at, ended_at)
+        self._responses.record_window(self._number, kind, started_at, ended_at)
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -13,7 +13,6 @@
 from collections import Counter
 from urllib.parse import parse_qs
 
-from bench.soak_answers import STABLE_S, AnswerChecker, Run
 from bench.soak_changes import ChangeChecker
 from bench.soak_checks import SoakChecker
 from bench.soak_clients import STYLES, KeptClient, Request, make_body, send_once
@@ -21,6 +20,7 @@
 from bench.soak_documents import SERVICES
 from bench.soak_endpoints import HEADER_NAMES, StandIn
 from bench.soak_operators import Operators
+from bench.soak_responses import STABLE_S, ResponseChecker, Run
 from bench.soak_signals import SignalledProcess, draw_events
 
 USUAL_SIZE = (3, 4)
@@ -48,19 +48,19 @@
     """Stand-in upstream whose requests name their work and the size of the body.
 
     :param number: number of its node.
-    :param answers: :class:`~bench.soak_answers.AnswerChecker`.
+    :param responses: :class:`~bench.soak_responses.ResponseChecker`.
     """
 
-    def __init__(self, number, answers, *arguments):
+    def __init__(self, number, responses, *arguments):
         super().__init__(*arguments)
         self._number = number
-        self._answers = answers
+        self._responses = responses
 
     async def run_request(self, connection, request):
         """Executes a request and sends its response."""
         request_id = (request.header(HEADER_NAMES.request_id) or b"").decode()
         run = Run(self._number, self._service, time.time())
-        self._answers.record_run(request_id, run)
+        self._responses.record_run(request_id, run)
         query = parse_qs(request.target.decode().partition("?")[2])
         await asyncio.sleep(int(query["work"][0]) / 1000)
         body = make_body(request_id, int(query["size"][0]))
@@ -85,8 +85,10 @@
         controls, nodes = LARGE_SIZE if is_large else USUAL_SIZE
         self._cluster = Cluster(folder, controls, SERVICES * (nodes // 2))
         self._checker = SoakChecker()
-        self.answers = AnswerChecker(self._hosts)
-        self.changes = ChangeChecker(self.answers.is_disturbed, self.answers.service_of)
+        self.responses = ResponseChecker(self._hosts)
+        self.changes = ChangeChecker(
+            self.responses.is_disturbed, self.responses.service_of
+        )
         addresses = [self._cluster.address(n, "control") for n in range(controls)]
         self._operators = Operators(seed, addresses, self.changes)
         self._processes = []
@@ -117,7 +119,7 @@
 
     def list_violations(self):
         """Prints each violation and returns their number by rule and text."""
-        violations = self.answers.list_violations() + self.changes.list_violations()
+        violations = self.responses.list_violations() + self.changes.list_violations()
         for violation in violations:
             print(json.dumps(violation), flush=True)
         counts = Counter(f"{item['rule']}: {item['text']}" for item in violations)
@@ -127,7 +129,7 @@
     def summary(self):
         """Returns the figures of the run."""
         figures = {"max_lag_s": round(self._max_lag_s, 2)}
-        return self.answers.summary() | self.changes.summary() | figures
+        return self.responses.summary() | self.changes.summary() | figures
 
     def _hosts(self, service):
         numbers = self._cluster.node_numbers
@@ -142,14 +144,14 @@
         for number in range(cluster.count):
             self._processes.append(
                 cluster.make_process(
-                    number, self._checker, SignalledProcess, number, self.answers
+                    number, self._checker, SignalledProcess, number, self.responses
                 )
             )
         for number in cluster.node_numbers:
             address = cluster.address(number, "app")
             control = cluster.address(number, "control")
             names = (cluster.service(number), address, address, control)
-            upstream = WorkingStandIn(number, self.answers, *names, self._checker)
+            upstream = WorkingStandIn(number, self.responses, *names, self._checker)
             await upstream.start()
             self._upstreams.append(upstream)
         await asyncio.gather(*(process.start() for process in self._processes))
@@ -206,7 +208,7 @@
             await asyncio.sleep(LAG_PROBE_INTERVAL_S)
             lag_s = time.time() - due_at
             self._max_lag_s = max(self._max_lag_s, lag_s)
-            self.answers.record_lag(due_at, lag_s)
+            self.responses.record_lag(due_at, lag_s)
 
     def _make_clients(self):
         styles = LARGE_STYLES if self._is_large else STYLES
@@ -215,14 +217,14 @@
             address = self._cluster.address(number, "outbound")
             for index, style in enumerate(styles):
                 name = f"s{self._seed}-{number}-{index}"
-                yield KeptClient(name, number, address, style, self.answers, gap_s)
+                yield KeptClient(name, number, address, style, self.responses, gap_s)
 
     async def _apply(self, event, started_at):
         await asyncio.sleep(started_at + event.at_s - time.time())
         first, nodes = self._cluster.control_count, len(self._cluster.services)
         if event.kind == "reset":
             now = time.time()
-            self.answers.record_window(event.target, event.kind, now, now)
+            self.responses.record_window(event.target, event.kind, now, now)
             self._upstreams[event.target - first].reset()
             return
         tasks = []
@@ -251,7 +253,7 @@
             else:
                 await self._restart_slowed(event)
             await self._operators.wait_until_read()
-            self.answers.record_window(None, "outage", started_at, time.time())
+            self.responses.record_window(None, "outage", started_at, time.time())
         elif event.kind == "stop":
             await self._processes[event.target].apply(event)
         else:
@@ -313,5 +315,5 @@
         path = f"{prefix}{request_id}?work=1&size=20"
         request = Request(request_id, number, "probe", "GET", path)
         address = self._cluster.address(number, "outbound")
-        await send_once(address, self.answers, request)
+        await send_once(address, self.responses, request)
         return request
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -11,13 +11,13 @@
 import pytest
 
 from bench import soak_signals
-from bench.soak_answers import AnswerChecker, Run
 from bench.soak_changes import Change, ChangeChecker, Order
 from bench.soak_checks import SoakChecker
 from bench.soak_clients import KeptConnection, Request, make_body
 from bench.soak_cluster import Cluster
 from bench.soak_documents import make_document
 from bench.soak_endpoints import free_ports
+from bench.soak_responses import ResponseChecker, Run
 from bench.soak_signals import SignalledProcess, draw_events
 
 ROOT = Path(__file__).parents[1]
@@ -48,9 +48,9 @@
     return Request("a1", 3, "steady", method, "/front/get/a1", **values)
 
 
-def answers(item, stops=True, started=True, run_until=None, run_delay_s=0.0, faults=()):
+def observe(item, stops=True, started=True, run_until=None, run_delay_s=0.0, faults=()):
     """Returns a checker that has observed one request and a stop of its node."""
-    checker = AnswerChecker(lambda service: [3, 4])
+    checker = ResponseChecker(lambda service: [3, 4])
     checker.record_request(item)
     if stops:
         checker.record_window(3, "SIGTERM", TERM_AT, EXIT_AT)
@@ -66,59 +66,59 @@
 
 
 LOST = {
-    "passed on and cut": answers(request()),
-    "passed on and reset": answers(request(outcome="reset")),
-    "passed on behind another and cut": answers(request(is_behind=True)),
-    "read and cut": answers(request(), started=False),
-    "cut at the exit": answers(request(sent=1005.0, ended=1005.6)),
-    "late work on a request sent late": answers(
+    "passed on and cut": observe(request()),
+    "passed on and reset": observe(request(outcome="reset")),
+    "passed on behind another and cut": observe(request(is_behind=True)),
+    "read and cut": observe(request(), started=False),
+    "cut at the exit": observe(request(sent=1005.0, ended=1005.6)),
+    "late work on a request sent late": observe(
         request(sent=1003.5, ended=1005.3), run_until=1005.4
     ),
-    "work that ended before the last sixth": answers(
+    "work that ended before the last sixth": observe(
         request(sent=1002.9, ended=1005.3), run_until=1004.9
     ),
-    "502 in place of a response": answers(answered(502)),
-    "504 in place of a response": answers(answered(504), run_until=TERM_AT + 1.5),
-    "503 in place of a response": answers(answered(503)),
-    "fault long before": answers(request(), faults=[(4, TERM_AT - 2.6)]),
-    "fault elsewhere": answers(request(), faults=[(5, TERM_AT + 1)]),
-    "sent before the stop": answers(request(sent=TERM_AT - 0.5)),
+    "502 in place of a response": observe(answered(502)),
+    "504 in place of a response": observe(answered(504), run_until=TERM_AT + 1.5),
+    "503 in place of a response": observe(answered(503)),
+    "fault long before": observe(request(), faults=[(4, TERM_AT - 2.6)]),
+    "fault elsewhere": observe(request(), faults=[(5, TERM_AT + 1)]),
+    "sent before the stop": observe(request(sent=TERM_AT - 0.5)),
 }
 OTHER_VIOLATIONS = {
-    "ran twice": answers(request(method="POST", is_behind=True)),
-    "refused but ran": answers(answered(503, method="POST")),
-    "body of another request": answers(answered(200, has_stamp=True)),
-    "success without the stamp": answers(answered(200, is_body_correct=True)),
-    "response of another request": answers(answered(503, answered_id="a2")),
-    "allowed but refused": answers(answered(404), stops=False),
-    "never answered": answers(
+    "ran twice": observe(request(method="POST", is_behind=True)),
+    "refused but ran": observe(answered(503, method="POST")),
+    "body of another request": observe(answered(200, has_stamp=True)),
+    "success without the stamp": observe(answered(200, is_body_correct=True)),
+    "response of another request": observe(answered(503, answered_id="a2")),
+    "allowed but refused": observe(answered(404), stops=False),
+    "never answered": observe(
         request(ended=TERM_AT + 7, outcome="given up"), stops=False
     ),
 }
 OTHER_VIOLATIONS["ran twice"].record_run("a1", Run(3, "front", TERM_AT + 1.5))
 KEPT = {
-    "whole response": answers(
+    "whole response": observe(
         answered(200, has_stamp=True, is_body_correct=True, answered_id="a1")
     ),
-    "failure of the upstream": answers(answered(502, has_stamp=True)),
-    "502 before the upstream began": answers(answered(502), run_delay_s=1.5),
-    "502 without an upstream": answers(answered(502), started=False),
-    "refused": answers(answered(503, method="POST"), started=False),
-    "request that crosses the close": answers(
+    "failure of the upstream": observe(answered(502, has_stamp=True)),
+    "502 before the upstream began": observe(answered(502), run_delay_s=1.5),
+    "502 without an upstream": observe(answered(502), started=False),
+    "refused": observe(answered(503, method="POST"), started=False),
+    "request that crosses the close": observe(
         request(ended=TERM_AT + 1.1), started=False
     ),
-    "not read before a reset": answers(request(outcome="reset"), started=False),
-    "not passed on behind another": answers(request(is_behind=True), started=False),
-    "route timeout": answers(request(sent=1001.0, ended=1004.0)),
-    "late work": answers(request(sent=1002.9, ended=1005.3), run_until=1005.4),
-    "unfinished late work": answers(request(sent=1002.9, ended=1005.3)),
-    "fault at the upstream": answers(request(), faults=[(4, TERM_AT - 1)]),
-    "fault at the node": answers(request(), faults=[(3, TERM_AT + 1.5)]),
-    "fault at a host of the service": answers(
+    "not read before a reset": observe(request(outcome="reset"), started=False),
+    "not passed on behind another": observe(request(is_behind=True), started=False),
+    "route timeout": observe(request(sent=1001.0, ended=1004.0)),
+    "late work": observe(request(sent=1002.9, ended=1005.3), run_until=1005.4),
+    "unfinished late work": observe(request(sent=1002.9, ended=1005.3)),
+    "fault at the upstream": observe(request(), faults=[(4, TERM_AT - 1)]),
+    "fault at the node": observe(request(), faults=[(3, TERM_AT + 1.5)]),
+    "fault at a host of the service": observe(
         request(), started=False, faults=[(4, TERM_AT + 1)]
     ),
-    "cut once without a stop": answers(request(), stops=False),
-    "other node stops": answers(request(), stops=False),
+    "cut once without a stop": observe(request(), stops=False),
+    "other node stops": observe(request(), stops=False),
 }
 KEPT["other node stops"].record_window(4, "SIGTERM", TERM_AT, EXIT_AT)
 
@@ -142,7 +142,7 @@
 
 
 def test_requests_cut_often_without_a_stop_are_detected():
-    checker = answers(request(), stops=False)
+    checker = observe(request(), stops=False)
     for _ in range(3):
         checker.record_request(request())
     assert len(checker.list_violations()) == 4
@@ -150,7 +150,7 @@
 
 def test_late_observation_does_not_count_as_wait():
     """Guards against violations that are only delays of the soak itself."""
-    checker = answers(request(ended=TERM_AT + 1.4), started=False)
+    checker = observe(request(ended=TERM_AT + 1.4), started=False)
     assert checker.list_violations()
     checker.record_lag(TERM_AT + 1.1, 0.3)
     assert checker.list_violations() == []
@@ -290,7 +290,7 @@
     async def scenario():
         address = ("127.0.0.1", free_ports(1)[0])
         server = await asyncio.start_server(serve, *address)
-        checker = AnswerChecker(lambda service: [])
+        checker = ResponseChecker(lambda service: [])
         connection = KeptConnection(address, checker, reads_slowly=True)
         await connection.open()
         item = Request("a1", 3, "slow", "GET", "/front/get/a1")
@@ -310,7 +310,7 @@
 
     async def scenario():
         address = ("127.0.0.1", free_ports(1)[0])
-        checker = AnswerChecker(lambda service: [])
+        checker = ResponseChecker(lambda service: [])
         connection = KeptConnection(address, checker)
         with socket.create_server(address) as server:
             await connection.open()
@@ -343,7 +343,7 @@
             await self.process.stdout.readline()
 
     async def scenario():
-        checker = AnswerChecker(lambda service: [])
+        checker = ResponseChecker(lambda service: [])
         process = StubbornProcess(
             3, checker, tmp_path, "node-3", "node", "", SoakChecker()
         )
