Log what a call was taken for and when it was sent

A request that a stopping node gives up was either taken too late or sent too late. The log line of its end had only its age, so the two looked alike.

--- a/src/figpick/nodes/_call_logging.py
+++ b/src/figpick/nodes/_call_logging.py
@@ -214,7 +214,9 @@
         "id": call.decoded_request_id,
         "state": state,
         "age_s": round(now - call.started_at, 3),
+        "nested_by": call.nested_by,
         "hosts": [attempt.peer.name for attempt in attempts],
+        "sent_s": [round(now - attempt.sent_at, 3) for attempt in attempts],
         "may_have_run": call.may_have_run,
     }
 
--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -50,6 +50,7 @@
         "rank",
         "key",
         "is_nested",
+        "nested_by",
         "is_retry",
         "parent",
         "head",
@@ -80,6 +81,9 @@
         self.rank = 0
         self.key = 0.0
         self.is_nested = False
+        # What shows that the call is nested: ``id`` or ``deadline`` of a running request,
+        # or only the ``route``; empty for requests of clients.
+        self.nested_by = ""
         self.is_retry = False
         self.parent = None
         self.head = b""
--- a/src/figpick/nodes/_entry_policy.py
+++ b/src/figpick/nodes/_entry_policy.py
@@ -117,6 +117,10 @@
         if not is_nested:
             call.rank = 2 * route.priority + 1
             return
+        if self._running_requests.has_derived_ids:
+            call.nested_by = "id"
+        else:
+            call.nested_by = "deadline" if parent is not None else "route"
         if parent is None and not self._running_requests.has_derived_ids:
             parent = self._running_requests.find_oldest(
                 self._nested_call_detector.parent_routes(route.name)
--- a/tests/test_open_work.py
+++ b/tests/test_open_work.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from figpick.nodes._call_logging import call_state
+
 from .fleet import Client, Fleet, async_test, wait_until
 
 
@@ -29,3 +31,19 @@
             assert [(await client.receive())[0] for _ in range(2)] == [200, 200]
         await wait_until(lambda: not caller.node.open_work()["calls"]["sent"])
         assert owner.node.open_work()["oldest_s"] == 0.0
+
+
+@async_test
+async def test_log_of_an_ended_call_tells_when_it_was_taken_and_sent(tmp_path):
+    """Guards against a stop whose log does not tell late requests from late attempts."""
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        caller, owner = fleet.hosts
+        owner.upstream.delay_s = 5.0
+        async with Client(caller.settings.call_address) as client:
+            client.send(b"/parts/1", b"a1")
+            await wait_until(lambda: owner.upstream.runs)
+            forwarder = caller.node._forwarder
+            (call,) = forwarder._open_calls
+            state = call_state(call, forwarder.now())
+            assert state["nested_by"] == ""
+            assert 0 <= state["sent_s"][0] <= state["age_s"]
