Take and send in a stop only what can end before the node does

Callers saw: a request or nested call that reached a node 3 to 5 s after SIGTERM was passed on and ended at 5.2 s with a 502 of the node while its upstream worked.

Cause: the refusal from 2.6 s on covered one kind of work. Nested calls were taken until the end with their whole deadline. Where ids do not show what is nested, a request of a client counted as nested by its route. Calls that waited for a slot or came from other nodes reached an upstream late with more time than the stop had left.

Evidence: tests/test_late_requests.py.

Now one schedule holds for whatever arrives or is sent in a stop. A late request is taken only if a running request is known to wait for it, by id or deadline and not by route, and only if a host can respond in time by the measured time of its route. Everything that is sent to an upstream since the signal has a deadline within the stop, so that the upstream ends its work and responds itself.

--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -81,8 +81,8 @@
         self.rank = 0
         self.key = 0.0
         self.is_nested = False
-        # What shows that the call is nested: ``id`` or ``deadline`` of a running request,
-        # or only the ``route``; empty for requests of clients.
+        # What shows that the call is nested: ``id`` or ``deadline`` of a running
+        # request, or only the ``route``; empty for requests of clients.
         self.nested_by = ""
         self.is_retry = False
         self.parent = None
@@ -107,6 +107,14 @@
     def __repr__(self):
         return f"<Call {self.request_id!r}>"
 
+    @property
+    def is_awaited(self):
+        """Whether a request that runs at the upstream on this host waits for it.
+
+        A route alone does not show that: clients may use it as well.
+        """
+        return self.parent is not None and self.nested_by != "route"
+
     @property
     def state(self):
         """``waiting`` for a host, ``sent`` to an owner, or ``streaming``."""
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -5,7 +5,14 @@
 from ..admission import FREE_CAPACITY_LEVEL, NO_CAPACITY_LEVEL, RetryBudget
 from ..placing import choose
 from ._calls import Attempt
-from ._messages import BODY_PART, BODY_PART_BYTES, CALL, CANCEL, CallMessage
+from ._messages import (
+    BODY_PART,
+    BODY_PART_BYTES,
+    CALL,
+    CANCEL,
+    REASON_STOPPED,
+    CallMessage,
+)
 
 # Longest wait of a call for a host of its service to become available.
 MAX_HOST_WAIT_S = 0.4
@@ -35,6 +42,8 @@
         self._waiting_calls = {}
         self._attempt_count = 0
         self.peers = None
+        # The StopSchedule of the node once it stops.
+        self.stop = None
 
     def __repr__(self):
         return f"<Dispatcher {self._attempt_count} attempts>"
@@ -75,10 +84,18 @@
         """Sends a call to a host not tried before, or queues or refuses it."""
         now = self._forwarder.now()
         peers = self._untried_peers(call)
-        if peers:
-            self._send(call, self._choose(call, peers, now), now)
-        else:
+        if not peers:
             self._wait_or_refuse(call, now)
+            return
+        peer = self._choose(call, peers, now)
+        if self._has_time(call, peer, now):
+            self._send(call, peer, now)
+        else:
+            self._forwarder.on_placement_failed(call, REASON_STOPPED, STARTUP_WAIT_S)
+
+    def _has_time(self, call, peer, now):
+        work_s = peer.target.expected_service_s(call.route.name)
+        return self.stop is None or self.stop.leaves_time(work_s, now)
 
     def _untried_peers(self, call):
         return [
@@ -142,7 +159,7 @@
             is_nested=call.is_nested,
             is_idempotent=call.route.is_idempotent,
             is_retry=call.is_retry or call.was_at_upstream,
-            remaining_ms=max(0, int((call.respond_by - now) * 1000)),
+            remaining_ms=max(0, int((self._work_until(call) - now) * 1000)),
             target_ms=max(0, int((call.target_at - now) * 1000)),
             route=call.route.name,
             caller=self._settings.service,
@@ -171,6 +188,11 @@
                 loop = asyncio.get_running_loop()
                 call.hedge_timer = loop.call_later(wait_s, self._hedge, call, attempt)
 
+    def _work_until(self, call):
+        if self.stop is None:
+            return call.respond_by
+        return min(call.respond_by, self.stop.work_until)
+
     def _hedge_silent(self, peer):
         """Sends the calls that wait for a suspected host to other hosts."""
         self._forwarder.on_suspected(peer)
@@ -195,13 +217,18 @@
             return
         now = self._forwarder.now()
         others = self._untried_peers(call)
-        if not others or not self.retry_budget(call.service).take(now):
+        if not others:
+            return
+        other = self._choose(call, others, now)
+        if not self._has_time(call, other, now):
+            return
+        if not self.retry_budget(call.service).take(now):
             return
         target.record_failure(now)
         call.used_attempts += 1
         call.was_at_upstream = True
         self._forwarder.on_hedged(attempt, now)
-        self._send(call, self._choose(call, others, now), now)
+        self._send(call, other, now)
 
     def forget(self, attempt):
         """Removes an attempt that has ended."""
--- a/src/figpick/nodes/_draining.py
+++ b/src/figpick/nodes/_draining.py
@@ -5,21 +5,8 @@
 from ..base._logs import logger
 from ..base._pauses import RECORD_PERIOD_S, PauseDetector
 from ..links import finish_links
+from ._stop_schedule import make_stop_schedule
 
-# Clients stop using a node after two failed readiness checks, one second apart. Later
-# requests of clients that stay are refused, so that the others have time to finish.
-CLIENT_LEAVE_DELAY_S = 2.6
-# The upstream receives calls of other nodes until this long after the stop began,
-# shortly before the node exits. Most of them finish in the remaining time.
-OWNER_STOP_DELAY_S = 1.8
-# Calls that are still running this long before the process is killed are ended.
-EXIT_MARGIN_S = 0.8
-# Calls that wait for a slot are withdrawn this long before, so that owners can confirm
-# that they were not run.
-WITHDRAW_TIME_S = 0.3
-# Clients and links are cut this long before the process is killed, whatever they still
-# carry. The interpreter needs a few tenths of a second to exit on a busy host.
-FLUSH_MARGIN_S = 0.6
 # Time for the last responses if the process was paused until the end of its stop.
 MIN_FLUSH_TIME_S = 0.1
 # A peer that runs closes a finished link within a round trip.
@@ -92,19 +79,19 @@
         """
         # The grace time counts from the signal, which may have waited.
         started_at = self._pauses.earliest_signal_at(self._clock.monotonic())
-        last_exit_at = started_at + self._settings.grace_s - FLUSH_MARGIN_S
-        end_at = started_at + self._settings.grace_s - EXIT_MARGIN_S
+        stop = make_stop_schedule(started_at, self._settings.grace_s)
         self._entry.stop_keep_alive()
+        self._forwarder.begin_stop(stop)
+        self._owner.begin_stop(stop)
         since_s = round(self._clock.monotonic() - started_at, 2)
         log.notice("Node stops.", extra={"since_s": since_s, **self.open_work()})
-        await self._wait(min(end_at, started_at + OWNER_STOP_DELAY_S))
+        await self._wait(stop.owner_until)
         self._owner.stop_accepting()
-        await self._wait(min(end_at, started_at + CLIENT_LEAVE_DELAY_S))
-        self._forwarder.stop_accepting()
-        await self._wait(end_at - WITHDRAW_TIME_S, self._is_idle)
+        await self._wait(stop.clients_until)
+        await self._wait(stop.withdraw_at, self._is_idle)
         if not self._is_idle():
             self._forwarder.withdraw_calls()
-            await self._wait(end_at, self._is_idle)
+            await self._wait(stop.end_at, self._is_idle)
         if not self._is_idle():
             log.warning("Node ends open calls.", extra=self.open_work())
             self._owner.end_calls()
@@ -113,7 +100,7 @@
         links = [link for role in self._links().values() for link in role]
         stop_links()
         now = self._clock.monotonic()
-        last_exit_at = max(last_exit_at, now + MIN_FLUSH_TIME_S)
+        last_exit_at = max(stop.exit_at, now + MIN_FLUSH_TIME_S)
         unsent_bytes, _ = await asyncio.gather(
             finish_links(links, UNCONFIRMED_TIMEOUT_S, last_exit_at - now, self._clock),
             self._wait(last_exit_at, self._has_closed_entry),
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -64,7 +64,7 @@
         self._configuration = None
         self._routes = RoutingTable()
         self._splits = {}
-        self._is_stopping = False
+        self._stop = None
         # A dict, which keeps the order of arrival.
         self._open_calls = {}
 
@@ -101,9 +101,12 @@
         """The active :class:`~figpick.configuration.Configuration`, or ``None``."""
         return self._configuration
 
-    def stop_accepting(self):
-        """Refuses requests from now on, except the calls of running ones."""
-        self._is_stopping = True
+    def begin_stop(self, stop):
+        """Takes and sends from now on only what can end before the node does.
+
+        :param stop: :class:`~figpick.nodes._stop_schedule.StopSchedule`.
+        """
+        self._stop = self._dispatcher.stop = stop
 
     def use_peers(self, peers):
         """Sets the :class:`~figpick.nodes._peers.Peers` that calls are sent to."""
@@ -152,8 +155,7 @@
             return call
         set_route_deadlines(call, now)
         self.policy.classify(call)
-        if self._is_stopping and not call.is_nested:
-            # Requests that run at the upstream on this host still need their calls.
+        if self._stop is not None and not self._stop.takes(call.is_awaited, now):
             self._refuse_early(call, STATUS_NOT_RUN, "the node stops", STARTUP_WAIT_S)
             return call
         if not call.is_nested and not self.policy.admits(call, now):
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -82,6 +82,7 @@
         self._tasks = set()
         self._expiry_timer = None
         self._is_stopping = False
+        self._stop = None
 
     def __repr__(self):
         return f"<Owner {self.view} {self._queue}>"
@@ -136,6 +137,13 @@
         if slots:
             self._start_ready()
 
+    def begin_stop(self, stop):
+        """Lets the upstream work on further calls only until the node ends.
+
+        :param stop: :class:`~figpick.nodes._stop_schedule.StopSchedule`.
+        """
+        self._stop = stop
+
     def stop_accepting(self):
         """Stops accepting calls and returns the queued ones to their callers."""
         self._is_stopping = True
@@ -281,6 +289,8 @@
     def _send(self, execution, connection):
         now = self._clock.monotonic()
         call = execution.call
+        if self._stop is not None:
+            execution.deadline = min(execution.deadline, self._stop.work_until)
         if now >= execution.deadline - QUEUE_MARGIN_S or self._is_outdated(call):
             connection.idle_since = now
             self._pool.put_back(connection)
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -6,9 +6,11 @@
 import pytest
 
 from figpick.nodes._entry_policy import DEADLINE_MARGIN_S
+from figpick.nodes._stop_schedule import make_stop_schedule
 from figpick.wire import DEFAULT_HEADERS
 
 from .fleet import (
+    SLOTS,
     Client,
     Fleet,
     async_test,
@@ -131,3 +133,83 @@
         assert outcome.status == 503
     finally:
         await fleet.__aexit__()
+
+
+@pytest.mark.parametrize("after_s", [0.0, 2.4])
+@pytest.mark.parametrize("stops_owner", [False, True], ids=["caller", "owner"])
+@async_test
+async def test_upstream_responds_before_the_node_that_stops_ends(
+    tmp_path, after_s, stops_owner
+):
+    """Guards against upstreams that get a deadline behind the end of the stop."""
+    if stops_owner:
+        after_s /= 2
+    fleet = await start_fleet(tmp_path)
+    try:
+        caller, owner = fleet.hosts
+        WorkingUpstream(owner.upstream).work_s = 20.0
+        stop = asyncio.ensure_future(stop_node(owner if stops_owner else caller))
+        await asyncio.sleep(after_s)
+        outcome = await send(caller.settings.call_address, b"c", 10000, b"POST")
+        await stop
+        assert owner.upstream.runs == ["c"]
+        assert (outcome.status, "figpick-stamp" in outcome.headers) == (504, True)
+    finally:
+        await fleet.__aexit__()
+
+
+@async_test
+async def test_call_that_waits_for_a_slot_is_not_begun_too_late(tmp_path):
+    """Guards against calls that are taken in time and reach an upstream too late."""
+    fleet = await start_fleet(tmp_path)
+    try:
+        stopping, other = fleet.hosts
+        working = WorkingUpstream(other.upstream)
+        working.work_s = 4.6
+        stopping.upstream.delay_s = 20.0
+        async with Client(other.settings.call_address) as client:
+            client.send(b"/entries/1", b"p", deadline_ms=12000)
+            await wait_until(lambda: stopping.upstream.runs)
+            others = [
+                send(other.settings.call_address, b"o%d" % number, 10000, b"POST")
+                for number in range(SLOTS)
+            ]
+            others = asyncio.gather(*others)
+            await wait_until(lambda: len(other.upstream.runs) == SLOTS)
+            working.work_s = WORK_S
+            stop = asyncio.ensure_future(stop_node(stopping))
+            await asyncio.sleep(4.2)
+            outcome = await send(stopping.settings.call_address, b"p.1", 7000)
+            await stop
+            await others
+        assert "p.1" in other.upstream.runs
+        assert_no_promise_was_broken([outcome], other.upstream)
+    finally:
+        await fleet.__aexit__()
+
+
+def test_stop_takes_awaited_calls_longer_than_requests_of_clients():
+    """Guards against refusing calls that only the stopping node can take."""
+    stop = make_stop_schedule(100.0, 6.0)
+    assert [stop.takes(False, 100.0 + s) for s in (0.0, 2.5, 2.7)] == [
+        True,
+        True,
+        False,
+    ]
+    assert [stop.takes(True, 100.0 + s) for s in (2.7, 4.9, 5.1)] == [True, True, False]
+    assert stop.leaves_time(0.5, 104.4)
+    assert not stop.leaves_time(0.5, 104.6)
+
+
+@pytest.mark.parametrize("grace_s", [0.5, 2.0, 6.0, 30.0])
+def test_everything_that_a_stop_permits_ends_before_the_process_is_killed(grace_s):
+    """Guards against promises that a short grace time does not cover."""
+    stop = make_stop_schedule(100.0, grace_s)
+    assert stop.owner_until <= stop.work_until
+    assert stop.clients_until <= stop.work_until
+    assert stop.withdraw_at < stop.work_until < stop.end_at < stop.exit_at
+    assert stop.exit_at < 100.0 + grace_s
+    for after_s in range(int(grace_s * 10)):
+        now = 100.0 + after_s / 10
+        if stop.takes(True, now) or stop.takes(False, now):
+            assert stop.leaves_time(0.0, now)
--- a/tests/test_open_work.py
+++ b/tests/test_open_work.py
@@ -35,7 +35,7 @@
 
 @async_test
 async def test_log_of_an_ended_call_tells_when_it_was_taken_and_sent(tmp_path):
-    """Guards against a stop whose log does not tell late requests from late attempts."""
+    """Guards against logs in which late requests and late attempts look alike."""
     async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
         caller, owner = fleet.hosts
         owner.upstream.delay_s = 5.0
