Cut off responses that never make progress

Callers got no response until the deadline, and the slot of the upstream stayed taken, while an upstream sent a status line, a header, a chunk extension, a chunk size, a trailer, empty lines or interim responses that never ended. The parser collects a header name or value until it is complete, so the memory of the node grew with these bytes, and each piece copied the whole again. A response to another request without end was skipped without a limit.

The size of a head was counted when a header was complete, so a header that is never complete was not counted, and the bytes of interim responses, chunk headers and empty lines were not counted at all. ResponseReader now counts the bytes that it was fed since the last final head or body byte, and since the first response to another request, and raises an error above MAX_STALLED_BYTES and MAX_SKIPPED_BYTES. The owner closes the connection and fails the call, which frees the slot and lets an idempotent request go to another host. Any body byte starts the count again, so no body of any length, framing or speed is affected. A body behind a response that has none, such as the response to HEAD, makes its connection unusable for further requests.

--- a/src/figpick/wire/_responses.py
+++ b/src/figpick/wire/_responses.py
@@ -9,6 +9,11 @@
 from ..base._errors import FigpickError
 
 MAX_HEAD_BYTES = 64 * 1024
+# Limits the bytes in which no head, body or response of another request makes progress:
+# interim responses, a head, chunk header or trailer that is not complete.
+MAX_STALLED_BYTES = 64 * 1024
+# Limits the responses to other requests that are skipped before the awaited one.
+MAX_SKIPPED_BYTES = 16 * 1024 * 1024
 
 
 class BrokenResponseError(FigpickError):
@@ -30,6 +35,9 @@
         # A request without an id accepts any response.
         self._is_skipping = False
         self.had_foreign_response = False
+        self._stalled_bytes = 0
+        self._skipped_bytes = 0
+        self._has_progressed = False
         self._reset()
 
     def _reset(self):
@@ -57,8 +65,8 @@
     def feed(self, data):
         """Parses bytes received from the upstream.
 
-        :raises BrokenResponseError: when they are not an HTTP response, or arrive
-            after the end of the response.
+        :raises BrokenResponseError: when they are not an HTTP response, arrive after
+            the end of the response, or exceed a limit.
         """
         while data:
             data = self._feed_one(data)
@@ -92,9 +100,24 @@
             # closes the connection.
             if not (self.is_complete and not self._is_skipping):
                 raise BrokenResponseError(f"not an HTTP response: {error}") from error
+        self._check_limits(len(data))
+        return b""
+
+    def _check_limits(self, size):
+        """Raises an error if the upstream sends without end and without a response.
+
+        :param size: number of bytes that were parsed since the last check.
+        """
         if self._head_bytes > MAX_HEAD_BYTES:
             raise BrokenResponseError("the head of the response is too long")
-        return b""
+        self._stalled_bytes = 0 if self._has_progressed else self._stalled_bytes + size
+        self._has_progressed = False
+        if self._stalled_bytes > MAX_STALLED_BYTES and not self.is_complete:
+            raise BrokenResponseError("too many bytes without a part of the response")
+        if self.had_foreign_response and not self.has_head:
+            self._skipped_bytes += size
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise BrokenResponseError("responses to other requests are too long")
 
     def on_message_begin(self):
         if self.is_complete:
@@ -124,6 +147,7 @@
             and echoed is not None
             and echoed != self._request_id
         )
+        self._has_progressed = True
         if self._is_skipping:
             self.had_foreign_response = True
             return
@@ -139,7 +163,12 @@
             self.is_complete = True
 
     def on_body(self, body):
-        if self._is_skipping or self.is_complete:
+        self._has_progressed = True
+        if self._is_skipping:
+            return
+        if self.is_complete:
+            # A body behind a response that has none.
+            self.keeps_alive = False
             return
         self.chunks.append(body)
         self.body_bytes += len(body)
