--- a/tests/test_process_exits.py
+++ b/tests/test_process_exits.py
@@ -13,6 +13,7 @@
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 
 import pytest
 
@@ -64,12 +65,20 @@
         """Returns the path of the settings file of a program."""
         return self._folder / f"{role}.toml"
 
-    def start(self, role):
-        """Starts a program and returns its process."""
+    def settings(self, role):
+        """Returns the settings of a program as text."""
         ip = NODE_IP if role == "node" else CONTROL_IP
         fields = {"name": role, "role": role, "ip": ip, "seed": CONTROL_IP}
         data = self._folder / "data"
-        self.path(role).write_text(SETTINGS.format(data=data, **fields, **self.ports))
+        return SETTINGS.format(data=data, **fields, **self.ports)
+
+    def start(self, role):
+        """Writes the settings of a program, starts it and returns its process."""
+        self.path(role).write_text(self.settings(role))
+        return self.run(role)
+
+    def run(self, role):
+        """Starts a program with the settings file that exists."""
         process = subprocess.Popen(
             [sys.executable, str(ROOT / "platform" / "run.py"), role],
             env={**os.environ, "FIGPICK_BOOT": str(self.path(role))},
@@ -215,3 +224,30 @@
     process.send_signal(signal.SIGTERM)
     assert process.wait(3 * GRACE_S) in (0, -signal.SIGTERM)
     assert time.monotonic() - started < GRACE_S
+
+
+@pytest.mark.parametrize("role", ["control", "node"])
+def test_reload_signal_does_not_end_a_program_that_starts(programs, role):
+    """Guards against the default action of a signal that has no handler yet."""
+    process = programs.start(role)
+    maps = Path(f"/proc/{process.pid}/maps")
+    # The event loop is loaded before the program can install a handler.
+    wait_until(lambda: "uvloop" in maps.read_text())
+    process.send_signal(signal.SIGHUP)
+    wait_until(lambda: process.poll() is not None or " starts." in programs.log(role))
+    assert process.poll() is None
+
+
+@pytest.mark.parametrize("role", ["control", "node"])
+def test_settings_that_change_while_a_program_reads_them_are_read_again(programs, role):
+    """Guards against a reload signal that is lost before its handler is installed."""
+    text = programs.settings(role)
+    os.mkfifo(programs.path(role))
+    process = programs.run(role)
+    with programs.path(role).open("w") as pipe:
+        process.send_signal(signal.SIGHUP)
+        programs.path(role).unlink()
+        programs.path(role).write_text(text)
+        pipe.write(text)
+    wait_until(lambda: process.poll() is not None or "reloaded" in programs.log(role))
+    assert process.poll() is None
