--- a/tests/test_process_exits.py
+++ b/tests/test_process_exits.py
@@ -28,6 +28,21 @@
 NODE_IP = f"{NETWORK}.5"
 PORT_NAMES = ("app", "link", "outbound", "ready", "control")
 
+# Runs a node whose summary task fails as soon as the file named "fail" exists.
+FAILING_NODE = """
+import asyncio, os, runpy, sys
+sys.path[:0] = {folders!r}
+from figpick.nodes import NodeProcess
+
+async def fail_when_told(process):
+    while not os.path.exists({flag!r}):
+        await asyncio.sleep(0.05)
+    raise RuntimeError("the test has told the task to fail")
+
+NodeProcess._log_summary = fail_when_told
+runpy.run_path({program!r}, run_name="__main__")
+"""
+
 pytestmark = pytest.mark.processes
 
 
@@ -77,10 +92,10 @@
         self.path(role).write_text(self.settings(role))
         return self.run(role)
 
-    def run(self, role):
+    def run(self, role, arguments=(str(ROOT / "platform" / "run.py"),)):
         """Starts a program with the settings file that exists."""
         process = subprocess.Popen(
-            [sys.executable, str(ROOT / "platform" / "run.py"), role],
+            [sys.executable, *arguments, role],
             env={**os.environ, "FIGPICK_BOOT": str(self.path(role))},
             stdout=(self._folder / f"{role}.log").open("wb"),
             stderr=(self._folder / f"{role}.err").open("wb"),
@@ -92,6 +107,10 @@
         """Returns what a program has logged."""
         return (self._folder / f"{role}.log").read_text()
 
+    def errors(self, role):
+        """Returns what a program has written to its standard error."""
+        return (self._folder / f"{role}.err").read_text()
+
     def configure(self):
         """Puts a configuration and waits until the node may serve requests."""
         row = ["r-1", "h.example", "/a/", "non_idempotent", 20, 1, 0, None, 2, "s1"]
@@ -251,3 +270,24 @@
         pipe.write(text)
     wait_until(lambda: process.poll() is not None or "reloaded" in programs.log(role))
     assert process.poll() is None
+
+
+def test_node_whose_component_fails_responds_before_it_ends(programs):
+    """Guards against a failure that cuts the requests that are running."""
+    programs.start("control")
+    flag = programs.path("fail")
+    code = FAILING_NODE.format(
+        folders=[str(ROOT / "platform"), str(ROOT / "src")],
+        program=str(ROOT / "platform" / "run.py"),
+        flag=str(flag),
+    )
+    programs.path("node").write_text(programs.settings("node"))
+    node = programs.run("node", ("-c", code))
+    programs.configure()
+    with programs.send_request() as connection:
+        assert programs.upstream.running.wait(5.0)
+        flag.touch()
+        response = read_all(connection)
+    assert node.wait(3 * GRACE_S) == 1
+    assert response.startswith(b"HTTP/1.1 502 ")
+    assert "RestartLimitError" in programs.errors("node")
