--- a/tests/test_process_exits.py
+++ b/tests/test_process_exits.py
@@ -13,6 +13,7 @@
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 
 import pytest
 
@@ -27,6 +28,21 @@
 NODE_IP = f"{NETWORK}.5"
 PORT_NAMES = ("app", "link", "outbound", "ready", "control")
 
+# Runs a node whose summary task fails as soon as the file named "fail" exists.
+FAILING_NODE = """
+import asyncio, os, runpy, sys
+sys.path[:0] = {folders!r}
+from figpick.nodes import NodeProcess
+
+async def fail_when_told(process):
+    while not os.path.exists({flag!r}):
+        await asyncio.sleep(0.05)
+    raise RuntimeError("the test has told the task to fail")
+
+NodeProcess._log_summary = fail_when_told
+runpy.run_path({program!r}, run_name="__main__")
+"""
+
 pytestmark = pytest.mark.processes
 
 
@@ -64,14 +80,22 @@
         """Returns the path of the settings file of a program."""
         return self._folder / f"{role}.toml"
 
-    def start(self, role):
-        """Starts a program and returns its process."""
+    def settings(self, role):
+        """Returns the settings of a program as text."""
         ip = NODE_IP if role == "node" else CONTROL_IP
         fields = {"name": role, "role": role, "ip": ip, "seed": CONTROL_IP}
         data = self._folder / "data"
-        self.path(role).write_text(SETTINGS.format(data=data, **fields, **self.ports))
+        return SETTINGS.format(data=data, **fields, **self.ports)
+
+    def start(self, role):
+        """Writes the settings of a program, starts it and returns its process."""
+        self.path(role).write_text(self.settings(role))
+        return self.run(role)
+
+    def run(self, role, arguments=(str(ROOT / "platform" / "run.py"),)):
+        """Starts a program with the settings file that exists."""
         process = subprocess.Popen(
-            [sys.executable, str(ROOT / "platform" / "run.py"), role],
+            [sys.executable, *arguments, role],
             env={**os.environ, "FIGPICK_BOOT": str(self.path(role))},
             stdout=(self._folder / f"{role}.log").open("wb"),
             stderr=(self._folder / f"{role}.err").open("wb"),
@@ -83,6 +107,10 @@
         """Returns what a program has logged."""
         return (self._folder / f"{role}.log").read_text()
 
+    def errors(self, role):
+        """Returns what a program has written to its standard error."""
+        return (self._folder / f"{role}.err").read_text()
+
     def configure(self):
         """Puts a configuration and waits until the node may serve requests."""
         row = ["r-1", "h.example", "/a/", "non_idempotent", 20, 1, 0, None, 2, "s1"]
@@ -215,3 +243,51 @@
     process.send_signal(signal.SIGTERM)
     assert process.wait(3 * GRACE_S) in (0, -signal.SIGTERM)
     assert time.monotonic() - started < GRACE_S
+
+
+@pytest.mark.parametrize("role", ["control", "node"])
+def test_reload_signal_does_not_end_a_program_that_starts(programs, role):
+    """Guards against the default action of a signal that has no handler yet."""
+    process = programs.start(role)
+    maps = Path(f"/proc/{process.pid}/maps")
+    # The event loop is loaded before the program can install a handler.
+    wait_until(lambda: "uvloop" in maps.read_text())
+    process.send_signal(signal.SIGHUP)
+    wait_until(lambda: process.poll() is not None or " starts." in programs.log(role))
+    assert process.poll() is None
+
+
+@pytest.mark.parametrize("role", ["control", "node"])
+def test_settings_that_change_while_a_program_reads_them_are_read_again(programs, role):
+    """Guards against a reload signal that is lost before its handler is installed."""
+    text = programs.settings(role)
+    os.mkfifo(programs.path(role))
+    process = programs.run(role)
+    with programs.path(role).open("w") as pipe:
+        process.send_signal(signal.SIGHUP)
+        programs.path(role).unlink()
+        programs.path(role).write_text(text)
+        pipe.write(text)
+    wait_until(lambda: process.poll() is not None or "reloaded" in programs.log(role))
+    assert process.poll() is None
+
+
+def test_node_whose_component_fails_responds_before_it_ends(programs):
+    """Guards against a failure that cuts the requests that are running."""
+    programs.start("control")
+    flag = programs.path("fail")
+    code = FAILING_NODE.format(
+        folders=[str(ROOT / "platform"), str(ROOT / "src")],
+        program=str(ROOT / "platform" / "run.py"),
+        flag=str(flag),
+    )
+    programs.path("node").write_text(programs.settings("node"))
+    node = programs.run("node", ("-c", code))
+    programs.configure()
+    with programs.send_request() as connection:
+        assert programs.upstream.running.wait(5.0)
+        flag.touch()
+        response = read_all(connection)
+    assert node.wait(3 * GRACE_S) == 1
+    assert response.startswith(b"HTTP/1.1 502 ")
+    assert "RestartLimitError" in programs.errors("node")
