Open no links after a stop has finished the others

Settings that are reloaded in a stop, or a record that arrives then, opened links to control processes after the others had been finished. What was sent on them, among it the record of the node, was cut when the process exited, and their peers saw a process that comes back and is lost.

test_settings_reloaded_in_a_stop_open_no_links failed before with an accepted link of each role.

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -64,6 +64,7 @@
         self._dialers = {}
         self._accepted_links = set()
         self._leader_requests = LeaderRequests(self._member, self._leader_link)
+        self._is_finished = False
         self._min_voters = required_voters(settings.tolerated_losses)
         self._has_enough_voters = None
         self._announced_revision = 0
@@ -138,9 +139,10 @@
         """Finishes requests of operators, then announces that this process has left.
 
         Returns when other processes have read everything that was sent to them, or
-        after a bounded time.
+        after a bounded time. No links are opened after the present ones are finished.
         """
         await self._leader_requests.finish()
+        self._is_finished = True
         self._announcer.update(state=LEFT)
         self._announce()
         links = [dialer.link for dialer in self._dialers.values()]
@@ -196,7 +198,8 @@
 
     def _dial(self, address):
         key = format_address(address)
-        if key in self._dialers or tuple(address) == self._settings.link_address:
+        is_known = key in self._dialers or tuple(address) == self._settings.link_address
+        if is_known or self._is_finished:
             return
 
         def make_link():
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -44,6 +44,7 @@
         self._handlers = handlers
         self._dialers = {}
         self._revisions = {}
+        self._is_finished = False
         self.revision = 0
 
     def __repr__(self):
@@ -74,7 +75,8 @@
             self._open_link(address)
 
     def finish(self):
-        """Closes the links once pending messages have been written."""
+        """Closes the links once pending messages have been written; opens no others."""
+        self._is_finished = True
         for dialer in self._dialers.values():
             dialer.finish()
 
@@ -115,7 +117,7 @@
 
     def _open_link(self, address):
         address = tuple(address)
-        if address in self._dialers:
+        if address in self._dialers or self._is_finished:
             return
 
         def make_link():
--- a/tests/test_stopping_controls.py
+++ b/tests/test_stopping_controls.py
@@ -6,7 +6,7 @@
 from figpick.configuration import ChangeSet
 from figpick.control import ControlProcess, ControlSettings
 
-from .fleet import async_test, free_address, wait_until
+from .fleet import Fleet, async_test, free_address, wait_until
 
 DOCUMENT = "x" * 600_000
 
@@ -74,3 +74,20 @@
         leader.close()
         assert done
         assert reading.result().document == DOCUMENT
+
+
+@async_test
+async def test_settings_reloaded_in_a_stop_open_no_links(tmp_path):
+    """Guards against links that nobody finishes before the process exits."""
+    accepted = []
+    address = free_address()
+    server = await asyncio.start_server(lambda *each: accepted.append(each), *address)
+    async with Fleet(tmp_path, services=("parts",)) as fleet:
+        (host,), (control,) = fleet.hosts, fleet.controls
+        host.node._stop_links()
+        await control.drain()
+        for process in (host.node, control):
+            process.use_seeds([address])
+        await asyncio.sleep(0.3)
+        assert not accepted
+    server.close()
