Count only body bytes that a client has read

While a response was streamed in small parts, the buffer for a client that stops reading could become larger than its window of 256 KiB: the node granted the owner credit for the head and the chunk framing as well, up to seven bytes for each body byte, while the owner counts body bytes. Its count of unread bytes fell below zero, and the owner read that much more from the upstream before it paused.

ResponseWriter now counts the body bytes of the pending data, and the connection grants credit for these alone.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -201,11 +201,10 @@
                 response.head = None
                 response.is_begun = True
             if response.pending:
-                data = b"".join(response.pending)
-                response.pending = []
+                data, body_bytes = response.take_pending()
                 self._transport.write(data)
                 if response.call is not None and not response.is_complete:
-                    self._entry.forwarder.grant_credit(response.call, len(data))
+                    self._entry.forwarder.grant_credit(response.call, body_bytes)
             if response.is_broken:
                 response.keeps_alive = False
                 self._is_closing = True
--- a/src/figpick/nodes/_client_responses.py
+++ b/src/figpick/nodes/_client_responses.py
@@ -19,6 +19,7 @@
         "is_head",
         "head",
         "pending",
+        "pending_body_bytes",
         "is_begun",
         "is_complete",
         "is_broken",
@@ -32,6 +33,8 @@
         self.is_head = is_head
         self.head = None
         self.pending = []
+        # Without the framing of chunks, as the owner counts a body.
+        self.pending_body_bytes = 0
         # Whether the head has been written.
         self.is_begun = False
         self.is_complete = False
@@ -84,7 +87,19 @@
         head, body = render_error_response(STATUS_FAILED, text)
         self.start(STATUS_FAILED, head, len(body), body, True)
 
+    def take_pending(self):
+        """Removes the data that can be written now.
+
+        :return: tuple of the data and the number of bytes of the body in it.
+        """
+        data = b"".join(self.pending)
+        body_bytes = self.pending_body_bytes
+        self.pending = []
+        self.pending_body_bytes = 0
+        return data, body_bytes
+
     def _add_body(self, body, is_last):
+        self.pending_body_bytes += len(body)
         if not self.is_chunked:
             if body:
                 self.pending.append(body)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -338,3 +338,32 @@
             status, _, received = await client.call(b"/parts/1", b"a1")
             assert status == 200
             assert received == body
+
+
+@async_test
+async def test_window_of_a_streamed_response_does_not_grow(tmp_path):
+    """Guards against chunk framing that is counted as body bytes the client has read.
+
+    Each part of a few bytes then raises what is buffered once the client stops reading.
+    """
+    parts = 300
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        entry, host = fleet.hosts
+
+        async def send_small_parts(connection, request):
+            request_id = request.header(DEFAULT_HEADERS.request_id)
+            data = HEAD % request_id + b"\r\n" + b"x" * 100_000
+            connection.transport.write(data)
+            for _ in range(parts):
+                await asyncio.sleep(0.001)
+                connection.transport.write(b"\0")
+
+        host.upstream.handler = send_small_parts
+        async with Client(entry.settings.call_address) as client:
+            client.send(b"/parts/1", b"a1")
+            received = 0
+            while received < parts:
+                received += (await client.reader.read(PIECE_BYTES)).count(b"\0")
+            await asyncio.sleep(0.05)
+            (execution,) = host.node.owner._executions.values()
+            assert execution.unread_bytes == 0
