Reject requests that never make progress

A client could send a header, blanks, a chunk extension, a chunk size, a trailer or empty lines without end for as long as headerTimeoutS, empty lines before a request for as long as idleTimeoutS, and empty lines behind a request until its response. The parser collects a header name or value until it is complete, so the memory of the node grew with what the client could send in that time, and each piece copied the whole again.

The size of a head was counted when a header was complete. RequestReader now also counts the bytes since the last complete head, byte of a body or complete request, and rejects the request above maxHeaderBytes and an allowance for what the size of a head leaves out: with 431 within a head, otherwise with 400. Requests before it on the connection still get their responses, and the connection closes behind the rejection as for any other malformed request.

Evidence: without the change, 9 cases of tests/test_endless_requests.py fail: 8 of the 13 shapes get no response within 2 s, and a client that sends on without end is not disconnected within 6 s. The other cases guard what held before: the limits of target, header lines, trailer lines and body, the timeouts, and requests just below the limits.

--- a/src/figpick/wire/_requests.py
+++ b/src/figpick/wire/_requests.py
@@ -8,6 +8,8 @@
 import httptools
 
 MAX_TARGET_BYTES = 8 * 1024
+# Allowance for what the size of a head leaves out, such as the method and blanks.
+MAX_UNCOUNTED_BYTES = 1024
 
 
 class ClientRequest:
@@ -66,6 +68,9 @@
         self._parser = httptools.HttpRequestParser(self)
         self._request = None
         self._head_bytes = 0
+        # Bytes since the last complete head, byte of a body or complete request.
+        self._stalled_bytes = 0
+        self._has_progressed = False
         self._now = 0.0
         self._failed = False
 
@@ -88,6 +93,7 @@
         while data and not self._failed:
             try:
                 self._parser.feed_data(data)
+                self._check_progress(len(data))
                 return
             except httptools.HttpParserUpgrade as upgrade:
                 # The offer is ignored (RFC 9110, section 7.8). The parser stops behind
@@ -121,6 +127,7 @@
     def on_headers_complete(self):
         if self._failed:
             return
+        self._has_progressed = True
         request = self._request
         request.method = self._parser.get_method()
         request.keeps_alive = self._parser.should_keep_alive()
@@ -136,6 +143,7 @@
         if self._failed:
             return
         request = self._request
+        self._has_progressed = True
         request.body.append(body)
         request.body_bytes += len(body)
         if request.body_bytes > self._max_body_bytes():
@@ -144,6 +152,7 @@
     def on_message_complete(self):
         if self._failed:
             return
+        self._has_progressed = True
         request = self._request
         self._request = None
         request.is_complete = True
@@ -163,6 +172,17 @@
         request.keeps_alive = False
         self._on_request(request)
 
+    def _check_progress(self, size):
+        """Rejects a head, chunk header or trailer, or empty lines, without end.
+
+        The parser reports a header only once it is complete.
+        """
+        self._stalled_bytes = 0 if self._has_progressed else self._stalled_bytes + size
+        self._has_progressed = False
+        if self._stalled_bytes > self._max_header_bytes() + MAX_UNCOUNTED_BYTES:
+            is_in_head = self._request is not None and not self._request.method
+            self.reject(431 if is_in_head else 400)
+
     def _count_head_bytes(self, size):
         self._head_bytes += size
         if self._head_bytes > self._max_header_bytes():
