Join the small parts of a request body

A body that a client sends in chunks of one or two bytes took many times its size in memory: the parser returns each chunk on its own, and ClientRequest kept each as an object. A body within maxBodyBytes could so take twenty times that limit.

RequestReader joins the parts of a body up to 4 KiB.

--- a/src/figpick/wire/_requests.py
+++ b/src/figpick/wire/_requests.py
@@ -10,6 +10,9 @@
 MAX_TARGET_BYTES = 8 * 1024
 # Allowance for what the size of a head leaves out, such as the method and blanks.
 MAX_UNCOUNTED_BYTES = 1024
+# Parts of a body are joined up to this size: the parser returns each chunk on its own,
+# and an object for each byte or two takes many times their size.
+MIN_BODY_PART_BYTES = 4 * 1024
 
 
 class ClientRequest:
@@ -144,7 +147,11 @@
             return
         request = self._request
         self._has_progressed = True
-        request.body.append(body)
+        parts = request.body
+        if parts and len(parts[-1]) < MIN_BODY_PART_BYTES:
+            parts[-1] += body
+        else:
+            parts.append(body)
         request.body_bytes += len(body)
         if request.body_bytes > self._max_body_bytes():
             self.reject(413)
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -190,3 +190,17 @@
         (call,) = await entry.forwarder.receive(1)
         assert call.request.error_status is None
         assert b"".join(call.request.body) == body
+
+
+@async_test
+async def test_body_in_small_chunks_takes_little_more_than_its_size(traced):
+    """Guards against a body that takes many times its limit in memory."""
+    chunks = 100_000
+    async with serve(header_timeout_s=8.0) as (entry, connect):
+        client = await connect()
+        data = b"2\r\nxy\r\n" * chunks + b"0\r\n\r\n"
+        before = traced()
+        await send(client, CHUNKED + data)
+        (call,) = await entry.forwarder.receive(1)
+        assert traced() - before < len(data) + 3 * 2 * chunks
+        assert b"".join(call.request.body) == b"xy" * chunks
