Close links whose frame is never complete

A peer that announces a frame and sends its bytes too slowly, or never all of them, kept its link open for ever: the link counts any byte as a sign of life, so calls went on to wait for messages that could not arrive behind that frame.

Link now closes when the same frame has been incomplete for MAX_FRAME_S. The dialer opens it again, and attempts on it are attached to the new link. A frame that completes starts the time again, so a slow link with sound frames stays open.

--- a/src/figpick/links/_frames.py
+++ b/src/figpick/links/_frames.py
@@ -31,6 +31,11 @@
     def __init__(self):
         self._buffer = bytearray()
 
+    @property
+    def has_partial_frame(self):
+        """Whether a frame has been received in part."""
+        return bool(self._buffer)
+
     def feed(self, data):
         """Adds received bytes and returns the messages that are now complete.
 
--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -18,6 +18,9 @@
 # A connection can fail silently, without a reset. A healthy peer replies to a ping at
 # once, a peer on a loaded processor within a few hundred milliseconds.
 SILENCE_TIMEOUT_S = 1.6
+# A frame of the largest size needs less on a slow link. Bytes of a frame that is never
+# complete would count as signs of life for ever.
+MAX_FRAME_S = 30.0
 MIN_RECONNECT_DELAY_S = 0.05
 MAX_RECONNECT_DELAY_S = 0.8
 # Hosts that lost power together return within a second, so the first attempts are close
@@ -46,6 +49,7 @@
         self._clock = clock
         self._transport = None
         self._reader = FrameReader()
+        self._frame_started_at = None
         self._is_open = False
         self._is_finishing = False
         self.last_received_at = 0.0
@@ -93,6 +97,10 @@
             log.warning("Link to {} closed: {}.", self.peer, error)
             self.close()
             return
+        if self._is_frame_overdue(bool(messages)):
+            log.warning("Link to {} closed: a frame is not complete.", self.peer)
+            self.close()
+            return
         for message in messages:
             if not message:
                 log.warning("Link to {} closed: a message is empty.", self.peer)
@@ -104,6 +112,19 @@
             elif kind != PONG:
                 self._deliver(message)
 
+    def _is_frame_overdue(self, has_completed):
+        """Returns whether the last frame has been incomplete for too long.
+
+        :param has_completed: whether the data just received completed a frame.
+        """
+        now = self.last_received_at
+        if not self._reader.has_partial_frame:
+            self._frame_started_at = None
+            return False
+        if has_completed or self._frame_started_at is None:
+            self._frame_started_at = now
+        return now - self._frame_started_at > MAX_FRAME_S
+
     def _deliver(self, message):
         try:
             self._on_message(self, message)
