Refuse calls that reach a node after its last call has ended

A node of the product's own path that had no more calls still returned its permits, finished requests of operators and told its peers before it closed.

The node now refuses all calls as not run from the moment at which it found itself idle, and accepts no connections.

test_nested_call_that_arrives_after_the_last_one_ended_is_refused failed before: the connection was closed without a response.

--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -62,6 +62,7 @@
         self.quarantine_coordinator = QuarantineCoordinator(clock, members, client)
         self._announcement_expires_at = 0.0
         self._is_draining = False
+        self._is_refusing = False
         self._in_flight = 0
         self._server = None
         self._call_server = CallServer(self)
@@ -101,10 +102,14 @@
         A call is received from its headers on, and answered until its caller has the
         response and its claim holders know of its end.
         """
-        has_calls = self._in_flight > 0 or not self._call_server.is_idle
-        has_work = has_calls or self.claims.has_deliveries
+        has_work = self.has_calls or self.claims.has_deliveries
         return not has_work and self.exchange.pool.committed == 0
 
+    @property
+    def has_calls(self):
+        """Whether a call is received, in flight or answered at this node."""
+        return self._in_flight > 0 or not self._call_server.is_idle
+
     def start(self):
         """Starts accepting calls."""
         ip, port = split_address(self._settings["call_address"])
@@ -122,6 +127,12 @@
         self._is_draining = True
         self._stop_new_work()
 
+    def stop_accepting(self):
+        """Refuses all further calls, also nested ones, and accepts no connections."""
+        self._is_refusing = True
+        if self._server is not None:
+            self._server.stop()
+
     async def return_permits(self):
         """Returns all permits to the owners of the upstreams before the node stops."""
         await self.exchange.return_all()
@@ -184,8 +195,8 @@
         self.counters.calls += 1
         header = headers.get(_context.CONTEXT_HEADER)
         parent = _context.decode(header, self.key) if header else None
-        if self._is_draining and parent is None:
-            # Nested calls are accepted: requests in flight need them to complete.
+        if self._is_refusing or (self._is_draining and parent is None):
+            # Requests in flight need their nested calls to complete.
             raise DrainingError("the node is shutting down", retry_after_s=1)
         start_line, host = _plans.split_target(start_line, headers)
         service = self._find_service(host, parent is not None)
--- a/src/figpick/roles/_shutdown.py
+++ b/src/figpick/roles/_shutdown.py
@@ -7,29 +7,41 @@
 # Calling nodes may send calls to the upstream until they receive its draining state.
 PROPAGATION_S = 2.0
 DRAIN_TIMEOUT_S = 30.0
+# Time for calls that are still in flight when the node refuses all others.
+RESPONSE_TIMEOUT_S = 2.0
 POLL_PERIOD_S = 0.05
 
 log = logger("shutdown")
 
 
 async def drain(node, flush_members, clock):
-    """Marks a node as draining, waits until its calls end and returns its permits.
+    """Stops a node and returns when its calls have ended.
 
-    The wait ends after ``DRAIN_TIMEOUT_S`` even if calls are still in flight.
+    The wait ends after ``DRAIN_TIMEOUT_S`` even if calls are still in flight. All later
+    calls are refused.
 
     :param node: :class:`~figpick.roles._node.Node`.
     :param flush_members: coroutine function that sends changed member records to
         peers.
     :param clock: :class:`~figpick.base._clock.Clock`.
     """
+    started_at = clock.monotonic()
+    end_at = started_at + DRAIN_TIMEOUT_S
     node.begin_draining()
     await flush_members()
-    started_at = clock.monotonic()
     propagation_s = PROPAGATION_S if node.has_calling_nodes else 0.0
-    while clock.monotonic() - started_at < DRAIN_TIMEOUT_S:
-        if node.is_idle and clock.monotonic() - started_at >= propagation_s:
-            break
-        await asyncio.sleep(POLL_PERIOD_S)
-    else:
+    await _wait_until_idle(node, started_at + propagation_s, end_at, clock)
+    node.stop_accepting()
+    if not node.is_idle:
         log.warning("Calls are still in flight after {} s.", DRAIN_TIMEOUT_S)
+    end_at = clock.monotonic() + RESPONSE_TIMEOUT_S
+    while node.has_calls and clock.monotonic() < end_at:
+        await asyncio.sleep(POLL_PERIOD_S)
     await node.return_permits()
+
+
+async def _wait_until_idle(node, earliest_at, end_at, clock):
+    while (now := clock.monotonic()) < end_at:
+        if node.is_idle and now >= earliest_at:
+            return
+        await asyncio.sleep(POLL_PERIOD_S)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import socket
+import time
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -9,6 +11,7 @@
 from bench.local import LocalGraph, LocalNode, make_document
 from bench.origin import Origin, make_body
 from figpick.base._supervisor import RestartLimitError
+from figpick.calls._context import CONTEXT_HEADER, CallContext, encode
 from figpick.calls._recorder import Recorder
 from figpick.claims._claim_holder import GRANTED, Reply
 from figpick.membership._members import LEFT
@@ -270,3 +273,47 @@
         await origin.stop()
 
     asyncio.run(scenario())
+
+
+@asynccontextmanager
+async def start_pair():
+    """Starts two nodes of a service and yields the graph and the nodes."""
+    origins, nodes = [Origin(), Origin()], []
+    for number, origin in enumerate(origins, 1):
+        address = free_address()
+        origin.listen(address)
+        nodes.append(LocalNode(f"parts-{number}", "parts", address))
+    async with LocalGraph(nodes, [make_document("parts")]) as graph:
+        yield graph, nodes
+    for origin in origins:
+        await origin.stop()
+
+
+def nested_header(node):
+    """Returns the header of a call that a running request makes."""
+    deadline_ms = int((time.time() + 20.0) * 1000)
+    context = CallContext("r", "e", "POST /*", 5, 0, deadline_ms, 1, node.peer_address)
+    return {CONTEXT_HEADER: encode(context, node.node.key)}
+
+
+def test_nested_call_that_arrives_after_the_last_one_ended_is_refused():
+    """Guards against a call that is taken and cut when the node closes."""
+
+    async def scenario():
+        async with start_pair() as (graph, (leaving, _)):
+            is_returning = asyncio.Event()
+
+            async def return_permits():
+                is_returning.set()
+                await asyncio.sleep(1.0)
+
+            leaving.node.return_permits = return_permits
+            headers = nested_header(leaving)
+            path = "/a?ms=2000"
+            leaving.process.request_stop()
+            await is_returning.wait()
+            response = await call(graph, leaving, "GET", path, headers)
+            assert (response.status, response.outcome) == (503, "not-run")
+            await leaving.task
+
+    asyncio.run(scenario())
