Answer the calls that a shutdown ends

A node of the product's own path waits 30 s for its calls and then closed all connections: callers of calls that were still running got no response, although the node knew whether an upstream had received them. Nested calls were taken until then with their whole deadline, so that some could not end in time.

Calls that are left get a 502 with the outcome "unknown" if they were sent and a 503 with "not-run" otherwise. While a node drains, no call gets a deadline after the end of the drain, so the check of typical times refuses what cannot finish.

test_calls_that_outlast_a_shutdown_get_responses failed before: connections were closed without a response.

--- a/src/figpick/calls/_calls.py
+++ b/src/figpick/calls/_calls.py
@@ -20,9 +20,11 @@
 from ..base._errors import (
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
+    BrokenResponseError,
     CallError,
     DeadlineError,
     DocumentMissingError,
+    DrainingError,
     ExecutionCancelledError,
     MalformedRequestError,
 )
@@ -32,7 +34,7 @@
 from ._bodies import CHUNKED_BODY_METHODS, MAX_REPLAY_BYTES, RequestBody
 from ._dispatch import Dispatch
 from ._headers import content_length, end_to_end_headers
-from ._plans import KEY_HEADER, ClockReading
+from ._plans import KEY_HEADER, CallPlan, ClockReading
 from ._relays import ResponseRelay
 
 # After an early response, the rest of the request body is read for this long. Closing
@@ -88,6 +90,11 @@
     def on_close(self, server_conn):
         self._calls.pop(server_conn, None)
 
+    def end_calls(self):
+        """Ends the calls in flight, since the node stops."""
+        for call in list(self._calls.values()):
+            call.end_by_stop()
+
 
 class Call(HTTPMessageDelegate):
     """One call, from its request headers to its response.
@@ -217,6 +224,13 @@
             ExecutionCancelledError("the execution that made this call was cancelled")
         )
 
+    def end_by_stop(self):
+        """Ends the call because the node stops before its response."""
+        if self._has_sent:
+            self._fail(BrokenResponseError("the node stopped before the upstream"))
+        elif isinstance(self._plan, CallPlan):
+            self._fail(DrainingError("the node is shutting down", retry_after_s=1))
+
     def _accept(self, headers):
         plan = self._plan
         limit = plan.service.limits.body_bytes
--- a/src/figpick/calls/_plans.py
+++ b/src/figpick/calls/_plans.py
@@ -1,6 +1,7 @@
 """Plans calls from the request line and the headers."""
 
 from hashlib import blake2b
+from math import inf
 from typing import NamedTuple
 
 from ..base._errors import BodyTooLargeError, DeadlineError, MalformedRequestError
@@ -53,7 +54,9 @@
     wall: float
 
 
-def make_plan(service, start_line, headers, parent, root_node_address, now):
+def make_plan(
+    service, start_line, headers, parent, root_node_address, now, latest_deadline=inf
+):
     """Returns the plan of a call.
 
     :param service: :class:`~figpick.registry._documents.Service`.
@@ -62,6 +65,7 @@
     :param parent: verified :class:`CallContext`, or ``None``.
     :param root_node_address: peer address of this node.
     :param now: :class:`ClockReading`.
+    :param latest_deadline: limit for the deadline, monotonic seconds.
     :return: :class:`CallPlan`.
     :raises CallError: when the request is malformed, its body is too large or its
         deadline has passed.
@@ -73,6 +77,7 @@
     if len(key) > MAX_KEY_LENGTH:
         raise MalformedRequestError(f"{KEY_HEADER} is over {MAX_KEY_LENGTH} characters")
     remaining_s = _remaining_s(route, headers, parent, now)
+    remaining_s = min(remaining_s, latest_deadline - now.monotonic)
     if remaining_s <= 0:
         raise DeadlineError("the deadline has passed")
     if parent is None:
--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -1,6 +1,7 @@
 """The node role: accepts calls and owns the permits of its upstream."""
 
 from functools import partial
+from math import inf
 
 from ..base._errors import (
     DrainingError,
@@ -63,6 +64,7 @@
         self._announcement_expires_at = 0.0
         self._is_draining = False
         self._is_refusing = False
+        self._drain_end_at = inf
         self._in_flight = 0
         self._server = None
         self._call_server = CallServer(self)
@@ -122,9 +124,14 @@
         )
         self._server.listen(port, ip)
 
-    def begin_draining(self):
-        """Marks the upstream as draining and starts to refuse root requests."""
+    def begin_draining(self, end_at):
+        """Marks the upstream as draining and starts to refuse root requests.
+
+        :param end_at: monotonic seconds at which calls in flight are ended. Nested
+            calls get no later deadline.
+        """
         self._is_draining = True
+        self._drain_end_at = end_at
         self._stop_new_work()
 
     def stop_accepting(self):
@@ -133,6 +140,10 @@
         if self._server is not None:
             self._server.stop()
 
+    def end_calls(self):
+        """Ends all calls; callers without a response get one with the true outcome."""
+        self._call_server.end_calls()
+
     async def return_permits(self):
         """Returns all permits to the owners of the upstreams before the node stops."""
         await self.exchange.return_all()
@@ -203,7 +214,13 @@
         now = ClockReading(self.clock.monotonic(), self.clock.wall())
         root_node_address = self._settings["peer_address"]
         plan = _plans.make_plan(
-            service, start_line, headers, parent, root_node_address, now
+            service,
+            start_line,
+            headers,
+            parent,
+            root_node_address,
+            now,
+            self._drain_end_at,
         )
         return plan if parent is not None else self.retries.register_root(plan)
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -15,6 +15,7 @@
 from figpick.calls._recorder import Recorder
 from figpick.claims._claim_holder import GRANTED, Reply
 from figpick.membership._members import LEFT
+from figpick.roles import _shutdown
 from tests.proxied_node import call, start_proxied_node
 
 PROPAGATION_S = 3.0
@@ -317,3 +318,24 @@
             await leaving.task
 
     asyncio.run(scenario())
+
+
+def test_calls_that_outlast_a_shutdown_get_responses(monkeypatch):
+    """Guards against calls that are cut at the end of a stop, or taken until then."""
+    monkeypatch.setattr(_shutdown, "DRAIN_TIMEOUT_S", 3.0)
+
+    async def scenario():
+        async with start_pair() as (graph, (leaving, _)):
+            root = call(graph, leaving, "POST", "/a?ms=6000")
+            root = asyncio.ensure_future(root)
+            await asyncio.sleep(0.3)
+            leaving.process.request_stop()
+            await asyncio.sleep(1.0)
+            headers = nested_header(leaving)
+            nested = await call(graph, leaving, "GET", "/b?ms=6000", headers)
+            assert (nested.status, nested.outcome) == (504, "unknown")
+            response = await root
+            assert (response.status, response.outcome) == (502, "unknown")
+            await leaving.task
+
+    asyncio.run(scenario())
