--- a/src/figpick/roles/_node.py
+++ b/src/figpick/roles/_node.py
@@ -1,6 +1,7 @@
 """The node role: accepts calls and owns the permits of its upstream."""
 
 from functools import partial
+from math import inf
 
 from ..base._errors import (
     DrainingError,
@@ -62,6 +63,8 @@
         self.quarantine_coordinator = QuarantineCoordinator(clock, members, client)
         self._announcement_expires_at = 0.0
         self._is_draining = False
+        self._is_refusing = False
+        self._drain_end_at = inf
         self._in_flight = 0
         self._server = None
         self._call_server = CallServer(self)
@@ -101,10 +104,14 @@
         A call is received from its headers on, and answered until its caller has the
         response and its claim holders know of its end.
         """
-        has_calls = self._in_flight > 0 or not self._call_server.is_idle
-        has_work = has_calls or self.claims.has_deliveries
+        has_work = self.has_calls or self.claims.has_deliveries
         return not has_work and self.exchange.pool.committed == 0
 
+    @property
+    def has_calls(self):
+        """Whether a call is received, in flight or answered at this node."""
+        return self._in_flight > 0 or not self._call_server.is_idle
+
     def start(self):
         """Starts accepting calls."""
         ip, port = split_address(self._settings["call_address"])
@@ -117,11 +124,26 @@
         )
         self._server.listen(port, ip)
 
-    def begin_draining(self):
-        """Marks the upstream as draining and starts to refuse root requests."""
+    def begin_draining(self, end_at):
+        """Marks the upstream as draining and starts to refuse root requests.
+
+        :param end_at: monotonic seconds at which calls in flight are ended. Nested
+            calls get no later deadline.
+        """
         self._is_draining = True
+        self._drain_end_at = end_at
         self._stop_new_work()
 
+    def stop_accepting(self):
+        """Refuses all further calls, also nested ones, and accepts no connections."""
+        self._is_refusing = True
+        if self._server is not None:
+            self._server.stop()
+
+    def end_calls(self):
+        """Ends all calls; callers without a response get one with the true outcome."""
+        self._call_server.end_calls()
+
     async def return_permits(self):
         """Returns all permits to the owners of the upstreams before the node stops."""
         await self.exchange.return_all()
@@ -184,15 +206,21 @@
         self.counters.calls += 1
         header = headers.get(_context.CONTEXT_HEADER)
         parent = _context.decode(header, self.key) if header else None
-        if self._is_draining and parent is None:
-            # Nested calls are accepted: requests in flight need them to complete.
+        if self._is_refusing or (self._is_draining and parent is None):
+            # Requests in flight need their nested calls to complete.
             raise DrainingError("the node is shutting down", retry_after_s=1)
         start_line, host = _plans.split_target(start_line, headers)
         service = self._find_service(host, parent is not None)
         now = ClockReading(self.clock.monotonic(), self.clock.wall())
         root_node_address = self._settings["peer_address"]
         plan = _plans.make_plan(
-            service, start_line, headers, parent, root_node_address, now
+            service,
+            start_line,
+            headers,
+            parent,
+            root_node_address,
+            now,
+            self._drain_end_at,
         )
         return plan if parent is not None else self.retries.register_root(plan)
 
