Open the link before a test floods the node with chunks

test_request_without_end_is_rejected_once[body] failed in 5 of 8 runs at a load average of 20: its first request waited 0.4 s for the link to its host, which one event loop could not open beside the test's own stream of 8-byte chunks. A request before it opens the link; what is checked is unchanged.

--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -97,6 +97,7 @@
         entry, host = fleet.hosts
         with patch.object(entry.node._entry, "max_body_bytes", lambda: 10**6):
             async with Client(entry.settings.call_address) as client:
+                assert (await client.call(b"/parts/1", b"w"))[0] == 200
                 client.send(b"/parts/1", b"a0")
                 client.writer.write(start)
                 piece = unit * (PIECE_BYTES // len(unit) + 1)
