Stop processes gracefully on SIGHUP

SIGHUP had its default action in the product's own path: a closed terminal or an operator who expects settings to be read again ended the process at once and cut the calls of its callers.

It now stops a process like SIGTERM, unless the parent ignores it, as nohup does. Settings are read at the start only, so a supervisor that starts the process again puts new ones in force.

test_hangup_stops_a_process_gracefully failed before with return code -1. test_process_whose_parent_ignores_hangups_keeps_running guards the exception.

--- a/src/figpick/roles/_compose.py
+++ b/src/figpick/roles/_compose.py
@@ -30,7 +30,9 @@
 from ._state import StateDump
 
 EXIT_FAILED = 1
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# Settings are read at the start only, so SIGHUP stops a process as well: its supervisor
+# starts it again with the new ones. By default the signal would cut its calls.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # The default first threshold of 700 triggers several collections per request.
 GC_THRESHOLDS = (20_000, 20, 50)
 
@@ -88,7 +90,9 @@
         """
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, self.request_stop)
+            # Programs started by nohup keep running after SIGHUP.
+            if signal.getsignal(number) is not signal.SIG_IGN:
+                loop.add_signal_handler(number, self.request_stop)
         await self.start()
         # Objects created so far live as long as the process, so later collections
         # can skip them.
@@ -379,7 +383,7 @@
 
 
 def run(settings):
-    """Runs one process until it receives SIGTERM or SIGINT.
+    """Runs one process until it receives SIGTERM, SIGINT or SIGHUP.
 
     The process exits with status 1 when one of its components fails too often.
 
--- a/tests/test_control_stop.py
+++ b/tests/test_control_stop.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
+import signal
 import subprocess
 import sys
 import time
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 
 import pytest
 
@@ -109,31 +110,63 @@
     asyncio.run(scenario())
 
 
-@pytest.mark.processes
-def test_repeated_signals_do_not_change_the_end_of_a_stop(tmp_path):
-    """Guards against a stop that is reported as killed after its work was done."""
+@contextmanager
+def run_control(folder, preexec=None):
+    """Runs a control process as a program and yields it once it has started."""
     address = free_address()
     settings = {
         **SETTINGS,
         "peer_address": address,
         "control": [{"name": "control-1", "address": address}],
-        "data_folder": str(tmp_path / "data"),
+        "data_folder": str(folder / "data"),
     }
-    path = tmp_path / "settings.json"
+    path = folder / "settings.json"
     path.write_text(json.dumps(settings))
-    log = tmp_path / "log"
+    log = folder / "log"
     with log.open("wb") as file:
         command = [sys.executable, "-m", "figpick", "run", str(path)]
-        process = subprocess.Popen(command, stdout=file, stderr=file)
+        process = subprocess.Popen(
+            command, stdout=file, stderr=file, preexec_fn=preexec
+        )
     try:
         deadline = time.monotonic() + READY_TIMEOUT_S
         while b"has started" not in log.read_bytes():
             assert time.monotonic() < deadline
             time.sleep(0.05)
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+
+
+@pytest.mark.processes
+def test_repeated_signals_do_not_change_the_end_of_a_stop(tmp_path):
+    """Guards against a stop that is reported as killed after its work was done."""
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    with run_control(tmp_path) as process:
         while process.poll() is None:
             assert time.monotonic() < deadline
             process.terminate()
             time.sleep(0.002)
-    finally:
-        process.kill()
-    assert process.returncode == 0
+        assert process.returncode == 0
+
+
+@pytest.mark.processes
+def test_hangup_stops_a_process_gracefully(tmp_path):
+    """Guards against a signal whose default action cuts calls in flight."""
+    with run_control(tmp_path) as process:
+        process.send_signal(signal.SIGHUP)
+        assert process.wait(READY_TIMEOUT_S) == 0
+
+
+@pytest.mark.processes
+def test_process_whose_parent_ignores_hangups_keeps_running(tmp_path):
+    """Guards against an end of programs that were started by nohup."""
+
+    def ignore_hangups():
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    with run_control(tmp_path, ignore_hangups) as process:
+        process.send_signal(signal.SIGHUP)
+        with pytest.raises(subprocess.TimeoutExpired):
+            process.wait(1.0)
