End a call whose caller reads nothing at its deadline

On the path of `figpick run`, a call kept its permit after its deadline when its caller read nothing of a large response: with an ETag the node even requested the rest of the body from the upstream once more, now without a deadline, and the log had 'Uncaught exception' with a traceback.

The task of a call waits for its caller inside a callback of the HTTP connection. The connection logs any error of a callback, a cancellation as well, and goes on without it, so the cancellation at the deadline was lost and the closed connection counted as a failure of the upstream. The wait now ends on the cancellation, aborts the attempt, and the attempt raises it again.

Evidence: without the change, two cases of test_body_without_end_is_closed_with_its_call fail with a permit that is still in use after the connection was closed. The other tests of the file guard the bounds of a response on this path, which the parser of tornado already keeps: 64 KiB for a head, 64 bytes for a chunk header, no trailers, 10 interim responses, and bytes behind a response that close their connection.

--- a/src/figpick/calls/_attempts.py
+++ b/src/figpick/calls/_attempts.py
@@ -1,5 +1,6 @@
 """One attempt of a call: sends the request and relays the response."""
 
+import asyncio
 from typing import NamedTuple
 
 from tornado.http1connection import HTTP1Connection
@@ -49,6 +50,7 @@
         self._progress = None
         self._body = None
         self._is_aborted = False
+        self._is_cancelled = False
         self._is_relayed = False
         self._closes_connection = False
         self._is_close_delimited = False
@@ -102,6 +104,8 @@
             self._has_ended = True
             self._silence_detector.untrack(self._upstream, self._progress)
             body.detach(http)
+        if self._is_cancelled:
+            raise asyncio.CancelledError
         if self._is_close_delimited and not self._is_complete:
             await self._finish_close_delimited()
         connection_lost = not self._is_complete and not self._is_aborted
@@ -147,9 +151,10 @@
             return None
         pending = self._relay.handle_chunk(self, chunk)
         self._silence_detector.record_progress(self._progress, pending is None)
-        if pending is not None:
-            pending.add_done_callback(self._chunk_forwarded)
-        return pending
+        if pending is None:
+            return None
+        pending.add_done_callback(self._chunk_forwarded)
+        return self._wait_for_caller(pending)
 
     def finish(self):
         if self._is_aborted or self._connection.stream.error is not None:
@@ -167,6 +172,14 @@
     def on_connection_close(self):
         pass
 
+    async def _wait_for_caller(self, pending):
+        try:
+            await pending
+        except asyncio.CancelledError:
+            # The HTTP connection would log the error and go on without it.
+            self._is_cancelled = True
+            self.abort()
+
     def _request_sent(self):
         self._silence_detector.record_progress(self._progress)
 
