Play nested calls, slow upstreams and overlapping signals in the soak

The soak of planned stops never showed that nested calls that reach a stopping node 2.6 to 5.2 s after SIGTERM end at 5.2 s with a 502 while their upstream works: its stand-in upstreams made no calls, and few requests outlasted the stop.

The upstreams of one service now call the other through the node beside them, some with IDs derived from those of their requests, and answer 500 if a call fails and 504 at their deadline. Some work up to 3 s, and requests on slow routes up to 6 s. Stops come with SIGHUP, a second SIGTERM or a pause around the signal, and processes are stopped or reloaded right after a start. Timeouts of the slow routes are lowered during stops. Responses without end must be cut off (ENDLESS) and must not be kept in memory (MEMORY). A stamped response must have the status that its upstream sent. Clients that lose a connection wait up to 50 ms, since their attempts took most of the processor time of a run.

--- a/bench/soak_changes.py
+++ b/bench/soak_changes.py
@@ -3,6 +3,7 @@
 import json
 from typing import NamedTuple
 
+from bench.soak_documents import SLOW_TIMEOUT_S
 from bench.soak_responses import APPLY_S, STABLE_S
 
 CLEAR_REFUSALS = (400, 409, 412, 413, 422)
@@ -16,6 +17,7 @@
     :param parent: number of the change that it builds on, ``None`` for the first.
     :param added: numbers of the changes whose added routes it has.
     :param moved_to: service of the route that changes move.
+    :param slow_timeout_s: timeout of the slow routes, in seconds.
     """
 
     number: int
@@ -27,6 +29,7 @@
     body: bytes
     is_valid: bool
     created_at: float
+    slow_timeout_s: float = SLOW_TIMEOUT_S
 
 
 class Order(NamedTuple):
@@ -80,6 +83,24 @@
         """
         self._probes.append((change_number, request))
 
+    def slow_timeout_s(self, since, until):
+        """Returns the shortest timeout of slow routes that may be in force in a time.
+
+        :param since: start of the time in Unix seconds; changes that were replaced
+            before are in force nowhere.
+        """
+        acknowledged = [
+            order.change.version
+            for order in self._orders
+            if order.status == 200 and order.ended_at < since
+        ]
+        oldest = max(acknowledged, default=0)
+        return min(
+            change.slow_timeout_s
+            for change in self._changes.values()
+            if change.version >= oldest and change.created_at <= until
+        )
+
     def summary(self):
         """Returns the figures of the run."""
         statuses = [order.status for order in self._orders]
--- a/bench/soak_clients.py
+++ b/bench/soak_clients.py
@@ -12,15 +12,21 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from bench.soak_endless import draw_endless
+
 DEADLINE_MS = 4000
-# A request without a response is given up after its deadline and a margin.
-GIVE_UP_S = 6.0
+LONG_DEADLINE_MS = 7000
+LONG_WORK_MS = (2500, 6000)
+# A request without a response is given up this long after its deadline.
+GIVE_UP_MARGIN_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_INTERVAL_S = 0.05
 SMALL_RECEIVE_BUFFER = 4096
 SLOW_READ_BYTES = 16384
 SLOW_READ_INTERVAL_S = 0.02
 LARGE_BODY_BYTES = 400_000
+# Longer bodies are read without being kept.
+MAX_KEPT_BODY_BYTES = 1_000_000
 STYLES = (
     "steady",
     "steady",
@@ -32,6 +38,9 @@
     "idle",
     "new",
     "slow-eager",
+    "long",
+    "long",
+    "long",
 )
 # Clients of these styles send on a connection until it ends, whatever the node says. A
 # "slow-eager" one sends its next request once a response has begun.
@@ -48,6 +57,8 @@
         answered, or after a response that closes the connection.
     :param outcome: ``answered``, ``cut`` (the connection ended first), ``reset`` (it
         ended so because the node had not read all that was sent) or ``given up``.
+    :param deadline_ms: value of ``Deadline-Ms``.
+    :param parent_id: ID of the request whose upstream sent it, empty for clients.
     :param has_stamp: whether the response is of an upstream.
     :param answered_id: value of ``Attempt-Id`` in the response.
     """
@@ -58,6 +69,8 @@
     method: str
     path: str
     size: int = 20
+    deadline_ms: int = DEADLINE_MS
+    parent_id: str = ""
     is_behind: bool = False
     sent_at: float = 0.0
     ended_at: float | None = None
@@ -80,6 +93,11 @@
         """Seconds until the request ended."""
         return self.ended_at - self.sent_at
 
+    @property
+    def give_up_s(self):
+        """Seconds after which a request without a response is given up."""
+        return self.deadline_ms / 1000 + GIVE_UP_MARGIN_S
+
     def end(self, outcome):
         """Sets the outcome, unless the request has ended before."""
         if self.ended_at is None:
@@ -147,7 +165,8 @@
         self._pending.append(request)
         self._checker.record_request(request)
         head = f"{request.method} {request.path} HTTP/1.1\r\nHost: soak\r\n"
-        head += f"Attempt-Id: {request.request_id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n"
+        head += f"Attempt-Id: {request.request_id}\r\n"
+        head += f"Deadline-Ms: {request.deadline_ms}\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
         if self.is_open:
             self._writer.write(head.encode() + body)
@@ -197,7 +216,10 @@
         if headers.get("connection") == "close":
             self.is_closing = True
         request.begun.set()
-        body = await self._read_body(int(headers["content-length"]), request)
+        if headers.get("transfer-encoding") == "chunked":
+            body = await self._read_chunks(request)
+        else:
+            body = await self._read_body(int(headers["content-length"]), request)
         request.status = int(status_line.split()[1])
         request.has_stamp = "server-stamp" in headers
         request.answered_id = headers.get("attempt-id")
@@ -219,6 +241,18 @@
             request.received_bytes += len(data)
         return b"".join(parts)
 
+    async def _read_chunks(self, request):
+        parts = []
+        kept_bytes = 0
+        while length := int(await self._reader.readuntil(b"\r\n"), 16):
+            part = await self._read_body(length, request)
+            await self._reader.readexactly(2)
+            kept_bytes += length
+            if kept_bytes <= MAX_KEPT_BODY_BYTES:
+                parts.append(part)
+        await self._reader.readexactly(2)
+        return b"".join(parts)
+
 
 async def send_once(address, checker, request):
     """Sends a request on a connection of its own and waits until it has ended."""
@@ -230,7 +264,7 @@
         return
     connection.send(request)
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(GIVE_UP_S):
+        async with asyncio.timeout(request.give_up_s):
             await request.done.wait()
     connection.close()
 
@@ -268,7 +302,10 @@
             await self._exchange(connection)
             if self._style == "idle":
                 await asyncio.sleep(self._rng.uniform(0.2, 2.0))
-            elif self._style != "eager":
+            elif self._style == "eager":
+                if not connection.is_open:
+                    await asyncio.sleep(self._rng.uniform(0.0, RECONNECT_INTERVAL_S))
+            else:
                 await asyncio.sleep(self._rng.expovariate(1 / self._mean_gap_s))
         if self._connection is not None:
             self._connection.close()
@@ -300,9 +337,7 @@
             connection.send(requests[-1], body)
         for request in requests:
             try:
-                async with asyncio.timeout_at(
-                    asyncio.get_running_loop().time() + GIVE_UP_S
-                ):
+                async with asyncio.timeout(request.give_up_s):
                     await request.done.wait()
             except TimeoutError:
                 if not request.received_bytes:
@@ -313,6 +348,8 @@
         self._count += 1
         request_id = f"{self._name}.{self._count}"
         service = self._rng.choice(("front", "deep"))
+        if self._style == "long":
+            return self._next_long_request(request_id, service)
         is_repeatable = self._style.startswith("slow") or self._style == "pipelined"
         is_post = not is_repeatable and self._rng.random() < 0.3
         work_ms = self._rng.randint(5, 150)
@@ -323,4 +360,13 @@
             size = LARGE_BODY_BYTES
         kind, method = ("once", "POST") if is_post else ("get", "GET")
         path = f"/{service}/{kind}/{request_id}?work={work_ms}&size={size}"
+        is_alone = not self._style.startswith("slow") and self._style != "pipelined"
+        path += draw_endless(self._rng, has_bodies=is_alone)
         return Request(request_id, self._node, self._style, method, path, size)
+
+    def _next_long_request(self, request_id, service):
+        work_ms = self._rng.randint(*LONG_WORK_MS)
+        path = f"/{service}/slow/{request_id}?work={work_ms}&size=20"
+        return Request(
+            request_id, self._node, self._style, "GET", path, 20, LONG_DEADLINE_MS
+        )
--- /dev/null
+++ b/bench/soak_memory.py
@@ -0,0 +1,36 @@
+"""Memory of the processes of a soak test."""
+
+import asyncio
+import re
+from pathlib import Path
+
+SAMPLE_INTERVAL_S = 0.3
+# Responses without end are longer than the difference to the usual memory of a process.
+MAX_MEMORY_KB = 80_000
+
+
+def read_memory_kb(pid):
+    """Returns the largest memory that a process has had, in kB, 0 if it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0
+    match = re.search(r"VmHWM:\s+(\d+) kB", status)
+    return int(match[1]) if match else 0
+
+
+async def measure_memory(processes, responses, peaks_kb):
+    """Measures the memory of processes until it is cancelled.
+
+    :param peaks_kb: dict that receives the largest memory by process ID, in kB.
+    """
+    while True:
+        for process in processes:
+            pid = process.process.pid
+            memory_kb = read_memory_kb(pid)
+            if memory_kb > MAX_MEMORY_KB >= peaks_kb.get(pid, 0):
+                responses.record(
+                    "MEMORY", "process is too large", process=process.name, kb=memory_kb
+                )
+            peaks_kb[pid] = max(memory_kb, peaks_kb.get(pid, 0))
+        await asyncio.sleep(SAMPLE_INTERVAL_S)
--- a/bench/soak_operators.py
+++ b/bench/soak_operators.py
@@ -7,7 +7,7 @@
 import time
 
 from bench.soak_changes import CLEAR_REFUSALS, Change, Order
-from bench.soak_documents import SERVICES, make_document, make_invalid
+from bench.soak_documents import SERVICES, SLOW_TIMEOUT_S, make_document, make_invalid
 from bench.soak_endpoints import send_request
 
 # Operators try another control process after a second without a response.
@@ -51,6 +51,8 @@
         # All changes sent, by number.
         self.changes = {}
         self.is_stopped = False
+        # Timeout of the slow routes in the next changes, in seconds.
+        self.slow_timeout_s = SLOW_TIMEOUT_S
 
     @property
     def newest(self):
@@ -202,19 +204,22 @@
         version = (base.version if base else 0) + step
         further = [("/moved/", moved_to)]
         further += [(f"/added/{each}/", SERVICES[each % 2]) for each in added]
-        document = make_document(version, base.version if base else 0, further)
+        timeout_s = self.slow_timeout_s
+        base_version = base.version if base else 0
+        document = make_document(version, base_version, further, timeout_s)
         if not is_valid:
             make_invalid(document, self._rng)
         change = Change(
             number,
             version,
-            base.version if base else 0,
+            base_version,
             base.number if base else None,
             added,
             moved_to,
             json.dumps(document).encode(),
             is_valid,
             time.time(),
+            timeout_s,
         )
         self.changes[number] = change
         self._checker.record_change(change)
--- a/bench/soak_responses.py
+++ b/bench/soak_responses.py
@@ -1,12 +1,13 @@
 """Checks of responses around planned stops, from what clients and upstreams observe."""
 
+import time
 from collections import Counter, defaultdict
 from dataclasses import asdict, dataclass
 from typing import NamedTuple
 
 from bench.soak_checks import NOT_RUN_STATUSES
-from bench.soak_clients import DEADLINE_MS, GIVE_UP_S
 from bench.soak_cluster import GRACE_S
+from bench.soak_documents import ROUTE_TIMEOUT_S
 
 # Faults count as a cause of failures for this time after their end.
 STABLE_S = 3.0
@@ -14,7 +15,6 @@
 APPLY_S = 2.0
 # A request that waited longer than this for its response counts as read by the node.
 LOSS_SLACK_S = 0.2
-ROUTE_TIMEOUT_S = 3.0
 # Clients see the end of a connection a little after the process has ended.
 EXIT_SLACK_S = 0.3
 # Responses that are given up for a time limit may be sent that much earlier.
@@ -22,6 +22,8 @@
 # Requests sent no later than this after SIGTERM, which an upstream still runs in the
 # last sixth of the grace time, may be ended by the node.
 LATE_WORK_SENT_S = 3.0
+# Requests sent later than this after SIGTERM are counted in the summary.
+LATE_SENT_S = 2.6
 MAX_CUT_WITHOUT_STOP = 3
 MIN_LAG_S = 0.02
 PLANNED = ("SIGTERM", "SIGHUP")
@@ -36,6 +38,8 @@
     :param node: number of the node next to the upstream.
     :param ended_at: time of the response, ``None`` before.
     :param was_cut: whether the connection of the node had closed before.
+    :param status: status of the response, 0 before.
+    :param is_faulty: whether the response has no end.
     """
 
     node: int
@@ -43,6 +47,8 @@
     started_at: float
     ended_at: float | None = None
     was_cut: bool = False
+    status: int = 0
+    is_faulty: bool = False
 
 
 class Window(NamedTuple):
@@ -62,10 +68,13 @@
     """Records requests, their executions, and signals, and lists violations.
 
     :param hosts: function that returns the numbers of the nodes of a service.
+    :param route_timeout_s: function of a request that returns the shortest timeout of
+        its route that may have been in force, in seconds.
     """
 
-    def __init__(self, hosts):
+    def __init__(self, hosts, route_timeout_s=lambda request: ROUTE_TIMEOUT_S):
         self._hosts = hosts
+        self._route_timeout_s = route_timeout_s
         self._requests = []
         self._runs = defaultdict(list)
         self._windows = []
@@ -94,6 +103,19 @@
         """Records a violation."""
         self._violations.append({"rule": rule, "text": text, **fields})
 
+    def record_kept_endless(self, node, request_id, kind, sent_bytes, expires_at):
+        """Records that bytes without end were still taken long after the deadline."""
+        if not self.is_disturbed(node, expires_at - STABLE_S, time.time()):
+            self.record(
+                "ENDLESS",
+                "connection kept open long after the deadline",
+                id=request_id,
+                node=node,
+                kind=kind,
+                sent_bytes=sent_bytes,
+                deadline=round(expires_at, 3),
+            )
+
     def service_of(self, request_id):
         """Returns the service that ran a request, empty if none."""
         runs = self._runs[request_id]
@@ -117,8 +139,14 @@
         """Returns the figures of the run.
 
         ``exempt`` is the number of losses that the rules allow, known once the
-        violations have been listed.
+        violations have been listed, and ``late`` that of requests sent late in a stop,
+        by style and status.
         """
+        late = Counter(
+            f"{'nested' if request.parent_id else 'client'} {request.status}"
+            for request in self._requests
+            if self._is_sent_late(request)
+        )
         outcomes = Counter(
             str(request.status) if request.outcome == "answered" else request.outcome
             for request in self._requests
@@ -130,6 +158,7 @@
         return {
             "outcomes": dict(sorted(outcomes.items())),
             "exempt": self._exempt_count,
+            "late": dict(sorted(late.items())),
             "windows": dict(sorted(windows.items())),
             "longest_stop_s": round(max(stops, default=0.0), 2),
         }
@@ -169,7 +198,7 @@
     def _response_violation(self, request):
         if request.outcome == "given up":
             since = request.sent_at - STABLE_S
-            has_waited = request.age_s >= GIVE_UP_S - TIME_SLACK_S
+            has_waited = request.age_s >= request.give_up_s - TIME_SLACK_S
             if has_waited and not self._is_any_disturbed(request, since):
                 return "no response long after the time limit"
         if request.outcome != "answered":
@@ -180,6 +209,9 @@
             request.has_stamp and request.is_body_correct
         ):
             return "not the body of the upstream"
+        runs = self._runs[request.request_id]
+        if request.has_stamp and request.status not in {run.status for run in runs}:
+            return "not the status of the upstream"
         is_own_refusal = 300 <= request.status < 500 and not request.has_stamp
         # The other routes come and go.
         is_permanent = request.path.startswith(("/front/", "/deep/"))
@@ -199,6 +231,8 @@
     def _loss(self, request):
         """Returns how a request was left without the response of its upstream."""
         runs = self._runs[request.request_id]
+        if any(run.is_faulty for run in runs):
+            return None
         if request.outcome == "answered":
             has_begun = any(run.started_at < request.ended_at for run in runs)
             if has_begun and request.status >= 500 and not request.has_stamp:
@@ -216,8 +250,8 @@
         return None
 
     def _is_exempt(self, request):
-        limit_s = min(DEADLINE_MS / 1000, ROUTE_TIMEOUT_S) - TIME_SLACK_S
-        if request.age_s >= limit_s or self._has_late_work(request):
+        limit_s = min(request.deadline_ms / 1000, self._route_timeout_s(request))
+        if request.age_s >= limit_s - TIME_SLACK_S or self._has_late_work(request):
             return True
         runs = self._runs[request.request_id]
         nodes = {request.node, *(run.node for run in runs)}
@@ -235,6 +269,14 @@
         is_early = request.sent_at <= plan.started_at + LATE_WORK_SENT_S
         return is_early and is_late and request.ended_at >= late_at
 
+    def _is_sent_late(self, request):
+        return any(
+            window.node == request.node
+            and window.kind == "SIGTERM"
+            and window.started_at + LATE_SENT_S <= request.sent_at <= window.ended_at
+            for window in self._windows
+        )
+
     def _plan(self, request):
         """Returns the stop or reload around which a request ended, stops first."""
         for kind in PLANNED:
@@ -259,6 +301,8 @@
             "id": request.request_id,
             "node": request.node,
             "style": request.style,
+            "parent": request.parent_id,
+            "deadline_ms": request.deadline_ms,
             "request": f"{request.method} {request.path}",
             "sent": round(request.sent_at, 3),
             "ended": round(request.ended_at, 3),
--- a/bench/soak_signals.py
+++ b/bench/soak_signals.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import random
+import re
 import signal
 import time
 from pathlib import Path
@@ -31,6 +32,10 @@
     "stop": 3,
     "stop-twice": 2,
     "stop-paused": 1,
+    "stop-in-pause": 1,
+    "stop-reloaded": 2,
+    "restart-reloaded": 1,
+    "restart-stopped": 2,
     "reload": 2,
     "kill": 1,
     "pause": 1,
@@ -47,6 +52,18 @@
 }
 
 
+PAUSED_STOPS = ("stop-paused", "stop-in-pause")
+# Times of the signals of one series, from the stop or the start of a process.
+SERIES_S = (0.0, 5.5)
+START_SERIES_S = (0.0, 1.5)
+# A process is stopped so soon after its start.
+SOON_STOP_S = (0.1, 1.5)
+HANDLER_POLL_INTERVAL_S = 0.01
+LOWERED_SHARE = 0.5
+LOWERED_AFTER_S = (0.2, 3.5)
+LOWERED_FOR_S = (0.4, 1.2)
+
+
 class Event(NamedTuple):
     """Event in the schedule of a run.
 
@@ -85,6 +102,23 @@
     )
 
 
+def draw_lowered_times(seed, node_events):
+    """Returns when the timeout of the slow routes is lowered, and for how long.
+
+    :return: tuples of start and duration in seconds, which do not overlap.
+    """
+    rng = random.Random(f"timeouts {seed}")
+    times = []
+    for event in node_events:
+        is_stop = event.kind.startswith(("stop", "rolling", "restart"))
+        at_s = round(event.at_s + rng.uniform(*LOWERED_AFTER_S), 2)
+        for_s = round(rng.uniform(*LOWERED_FOR_S), 2)
+        is_drawn = is_stop and rng.random() < LOWERED_SHARE
+        if is_drawn and (not times or at_s > sum(times[-1])):
+            times.append((at_s, for_s))
+    return times
+
+
 def _draw(rng, seconds, kinds, mean_interval_s, targets):
     events = []
     at_s = FIRST_EVENT_AT_S
@@ -122,23 +156,17 @@
         self._responses = responses
         # A process that is being stopped, killed or paused gets no further event.
         self.is_disturbed = False
-        self._start_count = 0
-
-    async def start(self):
-        """Starts the process."""
-        self._start_count += 1
-        await super().start()
 
     async def apply(self, event):
         """Applies an event, unless the process is disturbed already."""
         if self.is_disturbed:
             return
+        if self.process.returncode is not None:
+            self._checker.record_unexpected_exit(self.name, self.process.returncode)
+            await self.start()
         if event.kind == "reload":
             for _ in range(event.count):
-                # It would end a process that does not handle signals yet.
-                if self._has_started():
-                    self._signal(signal.SIGHUP)
-                self._record("SIGHUP", time.time(), time.time() + RELOAD_EFFECT_S)
+                self._reload()
                 await asyncio.sleep(event.gap_s)
             return
         self.is_disturbed = True
@@ -178,7 +206,25 @@
         self._record("SIGSTOP", started_at, time.time())
 
     async def _stop(self, event):
+        """Stops the process and starts it again.
+
+        Its series of signals depends only on the event.
+        """
+        rng = random.Random(f"{event}")
+        await self._end(event, rng)
+        if event.kind == "restart-stopped":
+            # Before it handles signals, the first one would end it at once.
+            while self.process.returncode is None and not self._handles(signal.SIGTERM):
+                await asyncio.sleep(HANDLER_POLL_INTERVAL_S)
+            await asyncio.sleep(rng.uniform(*SOON_STOP_S))
+            await self._end(event, rng)
+        elif event.kind == "restart-reloaded":
+            await self._reload_in_series(event, rng, START_SERIES_S)
+
+    async def _end(self, event, rng):
         started_at = time.time()
+        if event.kind == "stop-in-pause":
+            self._signal(signal.SIGSTOP)
         self._signal(signal.SIGTERM)
         exit_time = asyncio.ensure_future(
             asyncio.to_thread(_wait_for_exit, self.process.pid)
@@ -186,8 +232,10 @@
         if event.kind == "stop-twice":
             await asyncio.sleep(event.gap_s)
             self._signal(signal.SIGTERM)
-        elif event.kind == "stop-paused":
+        elif event.kind in PAUSED_STOPS:
             await self._pause(event.for_s)
+        elif event.kind == "stop-reloaded":
+            await self._reload_in_series(event, rng, SERIES_S, exit_time)
         try:
             async with asyncio.timeout(started_at + KILL_AFTER_S - time.time()):
                 await asyncio.shield(exit_time)
@@ -197,7 +245,8 @@
         await self.process.wait()
         self._record("SIGTERM", started_at, ended_at)
         after_s = round(ended_at - started_at, 2)
-        if after_s > GRACE_S + EXIT_SEEN_SLACK_S and event.kind != "stop-paused":
+        is_late = after_s > GRACE_S + EXIT_SEEN_SLACK_S
+        if is_late and event.kind not in PAUSED_STOPS:
             self._responses.record(
                 "GRACE",
                 "process outlived its grace time",
@@ -209,9 +258,31 @@
         await self.start()
         self._record("start", ended_at, time.time())
 
-    def _has_started(self):
-        text = Path(self._log.name).read_text(errors="replace")
-        return text.count(" starts.") >= self._start_count
+    async def _reload_in_series(self, event, rng, delays_s, exit_time=None):
+        """Sends SIGHUP and, while it stops, SIGTERM again at random times."""
+        started_at = time.time()
+        for delay_s in sorted(rng.uniform(*delays_s) for _ in range(event.count)):
+            await asyncio.sleep(started_at + delay_s - time.time())
+            if exit_time is not None and exit_time.done():
+                return
+            self._reload()
+            if exit_time is not None and rng.random() < 0.5:
+                self._signal(signal.SIGTERM)
+
+    def _reload(self):
+        # It would end a process that does not handle or ignore it yet.
+        if self._handles(signal.SIGHUP):
+            self._signal(signal.SIGHUP)
+        self._record("SIGHUP", time.time(), time.time() + RELOAD_EFFECT_S)
+
+    def _handles(self, number):
+        """Returns whether the process handles or ignores a signal."""
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return False
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\s+(\w+)", status, re.MULTILINE)
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
 
     def _record(self, kind, started_at, ended_at):
         self._responses.record_window(self._number, kind, started_at, ended_at)
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -11,22 +11,27 @@
 import re
 import time
 from collections import Counter
-from urllib.parse import parse_qs
 
 from bench.soak_changes import ChangeChecker
 from bench.soak_checks import SoakChecker
-from bench.soak_clients import STYLES, KeptClient, Request, make_body, send_once
+from bench.soak_clients import STYLES, KeptClient, Request, send_once
 from bench.soak_cluster import GRACE_S, Cluster
-from bench.soak_documents import SERVICES
-from bench.soak_endpoints import HEADER_NAMES, StandIn
+from bench.soak_documents import (
+    LOWERED_TIMEOUT_S,
+    ROUTE_TIMEOUT_S,
+    SERVICES,
+    SLOW_TIMEOUT_S,
+)
+from bench.soak_memory import measure_memory
 from bench.soak_operators import Operators
-from bench.soak_responses import STABLE_S, ResponseChecker, Run
-from bench.soak_signals import SignalledProcess, draw_events
+from bench.soak_responses import APPLY_S, STABLE_S, ResponseChecker
+from bench.soak_signals import SignalledProcess, draw_events, draw_lowered_times
+from bench.soak_upstreams import WorkingStandIn, draw_behaviours
 
 USUAL_SIZE = (3, 4)
 LARGE_SIZE = (5, 60)
 # Clients of one node in a large run.
-LARGE_STYLES = ("pipelined", "eager", "slow")
+LARGE_STYLES = ("pipelined", "eager", "slow", "long")
 STARTUP_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 15.0
 MEAN_CLIENT_GAP_S = 0.08
@@ -44,30 +49,6 @@
 SLOWED_S = 1.2
 
 
-class WorkingStandIn(StandIn):
-    """Stand-in upstream whose requests name their work and the size of the body.
-
-    :param number: number of its node.
-    :param responses: :class:`~bench.soak_responses.ResponseChecker`.
-    """
-
-    def __init__(self, number, responses, *arguments):
-        super().__init__(*arguments)
-        self._number = number
-        self._responses = responses
-
-    async def run_request(self, connection, request):
-        """Executes a request and sends its response."""
-        request_id = (request.header(HEADER_NAMES.request_id) or b"").decode()
-        run = Run(self._number, self._service, time.time())
-        self._responses.record_run(request_id, run)
-        query = parse_qs(request.target.decode().partition("?")[2])
-        await asyncio.sleep(int(query["work"][0]) / 1000)
-        body = make_body(request_id, int(query["size"][0]))
-        run.ended_at, run.was_cut = time.time(), connection.transport.is_closing()
-        connection.send_response(request, b"200 OK", body, b"Server-Stamp: s\r\n")
-
-
 class StopSoak:
     """One run with planned stops.
 
@@ -85,7 +66,7 @@
         controls, nodes = LARGE_SIZE if is_large else USUAL_SIZE
         self._cluster = Cluster(folder, controls, SERVICES * (nodes // 2))
         self._checker = SoakChecker()
-        self.responses = ResponseChecker(self._hosts)
+        self.responses = ResponseChecker(self._hosts, self._route_timeout_s)
         self.changes = ChangeChecker(
             self.responses.is_disturbed, self.responses.service_of
         )
@@ -95,6 +76,7 @@
         self._upstreams = []
         self._probe_count = 0
         self._max_lag_s = 0.0
+        self._memory_kb = {}
 
     @property
     def _controls(self):
@@ -108,9 +90,11 @@
         )
         for event in (*node_events, *control_events):
             print(json.dumps(event._asdict()), flush=True)
+        lowered_times = draw_lowered_times(self._seed, node_events)
+        print(json.dumps({"lowered": lowered_times}), flush=True)
         try:
             if await self._start():
-                await self._run_traffic(node_events, control_events)
+                await self._run_traffic(node_events, control_events, lowered_times)
         finally:
             for process in self._processes:
                 await process.close()
@@ -129,6 +113,7 @@
     def summary(self):
         """Returns the figures of the run."""
         figures = {"max_lag_s": round(self._max_lag_s, 2)}
+        figures["max_memory_mb"] = max(self._memory_kb.values(), default=0) // 1000
         return self.responses.summary() | self.changes.summary() | figures
 
     def _hosts(self, service):
@@ -139,6 +124,13 @@
             number for number in numbers if self._cluster.service(number) == service
         ]
 
+    def _route_timeout_s(self, request):
+        if "/slow/" not in request.path:
+            return ROUTE_TIMEOUT_S
+        # Nodes that were disturbed may use older versions for longer.
+        since = request.sent_at - APPLY_S - STABLE_S
+        return self.changes.slow_timeout_s(since, request.ended_at)
+
     async def _start(self):
         cluster = self._cluster
         for number in range(cluster.count):
@@ -147,11 +139,20 @@
                     number, self._checker, SignalledProcess, number, self.responses
                 )
             )
+        behaviours = draw_behaviours(self._seed, cluster.services)
         for number in cluster.node_numbers:
             address = cluster.address(number, "app")
             control = cluster.address(number, "control")
             names = (cluster.service(number), address, address, control)
-            upstream = WorkingStandIn(number, self.responses, *names, self._checker)
+            upstream = WorkingStandIn(
+                self._seed,
+                number,
+                behaviours[number - cluster.control_count],
+                cluster.address(number, "outbound"),
+                self.responses,
+                *names,
+                self._checker,
+            )
             await upstream.start()
             self._upstreams.append(upstream)
         await asyncio.gather(*(process.start() for process in self._processes))
@@ -176,7 +177,7 @@
         self._checker.record_recovery(not waiting, time.time() - started_at)
         return not waiting
 
-    async def _run_traffic(self, node_events, control_events):
+    async def _run_traffic(self, node_events, control_events, lowered_times):
         started_at = time.time()
         clients_until = started_at + self._seconds + GRACE_S
         tasks = [
@@ -184,10 +185,16 @@
             for coroutine in (
                 self._operators.run(),
                 self._probe_changes(),
+                self._lower_timeouts(lowered_times, started_at),
                 *(client.run(clients_until) for client in self._make_clients()),
             )
         ]
-        lag = asyncio.ensure_future(self._measure_lag())
+        measurements = [
+            asyncio.ensure_future(self._measure_lag()),
+            asyncio.ensure_future(
+                measure_memory(self._processes, self.responses, self._memory_kb)
+            ),
+        ]
         await asyncio.gather(
             *(self._apply(event, started_at) for event in node_events),
             self._apply_control_events(control_events, started_at),
@@ -199,7 +206,16 @@
         for number in self._cluster.node_numbers:
             await self._probe_change(number, self._operators.newest.number)
         await self._operators.read_final()
-        lag.cancel()
+        for measurement in measurements:
+            measurement.cancel()
+
+    async def _lower_timeouts(self, lowered_times, started_at):
+        """Lowers the timeout of the slow routes, mostly in the middle of a stop."""
+        for at_s, for_s in lowered_times:
+            await asyncio.sleep(started_at + at_s - time.time())
+            self._operators.slow_timeout_s = LOWERED_TIMEOUT_S
+            await asyncio.sleep(for_s)
+            self._operators.slow_timeout_s = SLOW_TIMEOUT_S
 
     async def _measure_lag(self):
         """Records how late the event loop of the soak runs."""
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -48,14 +48,27 @@
     return Request("a1", 3, "steady", method, "/front/get/a1", **values)
 
 
-def observe(item, stops=True, started=True, run_until=None, run_delay_s=0.0, faults=()):
+def observe(
+    item,
+    stops=True,
+    started=True,
+    run_until=None,
+    run_delay_s=0.0,
+    faults=(),
+    route_timeout_s=3.0,
+    **run_fields,
+):
     """Returns a checker that has observed one request and a stop of its node."""
-    checker = ResponseChecker(lambda service: [3, 4])
+    checker = ResponseChecker(lambda service: [3, 4], lambda item: route_timeout_s)
     checker.record_request(item)
     if stops:
         checker.record_window(3, "SIGTERM", TERM_AT, EXIT_AT)
     if started:
-        checker.record_run("a1", Run(4, "front", item.sent_at + run_delay_s, run_until))
+        started_at = item.sent_at + run_delay_s
+        run_fields = {"status": item.status} | {
+            name.removeprefix("run_"): value for name, value in run_fields.items()
+        }
+        checker.record_run("a1", Run(4, "front", started_at, run_until, **run_fields))
     for node, at in faults:
         checker.record_window(node, "SIGKILL", at, at + 0.5)
     return checker
@@ -65,6 +78,10 @@
     return request(outcome="answered", status=status, **fields)
 
 
+def nested(status, **fields):
+    return answered(status, parent_id="p1", **fields)
+
+
 LOST = {
     "passed on and cut": observe(request()),
     "passed on and reset": observe(request(outcome="reset")),
@@ -83,6 +100,13 @@
     "fault long before": observe(request(), faults=[(4, TERM_AT - 2.6)]),
     "fault elsewhere": observe(request(), faults=[(5, TERM_AT + 1)]),
     "sent before the stop": observe(request(sent=TERM_AT - 0.5)),
+    "late nested call": observe(nested(502, sent=1003.5, ended=1005.2)),
+    "nested call of a request that ends later": observe(
+        nested(504, deadline_ms=3000), run_until=TERM_AT + 1.9
+    ),
+    "long request on a slow route": observe(
+        answered(502, ended=TERM_AT + 4.5, deadline_ms=7000), route_timeout_s=8.0
+    ),
 }
 OTHER_VIOLATIONS = {
     "ran twice": observe(request(method="POST", is_behind=True)),
@@ -91,11 +115,17 @@
     "success without the stamp": observe(answered(200, is_body_correct=True)),
     "response of another request": observe(answered(503, answered_id="a2")),
     "allowed but refused": observe(answered(404), stops=False),
+    "status that the upstream did not send": observe(
+        answered(500, has_stamp=True, answered_id="a1"), run_status=504
+    ),
+    "nested call that ran twice": observe(nested(200, method="POST")),
+    "nested call that is refused but ran": observe(nested(503, method="POST")),
     "never answered": observe(
         request(ended=TERM_AT + 7, outcome="given up"), stops=False
     ),
 }
-OTHER_VIOLATIONS["ran twice"].record_run("a1", Run(3, "front", TERM_AT + 1.5))
+for case in ("ran twice", "nested call that ran twice"):
+    OTHER_VIOLATIONS[case].record_run("a1", Run(3, "front", TERM_AT + 1.5))
 KEPT = {
     "whole response": observe(
         answered(200, has_stamp=True, is_body_correct=True, answered_id="a1")
@@ -103,6 +133,20 @@
     "failure of the upstream": observe(answered(502, has_stamp=True)),
     "502 before the upstream began": observe(answered(502), run_delay_s=1.5),
     "502 without an upstream": observe(answered(502), started=False),
+    "late nested call that is refused": observe(
+        nested(503, sent=1003.5, ended=1003.6), started=False
+    ),
+    "nested call whose upstream failed": observe(
+        nested(500, has_stamp=True, answered_id="a1"), run_status=500
+    ),
+    "nested call at the deadline of its request": observe(
+        nested(504, deadline_ms=1000)
+    ),
+    "nested call at work late": observe(
+        nested(502, sent=1002.9, ended=1005.2), run_until=1005.3
+    ),
+    "lowered timeout": observe(answered(504, ended=1002.5), route_timeout_s=1.5),
+    "response without end": observe(request(), is_faulty=True),
     "refused": observe(answered(503, method="POST"), started=False),
     "request that crosses the close": observe(
         request(ended=TERM_AT + 1.1), started=False
@@ -250,6 +294,16 @@
 }
 
 
+def test_lowered_timeout_counts_while_it_may_be_in_force():
+    """Guards against violations for requests that a lowered timeout ends."""
+    scenario = Scenario().third()
+    lowered = SECOND._replace(slow_timeout_s=1.5)
+    scenario.checker.record_change(lowered)
+    scenario.order(THIRD, 200, 1011.0)
+    assert scenario.checker.slow_timeout_s(1009.0, 1010.0) == 1.5
+    assert scenario.checker.slow_timeout_s(1011.1, 1012.0) == 8
+
+
 @pytest.mark.parametrize("case", BROKEN_CHANGES)
 def test_broken_rule_on_changes_is_detected(case):
     """Guards against a soak that misses refused, lost or late changes."""
@@ -264,6 +318,8 @@
 
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Stamp: s\r\n"
+CHUNKED_RESPONSE = RESPONSE + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNKED_RESPONSE += b"14\r\n" + make_body("a1", 20) + b"\r\n"
 RESPONSE += b"Content-Length: 20\r\n\r\n"
 
 
@@ -276,6 +332,9 @@
         (RESPONSE[:20], "cut", False, []),
         (b"HTTP/1.1 200\r\n\r\n", "cut", False, ["MIXED"]),
         ((RESPONSE + make_body("a1", 20)) * 2, "answered", True, ["MIXED"]),
+        (CHUNKED_RESPONSE + b"0\r\n\r\n", "answered", True, []),
+        (CHUNKED_RESPONSE, "cut", False, []),
+        (CHUNKED_RESPONSE + b"x\r\n", "cut", False, ["MIXED"]),
     ],
 )
 def test_client_records_what_a_connection_delivers(sent, outcome, is_correct, rules):
@@ -291,6 +350,7 @@
         address = ("127.0.0.1", free_ports(1)[0])
         server = await asyncio.start_server(serve, *address)
         checker = ResponseChecker(lambda service: [])
+        checker.record_run("a1", Run(3, "front", time.time(), status=200))
         connection = KeptConnection(address, checker, reads_slowly=True)
         await connection.open()
         item = Request("a1", 3, "slow", "GET", "/front/get/a1")
