Report the longest exit of a process in the soak

The soak told how long a stop took, but not how much of it passed after the last log line of the process, which is the exit of the interpreter. The summary now has longest_exit_s.

--- a/bench/soak_responses.py
+++ b/bench/soak_responses.py
@@ -79,6 +79,7 @@
         self._runs = defaultdict(list)
         self._windows = []
         self._lags = []
+        self._exits_s = []
         self._exempt_count = 0
         self._violations = []
 
@@ -94,6 +95,10 @@
         """Records a :class:`Window`."""
         self._windows.append(Window(node, kind, started_at, ended_at))
 
+    def record_exit(self, exit_s):
+        """Records the seconds between the last log line of a process and its exit."""
+        self._exits_s.append(exit_s)
+
     def record_lag(self, due_at, lag_s):
         """Records that clients saw what happened at a time that much later."""
         if lag_s > MIN_LAG_S:
@@ -140,7 +145,8 @@
 
         ``exempt`` is the number of losses that the rules allow, known once the
         violations have been listed, and ``late`` that of requests sent late in a stop,
-        by style and status.
+        by style and status. ``longest_exit_s`` is the longest time between the last log
+        line of a process and its exit.
         """
         late = Counter(
             f"{'nested' if request.parent_id else 'client'} {request.status}"
@@ -161,6 +167,7 @@
             "late": dict(sorted(late.items())),
             "windows": dict(sorted(windows.items())),
             "longest_stop_s": round(max(stops, default=0.0), 2),
+            "longest_exit_s": round(max(self._exits_s, default=0.0), 2),
         }
 
     def list_violations(self):
--- a/bench/soak_signals.py
+++ b/bench/soak_signals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import random
 import re
@@ -244,6 +245,7 @@
         ended_at = await exit_time
         await self.process.wait()
         self._record("SIGTERM", started_at, ended_at)
+        self._record_exit(started_at, ended_at)
         after_s = round(ended_at - started_at, 2)
         is_late = after_s > GRACE_S + EXIT_SEEN_SLACK_S
         if is_late and event.kind not in PAUSED_STOPS:
@@ -258,6 +260,16 @@
         await self.start()
         self._record("start", ended_at, time.time())
 
+    def _record_exit(self, started_at, ended_at):
+        """Records the time between the last log line and the exit."""
+        *_, line = Path(self._log.name).read_bytes().splitlines() or [b"{}"]
+        try:
+            written_at = json.loads(line).get("t", 0.0)
+        except ValueError:
+            return
+        if written_at > started_at:
+            self._responses.record_exit(ended_at - written_at)
+
     async def _reload_in_series(self, event, rng, delays_s, exit_time=None):
         """Sends SIGHUP and, while it stops, SIGTERM again at random times."""
         started_at = time.time()
