--- a/tests/test_process_exits.py
+++ b/tests/test_process_exits.py
@@ -43,6 +43,14 @@
 runpy.run_path({program!r}, run_name="__main__")
 """
 
+# Runs a program whose interpreter takes longer to exit than its grace time.
+SLOW_EXIT = """
+import atexit, runpy, sys, time
+sys.path.insert(0, {folder!r})
+atexit.register(time.sleep, 10.0)
+runpy.run_path({program!r}, run_name="__main__")
+"""
+
 pytestmark = pytest.mark.processes
 
 
@@ -245,6 +253,21 @@
     assert time.monotonic() - started < GRACE_S
 
 
+@pytest.mark.parametrize("role", ["control", "node"])
+def test_program_that_has_stopped_does_not_wait_for_its_interpreter(programs, role):
+    """Guards against processes that are killed at the end of their grace time."""
+    folder = ROOT / "platform"
+    code = SLOW_EXIT.format(folder=str(folder), program=str(folder / "run.py"))
+    programs.path(role).write_text(programs.settings(role))
+    process = programs.run(role, ("-c", code))
+    wait_until(lambda: " starts." in programs.log(role))
+    started = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(3 * GRACE_S) == 0
+    assert time.monotonic() - started < GRACE_S
+    assert "stop" in programs.log(role).splitlines()[-1]
+
+
 @pytest.mark.parametrize("role", ["control", "node"])
 def test_reload_signal_does_not_end_a_program_that_starts(programs, role):
     """Guards against the default action of a signal that has no handler yet."""
