--- a/tests/test_process_exits.py
+++ b/tests/test_process_exits.py
@@ -43,6 +43,14 @@
 runpy.run_path({program!r}, run_name="__main__")
 """
 
+# Runs a program whose interpreter takes long to exit.
+SLOW_EXIT = """
+import atexit, runpy, sys, time
+sys.path.insert(0, {folder!r})
+atexit.register(time.sleep, {exit_s!r})
+runpy.run_path({program!r}, run_name="__main__")
+"""
+
 pytestmark = pytest.mark.processes
 
 
@@ -291,3 +299,18 @@
     assert node.wait(3 * GRACE_S) == 1
     assert response.startswith(b"HTTP/1.1 502 ")
     assert "RestartLimitError" in programs.errors("node")
+
+
+def test_program_that_has_stopped_does_not_wait_for_the_interpreter(programs):
+    """Guards against an exit that outlasts the grace time on a busy host."""
+    code = SLOW_EXIT.format(
+        folder=str(ROOT / "platform"),
+        program=str(ROOT / "platform" / "run.py"),
+        exit_s=3 * GRACE_S,
+    )
+    programs.path("control").write_text(programs.settings("control"))
+    process = programs.run("control", ("-c", code))
+    wait_until(lambda: " starts." in programs.log("control"))
+    process.terminate()
+    assert process.wait(GRACE_S) == 0
+    assert "Control process stops." in programs.log("control")
