End a request whose body is not received by its deadline

On the path of `figpick run`, a caller that sent a body too slowly, or never all of it, kept its call and connection at the node without end: the deadline began only when the call was sent, and a body of up to 64 KiB, or one in chunks for a method without a body, is read before that.

The deadline now begins with the head of the request. A call that was not sent by then gets 504 with the outcome not-run.

--- a/src/figpick/calls/_calls.py
+++ b/src/figpick/calls/_calls.py
@@ -205,6 +205,9 @@
         if self._has_sent and plan.key and not plan.route.idempotent:
             # The response is stored for a retry. Cancelling would only lose it.
             return
+        if self._task is None and self._deadline_timer is not None:
+            # The request was not received in full.
+            self._deadline_timer.cancel()
         if self._task is not None and not self._has_ended:
             self._node.counters.cancelled += 1
             self._has_ended = True
@@ -219,6 +222,9 @@
 
     def _accept(self, headers):
         plan = self._plan
+        loop = asyncio.get_running_loop()
+        delay_s = plan.deadline - self._node.clock.monotonic()
+        self._deadline_timer = loop.call_later(delay_s, self._expire)
         limit = plan.service.limits.body_bytes
         is_chunked = "Transfer-Encoding" in headers
         if is_chunked and plan.method not in CHUNKED_BODY_METHODS:
@@ -240,8 +246,6 @@
         self._relay = ResponseRelay(
             node, self._caller, is_resumable, max_stored_bytes, self._finish_response
         )
-        delay_s = plan.deadline - node.clock.monotonic()
-        self._deadline_timer = loop.call_later(delay_s, self._expire)
         if node.should_record(plan):
             self._recording_start = ClockReading(
                 node.clock.monotonic(), node.clock.wall()
@@ -336,6 +340,8 @@
 
     def _abort(self, error):
         self._has_ended = True
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
         if self._body is not None:
             self._body.discard()
         if self._relay is not None and self._relay.is_complete:
