--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -199,3 +199,13 @@
     path.write_text("[self")
     with pytest.raises(InvalidDocumentError):
         settings.load(str(path))
+
+
+@pytest.mark.parametrize(
+    "seed", [5, "", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "host:80"]
+)
+def test_seeds_that_are_not_addresses_are_refused(seed):
+    """Guards against a reload that fails in the event loop or when it connects."""
+    fields = {"network": {"portRange": [7620, 7635], "seeds": ["10.0.0.2:80", seed]}}
+    with pytest.raises(ValueError):
+        settings.seed_link_addresses(fields)
