Bound replies and the time of messages between processes

A process that answered a message with a reply without end made the memory of the sender grow until its timeout: replies were read with the parameters of upstream responses, whose bodies are streamed and may have 1 TiB, but a reply is collected. A message whose body came slowly was never given up by its receiver, and its bytes stayed in memory.

Replies now have the limit of messages, MAX_MESSAGE_BYTES, and a message must be complete in MESSAGE_TIMEOUT_S.

--- a/src/figpick/messaging/_transport.py
+++ b/src/figpick/messaging/_transport.py
@@ -4,7 +4,7 @@
 from functools import singledispatch
 
 import msgspec
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
@@ -27,7 +27,7 @@
 from ..base._logs import logger
 from ..base._settings import split_address
 from . import _auth
-from ._connections import CONNECTION_PARAMETERS, ConnectionPool
+from ._connections import CHUNK_BYTES, ConnectionPool
 
 PATH_PREFIX = "/peer/"
 DEFAULT_TIMEOUT_S = 1.0
@@ -39,7 +39,13 @@
 SERVER_IDLE_TIMEOUT_S = 60.0
 # Each read allocates a buffer of this size; most messages are smaller than 1 KiB.
 READ_BYTES = 8 * 1024
+# Limit for a message and for a reply.
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# Time from the head of a message to its end.
+MESSAGE_TIMEOUT_S = 60.0
+REPLY_PARAMETERS = HTTP1ConnectionParameters(
+    chunk_size=CHUNK_BYTES, max_body_size=MAX_MESSAGE_BYTES
+)
 
 log = logger("transport")
 
@@ -140,7 +146,7 @@
         headers["Host"] = "figpick"
         headers["Content-Length"] = str(len(body))
         headers[_auth.HEADER] = signature
-        http = HTTP1Connection(connection.stream, True, CONNECTION_PARAMETERS)
+        http = HTTP1Connection(connection.stream, True, REPLY_PARAMETERS)
         http.write_headers(RequestStartLine("POST", path, "HTTP/1.1"), headers, body)
         http.finish()
         reply = _ReplyReader()
@@ -211,6 +217,7 @@
             chunk_size=READ_BYTES,
             max_body_size=MAX_MESSAGE_BYTES,
             idle_connection_timeout=SERVER_IDLE_TIMEOUT_S,
+            body_timeout=MESSAGE_TIMEOUT_S,
         )
         self._server.listen(port, ip)
 
