Close a probe whose response never ends

A node that probes an upstream read and discarded the body of the response for the whole timeout of a second, over 96 MB on a fast network, and then took the upstream, which had answered at once, for one that doesn't.

A probe needs only the head of its response. Its connection now closes when the body exceeds MAX_PROBE_BODY_BYTES.

Evidence: without the change, 3 cases of test_response_without_end_to_a_probe_is_closed fail: the upstream had sent its 96 MiB before the connection closed.

--- a/src/figpick/routing/_silent_connections.py
+++ b/src/figpick/routing/_silent_connections.py
@@ -2,15 +2,20 @@
 
 import asyncio
 
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import StreamClosedError
 
-from ..messaging._connections import CONNECTION_PARAMETERS
+from ..messaging._connections import CHUNK_BYTES
 from ._attempt_progress import Action, AttemptProgress, Latencies, UpstreamAttempts
 
 CHECK_PERIOD_S = 0.02
 PROBE_TIMEOUT_S = 1.0
+# A probe needs only the head of its response.
+MAX_PROBE_BODY_BYTES = 64 * 1024
+PROBE_PARAMETERS = HTTP1ConnectionParameters(
+    chunk_size=CHUNK_BYTES, max_body_size=MAX_PROBE_BODY_BYTES
+)
 PROBE_PERIOD_S = 0.1
 
 
@@ -123,7 +128,7 @@
 
 
 async def _send_probe(connection, host):
-    http = HTTP1Connection(connection.stream, True, CONNECTION_PARAMETERS)
+    http = HTTP1Connection(connection.stream, True, PROBE_PARAMETERS)
     headers = HTTPHeaders({"Host": host, "Connection": "close"})
     http.write_headers(RequestStartLine("OPTIONS", "*", "HTTP/1.1"), headers)
     http.finish()
--- a/tests/endless_bytes.py
+++ b/tests/endless_bytes.py
@@ -47,6 +47,8 @@
     "body": (CHUNKED_REQUEST, b"%x\r\n%b\r\n" % (4096, b"x" * 4096)),
 }
 ENDLESS_BYTES = 100_000_000_000
+# Parts of the heads of requests that get an endless response.
+ENDLESS_PARTS = (b"/endless", b"/peer/", b"OPTIONS *")
 RANGE = re.compile(rb"Range: bytes=(\d+)-")
 BODIES = {
     "without-length": (HEAD + b"\r\n", b"x"),
@@ -96,7 +98,7 @@
                 if b"/slow" in head:
                     await reader.read()
                     return
-                if b"/endless" in head or b"/peer/" in head:
+                if any(part in head for part in ENDLESS_PARTS):
                     self.requests += 1
                     offset = RANGE.search(head)
                     if self.requests == 1 or offset:
--- a/tests/test_endless_path_responses.py
+++ b/tests/test_endless_path_responses.py
@@ -1,9 +1,14 @@
 """Responses without end on the path of ``figpick run``."""
 
 import asyncio
+from unittest.mock import Mock
 
 import pytest
 
+from bench.cluster import free_address
+from figpick.base._clock import Clock
+from figpick.messaging._connections import ConnectionPool
+from figpick.routing._silent_connections import PROBE_TIMEOUT_S, SilenceDetector
 from tests.endless_bytes import (
     BODIES,
     MAX_TRACED_BYTES,
@@ -11,6 +16,7 @@
     PIECE_BYTES,
     SOCKET_BUFFER_BYTES,
     STALLS,
+    EndlessServer,
     in_use,
     start_node,
     traced,
@@ -101,3 +107,22 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("shape", ["header-value", "interim-responses", *BODIES])
+def test_response_without_end_to_a_probe_is_closed(shape, traced):
+    """Guards against a probe that holds a connection and the memory of its node."""
+
+    async def scenario():
+        server, address = EndlessServer(*{**STALLS, **BODIES}[shape]), free_address()
+        await server.listen(address)
+        upstream = Mock(pool=ConnectionPool(address))
+        detector = SilenceDetector(Clock())
+        async with asyncio.timeout(PROBE_TIMEOUT_S + 1.0):
+            await detector._run_probe(upstream, Clock().monotonic())
+            while not server.is_closed:
+                await asyncio.sleep(0.01)
+        assert traced() < MAX_TRACED_BYTES
+        server.stop()
+
+    asyncio.run(scenario())
