--- a/bench/soak_memory.py
+++ b/bench/soak_memory.py
@@ -1,10 +1,12 @@
-"""Memory of the processes of a soak test."""
+"""Measurements beside a soak test: memory of its processes, delays of its threads."""
 
 import asyncio
 import re
+import time
 from pathlib import Path
 
 SAMPLE_INTERVAL_S = 0.3
+THREAD_PROBE_INTERVAL_S = 0.05
 # Responses without end are longer than the difference to the usual memory of a process.
 MAX_MEMORY_KB = 80_000
 
@@ -34,3 +36,14 @@
                 )
             peaks_kb[pid] = max(memory_kb, peaks_kb.get(pid, 0))
         await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
+def measure_thread_lag(responses, has_ended):
+    """Records how late threads of the soak run.
+
+    :param has_ended: :class:`threading.Event` that ends the measurement.
+    """
+    while not has_ended.is_set():
+        due_at = time.time() + THREAD_PROBE_INTERVAL_S
+        time.sleep(THREAD_PROBE_INTERVAL_S)
+        responses.record_thread_lag(due_at, time.time() - due_at)
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -9,6 +9,7 @@
 import json
 import random
 import re
+import threading
 import time
 from collections import Counter
 
@@ -22,7 +23,7 @@
     SERVICES,
     SLOW_TIMEOUT_S,
 )
-from bench.soak_memory import measure_memory
+from bench.soak_memory import measure_memory, measure_thread_lag
 from bench.soak_operators import Operators
 from bench.soak_responses import APPLY_S, STABLE_S, ResponseChecker
 from bench.soak_signals import SignalledProcess, draw_events, draw_lowered_times
@@ -189,7 +190,11 @@
                 *(client.run(clients_until) for client in self._make_clients()),
             )
         ]
+        has_ended = threading.Event()
         measurements = [
+            asyncio.ensure_future(
+                asyncio.to_thread(measure_thread_lag, self.responses, has_ended)
+            ),
             asyncio.ensure_future(self._measure_lag()),
             asyncio.ensure_future(
                 measure_memory(self._processes, self.responses, self._memory_kb)
@@ -206,6 +211,7 @@
         for number in self._cluster.node_numbers:
             await self._probe_change(number, self._operators.newest.number)
         await self._operators.read_final()
+        has_ended.set()
         for measurement in measurements:
             measurement.cancel()
 
--- a/bench/soak_upstreams.py
+++ b/bench/soak_upstreams.py
@@ -128,12 +128,13 @@
         """Executes a request and sends its response."""
         request_id = (request.header(HEADER_NAMES.request_id) or b"").decode()
         run = Run(self._number, self._service, time.time())
+        deadline_s = int(request.header(HEADER_NAMES.deadline_ms)) / 1000
+        run.expires_at = run.started_at + deadline_s
         self._responses.record_run(request_id, run)
         query = parse_qs(request.target.decode().partition("?")[2])
-        deadline_s = int(request.header(HEADER_NAMES.deadline_ms)) / 1000
         if "endless" in query:
             run.is_faulty = True
-            kind, until = query["endless"][0], run.started_at + deadline_s
+            kind, until = query["endless"][0], run.expires_at
             sent_bytes = await send_without_end(
                 connection.transport, request_id, kind, until
             )
