Take no request without an id for the parent of others

While an upstream ran a request without an id, every request of a client counted as its nested call, since the part of an id before the last dot is empty without a dot. Ids then also counted as derived for good, which ended the detection of nested calls by deadline, and a stopping node took requests of clients as awaited. Requests without an id are no longer indexed. test_request_without_an_id_is_no_parent failed before.

--- a/src/figpick/nodes/_executions.py
+++ b/src/figpick/nodes/_executions.py
@@ -174,7 +174,8 @@
         """
         execution.upstream_deadline = deadline
         insort(self._by_deadline, (deadline, id(execution), execution))
-        self._by_id[execution.call.request_id] = execution
+        if execution.call.request_id:
+            self._by_id[execution.call.request_id] = execution
 
     def remove(self, execution):
         """Removes a request that has finished."""
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from figpick.nodes._entry_policy import DEADLINE_MARGIN_S
+from figpick.nodes._executions import RunningRequests
 from figpick.nodes._stop_schedule import make_stop_schedule
 from figpick.wire import DEFAULT_HEADERS
 
@@ -213,3 +214,19 @@
         now = 100.0 + after_s / 10
         if stop.takes(True, now) or stop.takes(False, now):
             assert stop.leaves_time(0.0, now)
+
+
+def test_request_without_an_id_is_no_parent():
+    """Guards against taking every request for a call of one that has no id."""
+
+    class Call:
+        request_id = b""
+
+    class Execution:
+        upstream_deadline = None
+
+    Execution.call = Call
+    running = RunningRequests()
+    running.add(Execution, 100.0)
+    assert running.find_parent(b"c1", 50.0) is None
+    assert not running.has_derived_ids
