Send calls in a stop to the hosts that have time for them

Callers saw refusals and timeouts in a stop although a host had time: the calling node chose a host by its aged service time and refused the call if the typical time of that one host was too long, and a retry without time replaced the failure of an upstream by a 502 of the node. An owner that stops took calls whose typical time it does not have, also those that were still connecting, and its upstream gave up on them.

The calling node chooses, hedges and retries only among hosts that have time. The owner gives calls back as not run, so that their callers send them to another host.

On the code before, 6 of 8 calls got 503, 3 of 6 calls at the owner 504, and a failure of the upstream became 502: test_call_goes_to_the_host_that_has_time, test_stopping_owner_gives_back_calls_it_has_no_time_for and test_failure_of_the_upstream_is_forwarded_if_no_host_has_time failed.

--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -77,7 +77,7 @@
         """
         return any(
             peer.target.failure_share(now) < MAX_RETRY_FAILURE_SHARE
-            for peer in self._untried_peers(call)
+            for peer in self._with_time(call, self._untried_peers(call), now)
         )
 
     def place(self, call):
@@ -87,15 +87,36 @@
         if not peers:
             self._wait_or_refuse(call, now)
             return
-        peer = self._choose(call, peers, now)
-        if self._has_time(call, peer, now):
-            self._send(call, peer, now)
+        peers = self._with_time(call, peers, now)
+        if peers:
+            self._send(call, self._choose(call, peers, now), now)
         else:
             self._forwarder.on_placement_failed(call, REASON_STOPPED, STARTUP_WAIT_S)
 
-    def _has_time(self, call, peer, now):
-        work_s = peer.target.expected_service_s(call.route.name)
-        return self.stop is None or self.stop.leaves_time(work_s, now)
+    def has_time(self, call, now):
+        """Returns whether a host not tried before can run a call before the node ends.
+
+        :param now: monotonic seconds.
+        """
+        if self.stop is None:
+            return True
+        return bool(self._with_time(call, self._untried_peers(call), now))
+
+    def work_until(self, call):
+        """Returns the deadline of what is sent now for a call, in monotonic seconds."""
+        if self.stop is None:
+            return call.respond_by
+        return min(call.respond_by, self.stop.work_until)
+
+    def _with_time(self, call, peers, now):
+        if self.stop is None:
+            return peers
+        route = call.route.name
+        return [
+            peer
+            for peer in peers
+            if self.stop.leaves_time(peer.target.expected_service_s(route), now)
+        ]
 
     def _untried_peers(self, call):
         return [
@@ -159,7 +180,7 @@
             is_nested=call.is_nested,
             is_idempotent=call.route.is_idempotent,
             is_retry=call.is_retry or call.was_at_upstream,
-            remaining_ms=max(0, int((self._work_until(call) - now) * 1000)),
+            remaining_ms=max(0, int((self.work_until(call) - now) * 1000)),
             target_ms=max(0, int((call.target_at - now) * 1000)),
             route=call.route.name,
             caller=self._settings.service,
@@ -188,11 +209,6 @@
                 loop = asyncio.get_running_loop()
                 call.hedge_timer = loop.call_later(wait_s, self._hedge, call, attempt)
 
-    def _work_until(self, call):
-        if self.stop is None:
-            return call.respond_by
-        return min(call.respond_by, self.stop.work_until)
-
     def _hedge_silent(self, peer):
         """Sends the calls that wait for a suspected host to other hosts."""
         self._forwarder.on_suspected(peer)
@@ -216,19 +232,14 @@
         if lacks_capacity and not attempt.peer.is_suspected:
             return
         now = self._forwarder.now()
-        others = self._untried_peers(call)
-        if not others:
-            return
-        other = self._choose(call, others, now)
-        if not self._has_time(call, other, now):
-            return
-        if not self.retry_budget(call.service).take(now):
+        others = self._with_time(call, self._untried_peers(call), now)
+        if not others or not self.retry_budget(call.service).take(now):
             return
         target.record_failure(now)
         call.used_attempts += 1
         call.was_at_upstream = True
         self._forwarder.on_hedged(attempt, now)
-        self._send(call, other, now)
+        self._send(call, self._choose(call, others, now), now)
 
     def forget(self, attempt):
         """Removes an attempt that has ended."""
--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -228,6 +228,7 @@
             and reason != REASON_TIMEOUT
             and call.used_attempts < call.route.attempts
             and now < call.respond_by
+            and self._dispatcher.has_time(call, now)
         )
         if can_retry and self._dispatcher.retry_budget(call.service).take(now):
             self._log_attempt("Call sent again.", attempt, reason, now)
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -232,10 +232,17 @@
             return REASON_WRONG_INSTANCE
         if not self.view.slots:
             return REASON_LEAVING
+        if not self._has_time(call, now):
+            return REASON_STOPPED
         if self._quarantine.is_quarantined(fingerprint(call), now):
             return REASON_QUARANTINED
         return None
 
+    def _has_time(self, call, now):
+        if self._stop is None:
+            return True
+        return self._stop.leaves_time(self._queue.expected_service_s(call.route), now)
+
     def _start(self, execution):
         now = self._clock.monotonic()
         must_run_once = not execution.call.is_idempotent
@@ -289,13 +296,18 @@
     def _send(self, execution, connection):
         now = self._clock.monotonic()
         call = execution.call
-        if self._stop is not None:
-            execution.deadline = min(execution.deadline, self._stop.work_until)
-        if now >= execution.deadline - QUEUE_MARGIN_S or self._is_outdated(call):
+        reason = None
+        if not self._has_time(call, now):
+            reason = REASON_STOPPED
+        elif now >= execution.deadline - QUEUE_MARGIN_S or self._is_outdated(call):
+            reason = REASON_QUEUE_TIMEOUT
+        if reason is not None:
             connection.idle_since = now
             self._pool.put_back(connection)
-            self._finish_not_run(execution, REASON_QUEUE_TIMEOUT)
+            self._finish_not_run(execution, reason)
             return
+        if self._stop is not None:
+            execution.deadline = min(execution.deadline, self._stop.work_until)
         execution.connection = connection
         execution.sent_at = now
         remaining_ms = int((execution.deadline - now) * 1000)
