Try another host after the early timeout of an upstream that stops

An upstream beside a stopping node gets a deadline within the stop. Its 504 there ended calls whose callers had seconds left: an attempt that was running at another host was cancelled, and idempotent calls were not sent again, since a timeout counted as the end of their own time. A 504 before the deadline that the calling node sent no longer ends other attempts, may be retried within the budget, and does not count as a typical time.

test_idempotent_call_at_a_stopping_owner_goes_to_another_host and test_attempt_at_a_stopping_owner_does_not_end_the_one_at_another_host failed before with 504.

--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -34,6 +34,9 @@
 # A lost link is open again after a few milliseconds unless its host is gone.
 REATTACH_WAIT_S = 0.5
 REATTACH_WAIT_NON_IDEMPOTENT_S = 1.8
+# An upstream beside a node that stops gets less time than its caller has. Its timeout
+# is told from that of the caller by this margin.
+EARLY_TIMEOUT_MARGIN_S = 0.1
 
 
 class AttemptOutcomes:
@@ -109,15 +112,24 @@
         target = attempt.peer.target
         now = self.now()
         target.update_load(Load(*load), now)
+        is_early_timeout = (
+            status == STATUS_TIMEOUT
+            and now < self._dispatcher.work_until(call) - EARLY_TIMEOUT_MARGIN_S
+        )
         if is_last:
             # A timeout also counts as served: the upstream worked until the deadline.
-            if status < 500 or status == STATUS_TIMEOUT:
+            if status < 500 or (status == STATUS_TIMEOUT and not is_early_timeout):
                 target.record_success(call.route.name, served_ms / 1000, now)
             self._dispatcher.forget(attempt)
         self.policy.record_response_level(call, level)
         if call.is_done:
             return
-        if self._may_retry(call, status, level, now):
+        if is_early_timeout and call.attempts:
+            call.used_attempts += 1
+            call.was_at_upstream = call.may_have_run = True
+            return
+        can_retry = status >= 500 and (status != STATUS_TIMEOUT or is_early_timeout)
+        if can_retry and self._may_retry(call, level, now):
             call.used_attempts += 1
             call.was_at_upstream = call.may_have_run = True
             self._log_attempt("Call sent again.", attempt, str(status), now)
@@ -141,15 +153,13 @@
         call.response.start(status, head, length, body, True)
         self._finish_call(call)
 
-    def _may_retry(self, call, status, level, now):
+    def _may_retry(self, call, level, now):
         """Returns whether to retry at another host after a failure of the upstream.
 
         Where the called services lack free capacity, the next host would fail as well.
         """
         return (
-            status >= 500
-            and status != STATUS_TIMEOUT
-            and level >= FREE_CAPACITY_LEVEL
+            level >= FREE_CAPACITY_LEVEL
             and self._sends_again
             and call.route.is_idempotent
             and not call.attempts
--- a/tests/test_other_hosts_in_stops.py
+++ b/tests/test_other_hosts_in_stops.py
@@ -35,6 +35,44 @@
         )
 
 
+@async_test
+async def test_idempotent_call_at_a_stopping_owner_goes_to_another_host(tmp_path):
+    """Guards against a final 504 of an upstream that was given a shorter deadline."""
+    async with ThreeHosts(tmp_path) as fleet:
+        caller, stopping, other = fleet.hosts
+        address = caller.settings.call_address
+        slow = WorkingUpstream(stopping.upstream)
+        fast = WorkingUpstream(other.upstream)
+        slow.work_s = fast.work_s = 2.0
+        await train(address, 15, rounds=3)
+        slow.work_s = 20.0
+        stop = asyncio.ensure_future(stop_node(stopping))
+        await asyncio.sleep(0.5)
+        outcomes = await asyncio.gather(
+            *(send(address, b"c%d" % n, 7900) for n in range(2))
+        )
+        await stop
+        assert any(o.id in stopping.upstream.runs for o in outcomes)
+        assert {o.status for o in outcomes} == {200}
+
+
+@async_test
+async def test_attempt_at_a_stopping_owner_does_not_end_the_one_at_another_host(
+    tmp_path,
+):
+    """Guards against cancelling an attempt that has time left."""
+    async with ThreeHosts(tmp_path) as fleet:
+        caller, stopping, other = fleet.hosts
+        WorkingUpstream(stopping.upstream).work_s = 6.3
+        WorkingUpstream(other.upstream).work_s = 6.3
+        stop = asyncio.ensure_future(stop_node(stopping))
+        await asyncio.sleep(0.2)
+        outcome = await send(caller.settings.call_address, b"c", 10000)
+        await stop
+        assert stopping.upstream.runs and other.upstream.runs
+        assert outcome.status == 200
+
+
 @async_test
 async def test_stopping_owner_gives_back_calls_it_has_no_time_for(tmp_path):
     """Guards against a call of another node that the owner takes without the time."""
