Keep two tests of endless bodies free of races

test_request_without_end_is_rejected_once[body] failed with 503 on a loaded machine, in one of eight runs: its sender shares the event loop of the node, and the first request had to open the link to its host within 0.4 s. A request before the endless one now opens the link.

test_request_without_end_is_cut_off[body] of the path of `figpick run` failed with a 200 in two of five runs: its upstream answered before the body exceeded its limit, which is allowed. The upstream no longer answers this request, so the test still fails on any success.

--- a/tests/endless_bytes.py
+++ b/tests/endless_bytes.py
@@ -33,7 +33,7 @@
     "chunk-size": (CHUNKED, b"0"),
     "trailer-value": (CHUNKED + b"0\r\nX: ", b"x"),
 }
-REQUEST_HEAD = b"PUT /a HTTP/1.1\r\nHost: parts\r\nFigpick-Deadline-Ms: 400\r\n"
+REQUEST_HEAD = b"PUT /slow HTTP/1.1\r\nHost: parts\r\nFigpick-Deadline-Ms: 400\r\n"
 CHUNKED_REQUEST = REQUEST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 REQUEST_STALLS = {
     "target": (b"GET /", b"x"),
--- a/tests/test_endless_path_requests.py
+++ b/tests/test_endless_path_requests.py
@@ -59,9 +59,7 @@
     """Guards against a request that is never complete and never given up."""
 
     async def scenario():
-        head = (
-            REQUEST_HEAD.replace(b"PUT /a", method + b" /slow") + framing + b"\r\n\r\n"
-        )
+        head = REQUEST_HEAD.replace(b"PUT", method) + framing + b"\r\n\r\n"
         async with start_node(body_bytes=1_000_000) as setup:
             node = setup.node
             async with asyncio.timeout(3.0):
--- a/tests/test_endless_peer_messages.py
+++ b/tests/test_endless_peer_messages.py
@@ -66,7 +66,7 @@
         address = free_address()
         server = PeerServer(address, Authenticator(KEY), Clock())
         server.start()
-        start = start.replace(b"PUT /a", b"POST /peer/gossip")
+        start = start.replace(b"PUT /slow", b"POST /peer/gossip")
         piece = unit if period_s else unit * (PIECE_BYTES // len(unit) + 1)
         async with asyncio.timeout(3.0):
             sent_bytes, received = await send_until_closed(
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -39,7 +39,7 @@
     "trailer-name": (CHUNKED + b"0\r\n", b"x", 400),
     "trailer-value": (CHUNKED + b"0\r\nX: ", b"x", 400),
     "trailer-lines": (CHUNKED + b"0\r\n", b"X: y\r\n", 431),
-    "body": (CHUNKED, b"8\r\nxxxxxxxx\r\n", 413),
+    "body": (CHUNKED, b"1000\r\n%b\r\n" % (b"x" * 4096), 413),
 }
 
 
@@ -97,6 +97,9 @@
         entry, host = fleet.hosts
         with patch.object(entry.node._entry, "max_body_bytes", lambda: 10**6):
             async with Client(entry.settings.call_address) as client:
+                # The sender shares the event loop of the node, so the link to the host
+                # is opened before.
+                assert (await client.call(b"/parts/1", b"first"))[0] == 200
                 client.send(b"/parts/1", b"a0")
                 client.writer.write(start)
                 piece = unit * (PIECE_BYTES // len(unit) + 1)
