--- a/tests/test_control_stop.py
+++ b/tests/test_control_stop.py
@@ -154,7 +154,12 @@
 @pytest.mark.processes
 def test_hangup_stops_a_process_gracefully(tmp_path):
     """Guards against a signal whose default action cuts calls in flight."""
-    with run_control(tmp_path) as process:
+
+    def handle_hangups():
+        # The tests themselves may have been started by nohup.
+        signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+    with run_control(tmp_path, handle_hangups) as process:
         process.send_signal(signal.SIGHUP)
         assert process.wait(READY_TIMEOUT_S) == 0
 
