--- a/src/figpick/calls/_calls.py
+++ b/src/figpick/calls/_calls.py
@@ -20,9 +20,11 @@
 from ..base._errors import (
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
+    BrokenResponseError,
     CallError,
     DeadlineError,
     DocumentMissingError,
+    DrainingError,
     ExecutionCancelledError,
     MalformedRequestError,
 )
@@ -32,7 +34,7 @@
 from ._bodies import CHUNKED_BODY_METHODS, MAX_REPLAY_BYTES, RequestBody
 from ._dispatch import Dispatch
 from ._headers import content_length, end_to_end_headers
-from ._plans import KEY_HEADER, ClockReading
+from ._plans import KEY_HEADER, CallPlan, ClockReading
 from ._relays import ResponseRelay
 
 # After an early response, the rest of the request body is read for this long. Closing
@@ -88,6 +90,11 @@
     def on_close(self, server_conn):
         self._calls.pop(server_conn, None)
 
+    def end_calls(self):
+        """Ends the calls in flight, since the node stops."""
+        for call in list(self._calls.values()):
+            call.end_by_stop()
+
 
 class Call(HTTPMessageDelegate):
     """One call, from its request headers to its response.
@@ -205,6 +212,9 @@
         if self._has_sent and plan.key and not plan.route.idempotent:
             # The response is stored for a retry. Cancelling would only lose it.
             return
+        if self._task is None and self._deadline_timer is not None:
+            # The request was not received in full.
+            self._deadline_timer.cancel()
         if self._task is not None and not self._has_ended:
             self._node.counters.cancelled += 1
             self._has_ended = True
@@ -217,8 +227,18 @@
             ExecutionCancelledError("the execution that made this call was cancelled")
         )
 
+    def end_by_stop(self):
+        """Ends the call because the node stops before its response."""
+        if self._has_sent:
+            self._fail(BrokenResponseError("the node stopped before the upstream"))
+        elif isinstance(self._plan, CallPlan):
+            self._fail(DrainingError("the node is shutting down", retry_after_s=1))
+
     def _accept(self, headers):
         plan = self._plan
+        loop = asyncio.get_running_loop()
+        delay_s = plan.deadline - self._node.clock.monotonic()
+        self._deadline_timer = loop.call_later(delay_s, self._expire)
         limit = plan.service.limits.body_bytes
         is_chunked = "Transfer-Encoding" in headers
         if is_chunked and plan.method not in CHUNKED_BODY_METHODS:
@@ -240,8 +260,6 @@
         self._relay = ResponseRelay(
             node, self._caller, is_resumable, max_stored_bytes, self._finish_response
         )
-        delay_s = plan.deadline - node.clock.monotonic()
-        self._deadline_timer = loop.call_later(delay_s, self._expire)
         if node.should_record(plan):
             self._recording_start = ClockReading(
                 node.clock.monotonic(), node.clock.wall()
@@ -336,6 +354,8 @@
 
     def _abort(self, error):
         self._has_ended = True
+        if self._deadline_timer is not None:
+            self._deadline_timer.cancel()
         if self._body is not None:
             self._body.discard()
         if self._relay is not None and self._relay.is_complete:
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -5,7 +5,14 @@
 from ..admission import FREE_CAPACITY_LEVEL, NO_CAPACITY_LEVEL, RetryBudget
 from ..placing import choose
 from ._calls import Attempt
-from ._messages import BODY_PART, BODY_PART_BYTES, CALL, CANCEL, CallMessage
+from ._messages import (
+    BODY_PART,
+    BODY_PART_BYTES,
+    CALL,
+    CANCEL,
+    REASON_STOPPED,
+    CallMessage,
+)
 
 # Longest wait of a call for a host of its service to become available.
 MAX_HOST_WAIT_S = 0.4
@@ -35,6 +42,8 @@
         self._waiting_calls = {}
         self._attempt_count = 0
         self.peers = None
+        # The StopSchedule of the node once it stops.
+        self.stop = None
 
     def __repr__(self):
         return f"<Dispatcher {self._attempt_count} attempts>"
@@ -68,17 +77,46 @@
         """
         return any(
             peer.target.failure_share(now) < MAX_RETRY_FAILURE_SHARE
-            for peer in self._untried_peers(call)
+            for peer in self._with_time(call, self._untried_peers(call), now)
         )
 
     def place(self, call):
         """Sends a call to a host not tried before, or queues or refuses it."""
         now = self._forwarder.now()
         peers = self._untried_peers(call)
+        if not peers:
+            self._wait_or_refuse(call, now)
+            return
+        peers = self._with_time(call, peers, now)
         if peers:
             self._send(call, self._choose(call, peers, now), now)
         else:
-            self._wait_or_refuse(call, now)
+            self._forwarder.on_placement_failed(call, REASON_STOPPED, STARTUP_WAIT_S)
+
+    def has_time(self, call, now):
+        """Returns whether a host not tried before can run a call before the node ends.
+
+        :param now: monotonic seconds.
+        """
+        if self.stop is None:
+            return True
+        return bool(self._with_time(call, self._untried_peers(call), now))
+
+    def work_until(self, call):
+        """Returns the deadline of what is sent now for a call, in monotonic seconds."""
+        if self.stop is None:
+            return call.respond_by
+        return min(call.respond_by, self.stop.work_until)
+
+    def _with_time(self, call, peers, now):
+        if self.stop is None:
+            return peers
+        route = call.route.name
+        return [
+            peer
+            for peer in peers
+            if self.stop.leaves_time(peer.target.expected_service_s(route), now)
+        ]
 
     def _untried_peers(self, call):
         return [
@@ -142,7 +180,7 @@
             is_nested=call.is_nested,
             is_idempotent=call.route.is_idempotent,
             is_retry=call.is_retry or call.was_at_upstream,
-            remaining_ms=max(0, int((call.respond_by - now) * 1000)),
+            remaining_ms=max(0, int((self.work_until(call) - now) * 1000)),
             target_ms=max(0, int((call.target_at - now) * 1000)),
             route=call.route.name,
             caller=self._settings.service,
@@ -194,7 +232,7 @@
         if lacks_capacity and not attempt.peer.is_suspected:
             return
         now = self._forwarder.now()
-        others = self._untried_peers(call)
+        others = self._with_time(call, self._untried_peers(call), now)
         if not others or not self.retry_budget(call.service).take(now):
             return
         target.record_failure(now)
