List two failures of endless responses that remain

A streamed response without end of a non-idempotent call is read by nobody once its client has left, but holds its slot until the deadline: the owner ends a running call on a cancellation only if it may be aborted.

test_endless_response_to_another_request_is_skipped_for_a_bounded_time[chunked] failed once on a busy machine: one of 17 requests after it got 503. It is not traced. The check now shows the body of such a response.

--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -99,11 +99,12 @@
 
     async def call(number):
         async with Client(address) as client:
-            return (await client.call(b"/parts/1", b"free%d" % number))[0]
+            status, _, body = await client.call(b"/parts/1", b"free%d" % number)
+            return status, body
 
     host.upstream.delay_s = 0.05
-    statuses = await asyncio.gather(*(call(number) for number in range(SLOTS)))
-    assert statuses == [200] * SLOTS
+    responses = await asyncio.gather(*(call(number) for number in range(SLOTS)))
+    assert not [response for response in responses if response[0] != 200]
 
 
 @pytest.fixture
@@ -232,6 +233,22 @@
             await assert_is_free(host, endless)
 
 
+@async_test
+async def test_endless_body_of_a_call_that_ran_once_is_closed_when_its_client_leaves(
+    tmp_path,
+):
+    """Guards against a streamed body that holds a slot although nobody reads it."""
+    async with Fleet(tmp_path, services=("entries", "parts")) as fleet:
+        entry, host = fleet.hosts
+        piece = b"x" * PIECE_BYTES
+        endless = EndlessUpstream(host, [b"a1"], HEAD + b"\r\n", piece, period_s=0.02)
+        async with Client(entry.settings.call_address) as client:
+            client.send(b"/parts/once/1", b"a1", method=b"POST")
+            await client.reader.readuntil(b"\r\n\r\n")
+        async with asyncio.timeout(1.0):
+            await assert_is_free(host, endless)
+
+
 @pytest.mark.parametrize("shape", ["header-value", "body"])
 @async_test
 async def test_endless_response_is_closed_when_its_node_ends(tmp_path, shape):
