Free the slot of a streamed response when its client leaves

An owner kept a streamed response of a non-idempotent call, its slot and its connection until the deadline after the client had left, 2.4 s in the test: only calls that may run again were ended. A call whose response has begun has run, so nothing is lost by ending it. test_endless_body_of_a_call_that_ran_once_is_closed_when_its_client_leaves failed before.

--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -189,7 +189,8 @@
     def cancel(self, peer, number, aborts_running):
         """Ends a call whose result its caller no longer needs.
 
-        :param aborts_running: whether to abort the call if it is already running.
+        :param aborts_running: whether to abort the call if it is already running. A
+            call whose response has begun has run, and nobody reads the rest.
         """
         execution = self._executions.get((peer, number))
         if execution is None:
@@ -197,7 +198,7 @@
         if execution.ticket.is_queued:
             self._queue.withdraw(execution.ticket)
             self._finish(execution)
-        elif aborts_running:
+        elif aborts_running or execution.is_streaming:
             self._finish(execution)
 
     def withdraw(self, peer, number):
