Keep trailers apart from headers

The parser reports the trailers of a chunked message like headers, so a trailer of an upstream could say that a request which had run has not run, and one of a client could add a header to a request that was complete. Trailers are counted and dropped, as RFC 9110, section 6.5.1, permits. Both tests failed before.

--- a/src/figpick/wire/_requests.py
+++ b/src/figpick/wire/_requests.py
@@ -124,7 +124,9 @@
     def on_header(self, name, value):
         if self._failed:
             return
-        self._request.headers.append((name, value))
+        # The parser reports trailers as well; they must not pass for headers.
+        if not self._request.method:
+            self._request.headers.append((name, value))
         self._count_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self):
--- a/src/figpick/wire/_responses.py
+++ b/src/figpick/wire/_responses.py
@@ -132,8 +132,10 @@
     def on_header(self, name, value):
         if self.is_complete:
             return
-        self.headers.append((name, value))
         self._head_bytes += len(name) + len(value) + 4
+        # The parser reports trailers as well; they must not pass for headers.
+        if not self.has_head:
+            self.headers.append((name, value))
 
     def on_headers_complete(self):
         if self.is_complete:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -191,3 +191,25 @@
     reader = RequestReader(fail, lambda: 1000, lambda: 100)
     with pytest.raises(KeyError, match="/a/1"):
         reader.feed(b"GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n", now=1.0)
+
+
+def test_trailer_of_a_response_does_not_pass_for_a_header():
+    """Guards against a trailer that says that a request which ran has not run."""
+    reader = make_reader()
+    reader.feed(
+        b"HTTP/1.1 200 OK\r\n%b: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n0\r\n%b: 1\r\n\r\n" % (ID, DEFAULT_HEADERS.not_run)
+    )
+    assert reader.is_complete
+    assert reader.take_chunks() == b"ab"
+    assert reader.header(DEFAULT_HEADERS.not_run) is None
+
+
+def test_trailer_of_a_request_does_not_pass_for_a_header():
+    """Guards against a deadline or an instance that a client hides in a trailer."""
+    (request,) = read_requests(
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n0\r\n%b: 99\r\n\r\n" % DEFAULT_HEADERS.deadline_ms
+    )
+    assert request.is_complete
+    assert request.header(DEFAULT_HEADERS.deadline_ms) is None
