Retry early timeouts only of hosts that take no more calls

Upstreams also respond with 504 before the deadline when their own calls time out. Since such a response was retried at another host in normal operation too, which adds load where services below are slow. The load that comes with the response tells a host whose node stops; only there has the deadline been shortened.

--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -34,8 +34,7 @@
 # A lost link is open again after a few milliseconds unless its host is gone.
 REATTACH_WAIT_S = 0.5
 REATTACH_WAIT_NON_IDEMPOTENT_S = 1.8
-# An upstream beside a node that stops gets less time than its caller has. Its timeout
-# is told from that of the caller by this margin.
+# Tells a timeout of an upstream beside a stopping node from that of the caller.
 EARLY_TIMEOUT_MARGIN_S = 0.1
 
 
@@ -112,8 +111,10 @@
         target = attempt.peer.target
         now = self.now()
         target.update_load(Load(*load), now)
+        # A host that takes no more calls gives its upstream less time than the caller.
         is_early_timeout = (
             status == STATUS_TIMEOUT
+            and target.load.limit == 0
             and now < self._dispatcher.work_until(call) - EARLY_TIMEOUT_MARGIN_S
         )
         if is_last:
