Reset connections of the soak's upstreams truly

An abort ends a connection cleanly if everything was read, and a clean end is the end of such a body. The stand-in now resets its connections, as the event says; test_reset_of_a_stand_in_is_no_end_of_a_body_without_length failed before.

--- a/bench/soak_endpoints.py
+++ b/bench/soak_endpoints.py
@@ -4,6 +4,7 @@
 import json
 import random
 import socket
+import struct
 
 from figpick.wire import HeaderNames, RequestReader
 
@@ -20,6 +21,9 @@
 SLOTS = 20
 DEADLINE_MS = 4000
 CALL_TIMEOUT_S = 6.0
+# Value of SO_LINGER with which a close resets the connection, also if all was read. A
+# body without a length would look complete otherwise.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def free_ports(count):
@@ -139,6 +143,8 @@
     def reset(self):
         """Resets every connection."""
         for connection in list(self._connections):
+            connected = connection.transport.get_extra_info("socket")
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             connection.transport.abort()
 
     async def crash(self, for_s):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -180,3 +180,22 @@
         command, cwd=ROOT, capture_output=True, text=True, timeout=90
     )
     assert result.returncode == 0, result.stdout.splitlines()[-1]
+
+
+def test_reset_of_a_stand_in_is_no_end_of_a_body_without_length():
+    """Guards against a cut body that counts as the whole response of an upstream."""
+
+    async def scenario():
+        address = ("127.0.0.1", free_ports(1)[0])
+        stand_in = StandIn("front", address, address, address, SoakChecker())
+        await stand_in.start()
+        reader, writer = await asyncio.open_connection(*address)
+        while not stand_in._connections:
+            await asyncio.sleep(0.01)
+        stand_in.reset()
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+        stand_in.stop()
+
+    asyncio.run(scenario())
