Forward the failure of an upstream if no other host runs the call

The failure is kept until another host responds, and forwarded if none runs the call. test_failure_is_forwarded_if_no_other_host_runs_the_call failed before.

--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -62,6 +62,7 @@
         "used_attempts",
         "was_at_upstream",
         "may_have_run",
+        "failure",
         "is_done",
         "timer",
         "hedge_timer",
@@ -99,6 +100,8 @@
         # Whether an upstream has received the call, so that it is sent as a retry.
         self.was_at_upstream = False
         self.may_have_run = False
+        # Status, head and body of the upstream's failure after which it was sent again.
+        self.failure = None
         self.is_done = False
         self.timer = None
         self.hedge_timer = None
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -261,7 +261,11 @@
     def _finish_not_run(self, call, reason, retry_after_s):
         if call.parent is not None:
             call.parent.add_child_level(call.level)
-        if call.may_have_run:
+        if call.failure is not None:
+            status, head, body = call.failure
+            self._counters.count(call, "answered", status)
+            call.response.start(status, head, len(body), body, True)
+        elif call.may_have_run:
             self._counters.count(call, "failed")
             call.send_error(STATUS_FAILED, "an earlier attempt may have run")
         else:
--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -131,6 +131,7 @@
             return
         can_retry = status >= 500 and (status != STATUS_TIMEOUT or is_early_timeout)
         if can_retry and self._may_retry(call, level, now):
+            call.failure = (status, head, body)
             call.used_attempts += 1
             call.was_at_upstream = call.may_have_run = True
             self._log_attempt("Call sent again.", attempt, str(status), now)
--- a/tests/test_failing_upstreams.py
+++ b/tests/test_failing_upstreams.py
@@ -135,3 +135,33 @@
                 await client.call(b"/parts/1", b"a%d" % number)
         assert sum(is_retry for _, is_retry in received) > 0
         assert len(received) == len({request_id for request_id, _ in received})
+
+
+@async_test
+async def test_failure_is_forwarded_if_no_other_host_runs_the_call(tmp_path):
+    """Guards against a 502 of the node in place of the failure of an upstream."""
+    async with Fleet(tmp_path) as fleet:
+        caller, failing, full = fleet.hosts
+
+        async def fail(connection, request):
+            data = failing.upstream.render(request, b"no", b"500 Internal Server Error")
+            connection.transport.write(data)
+
+        async def reject(connection, request):
+            extra = b"%b: 1\r\n" % DEFAULT_HEADERS.not_run
+            status = b"503 Service Unavailable"
+            data = full.upstream.render(request, b"", status, extra)
+            connection.transport.write(data)
+
+        async with Client(caller.settings.call_address) as client:
+            for number in range(30):
+                await client.call(b"/parts/1", b"w%d" % number)
+            failing.upstream.handler, full.upstream.handler = fail, reject
+            responses = [
+                await client.call(b"/parts/1", b"a%d" % number) for number in range(4)
+            ]
+        outcomes = {
+            (status, "figpick-stamp" in headers) for status, headers, _ in responses
+        }
+        assert outcomes <= {(500, True), (503, False)}
+        assert (500, True) in outcomes
