--- a/tests/endless_bytes.py
+++ b/tests/endless_bytes.py
@@ -1,4 +1,4 @@
-"""Upstreams, peers and callers of ``figpick run`` that send bytes without end."""
+"""Upstreams, peers and callers that send bytes without end."""
 
 import asyncio
 import re
@@ -152,9 +152,10 @@
 async def send_until_closed(address, start, piece, period_s=0.0):
     """Sends until the connection closes.
 
+    :param address: tuple of IP address and port, or both as text.
     :return: tuple of the number of bytes sent and the bytes received.
     """
-    ip, port = address.split(":")
+    ip, port = address.split(":") if isinstance(address, str) else address
     reader, writer = await asyncio.open_connection(ip, int(port))
     receiving = asyncio.ensure_future(reader.read())
     writer.write(start)
--- a/tests/test_endless_platform_calls.py
+++ b/tests/test_endless_platform_calls.py
@@ -15,14 +15,15 @@
 
 from adapter import handlers  # noqa: E402
 
+from .endless_bytes import (  # noqa: E402
+    MAX_TRACED_BYTES,
+    PIECE_BYTES,
+    SOCKET_BUFFER_BYTES,
+    send_until_closed,
+)
 from .fleet import async_test, free_address  # noqa: E402
 from .test_platform_adapter import HEARTBEAT, document  # noqa: E402
 
-PIECE_BYTES = 64 * 1024
-# The buffers of a loopback connection hold up to this much.
-SOCKET_BUFFER_BYTES = 12 * 1024 * 1024
-MAX_TRACED_BYTES = 8 * 1024 * 1024
-
 HEAD = b"PUT /instances/i-1 HTTP/1.1\r\nHost: h\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 CHUNK = b"%x\r\n%b\r\n" % (4096, b"x" * 4096)
@@ -79,32 +80,6 @@
     return int(line.split()[1])
 
 
-async def send_until_closed(address, start, piece, period_s=0.0):
-    """Sends until the connection closes.
-
-    :return: tuple of the number of bytes sent and the bytes received.
-    """
-    reader, writer = await asyncio.open_connection(*address)
-    receiving = asyncio.ensure_future(reader.read())
-    writer.write(start)
-    sent_bytes = 0
-    while not receiving.done():
-        try:
-            writer.write(piece)
-            await writer.drain()
-        except ConnectionError:
-            break
-        sent_bytes += len(piece)
-        await asyncio.sleep(period_s)
-    try:
-        received = await receiving
-    except ConnectionError:
-        # A close is a reset when bytes cross it.
-        received = b""
-    writer.close()
-    return sent_bytes, received
-
-
 @pytest.mark.parametrize("shape", STALLS)
 @async_test
 async def test_heartbeat_without_end_is_cut_off(shape):
