Keep the failure of an early timeout while another attempt runs

If the other attempt did not run the call either, the caller got a 502 of the node in place of the 504 of the upstream, and an early timeout in several parts would have been dropped. Both found by reading; the tests of early timeouts hold.

--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -111,11 +111,8 @@
         target = attempt.peer.target
         now = self.now()
         target.update_load(Load(*load), now)
-        # A host that takes no more calls gives its upstream less time than the caller.
         is_early_timeout = (
-            status == STATUS_TIMEOUT
-            and target.load.limit == 0
-            and now < self._dispatcher.work_until(call) - EARLY_TIMEOUT_MARGIN_S
+            is_last and status == STATUS_TIMEOUT and self._has_more_time(attempt, now)
         )
         if is_last:
             # A timeout also counts as served: the upstream worked until the deadline.
@@ -125,17 +122,15 @@
         self.policy.record_response_level(call, level)
         if call.is_done:
             return
-        if is_early_timeout and call.attempts:
-            call.used_attempts += 1
-            call.was_at_upstream = call.may_have_run = True
-            return
         can_retry = status >= 500 and (status != STATUS_TIMEOUT or is_early_timeout)
-        if can_retry and self._may_retry(call, level, now):
+        awaits_other = is_early_timeout and bool(call.attempts)
+        if awaits_other or (can_retry and self._may_retry(call, level, now)):
             call.failure = (status, head, body)
             call.used_attempts += 1
             call.was_at_upstream = call.may_have_run = True
-            self._log_attempt("Call sent again.", attempt, str(status), now)
-            self._dispatcher.place(call)
+            if not awaits_other:
+                self._log_attempt("Call sent again.", attempt, str(status), now)
+                self._dispatcher.place(call)
             return
         for other in list(call.attempts.values()):
             if other is not attempt:
@@ -155,6 +150,15 @@
         call.response.start(status, head, length, body, True)
         self._finish_call(call)
 
+    def _has_more_time(self, attempt, now):
+        """Returns whether a call has more time than its upstream was given.
+
+        A host that takes no more calls, since its node stops, shortens the deadline.
+        """
+        work_until = self._dispatcher.work_until(attempt.call)
+        is_leaving = attempt.peer.target.load.limit == 0
+        return is_leaving and now < work_until - EARLY_TIMEOUT_MARGIN_S
+
     def _may_retry(self, call, level, now):
         """Returns whether to retry at another host after a failure of the upstream.
 
