Log and count what an upstream states about its limit

An operator could not see that an upstream had named a limit, nor how many requests it got: the logs count running calls, not the rate. The owner now reads the notices in responses, logs each change with instance and limit, and exports the limit and the number of requests sent as metrics; the summary of the last seconds has both. Nothing is decided by the notices yet.

--- a/src/figpick/nodes/_executions.py
+++ b/src/figpick/nodes/_executions.py
@@ -59,6 +59,7 @@
         "sent_at",
         "upstream_deadline",
         "received_at",
+        "has_read_notice",
     )
 
     def __init__(self, owner, link, peer, number, call, now):
@@ -90,6 +91,7 @@
         self.child_count = 0
         self.sent_at = None
         self.upstream_deadline = None
+        self.has_read_notice = False
 
     def __repr__(self):
         return f"<Execution {self.number} {self.call.route}>"
--- a/src/figpick/nodes/_metrics.py
+++ b/src/figpick/nodes/_metrics.py
@@ -31,6 +31,12 @@
         lambda: counters.connection_events,
     )
     metrics.add_gauge("figpick_load", ("what",), lambda: _load(process))
+    metrics.add_counter(
+        "figpick_upstream_requests", (), lambda: {(): process.owner.sent_requests}
+    )
+    metrics.add_gauge(
+        "figpick_upstream_limit_per_second", (), lambda: _rate_limit(process)
+    )
     metrics.add_gauge("figpick_open", ("what", "state"), lambda: _open(process))
     metrics.add_gauge("figpick_admitted_share", ("route",), lambda: _shares(process))
     metrics.add_gauge(
@@ -53,6 +59,11 @@
     return {(name,): value for name, value in process.owner.load()._asdict().items()}
 
 
+def _rate_limit(process):
+    rate_limit = process.owner.notices.rate_limit
+    return {} if rate_limit is None else {(): rate_limit}
+
+
 def _open(process):
     work = process.open_work()
     return {
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -34,6 +34,7 @@
 from ._owner_links import OwnerLinks
 from ._responses import ResponseRelay
 from ._upstream import UpstreamPool
+from ._upstream_notices import UpstreamNotices
 
 # The upstream stops at its deadline and sends a timeout response, which arrives
 # within this time.
@@ -69,6 +70,8 @@
         self._queue = AdmissionQueue()
         self._pool = UpstreamPool(settings.upstream_address, settings.headers)
         self.view = UpstreamView()
+        self.notices = UpstreamNotices(settings.headers)
+        self._sent_requests = 0
         self._links = set()
         self._executions = {}
         self._finished = {}
@@ -92,6 +95,11 @@
         """The :class:`~figpick.admission.AdmissionQueue`, only to be read by others."""
         return self._queue
 
+    @property
+    def sent_requests(self):
+        """Number of requests that were sent to the upstream."""
+        return self._sent_requests
+
     @property
     def call_count(self):
         """Number of calls that are queued or running."""
@@ -129,6 +137,7 @@
     def apply_upstream_state(self):
         """Applies the state of :attr:`view` to the queue and reports the load."""
         slots = 0 if self._is_stopping else self.view.slots
+        self.notices.use_instance(self.view.instance)
         self._queue.set_slots(slots)
         if not slots:
             self._return_queued(REASON_LEAVING)
@@ -311,6 +320,7 @@
             execution.deadline = min(execution.deadline, self._stop.work_until)
         execution.connection = connection
         execution.sent_at = now
+        self._sent_requests += 1
         remaining_ms = int((execution.deadline - now) * 1000)
         self.running_requests.add(execution, now + remaining_ms / 1000)
         data = render_head(call, remaining_ms, self._names) + b"".join(
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -311,9 +311,11 @@
 
     async def _log_summary(self):
         before = {}
+        sent_before = 0
         while True:
             await asyncio.sleep(SUMMARY_PERIOD_S)
             outcomes = self.counters.outcomes
+            sent = self._owner.sent_requests
             counts = {
                 f"{route} {outcome}": count - before.get((route, outcome), 0)
                 for (route, outcome), count in outcomes.items()
@@ -326,12 +328,15 @@
                     "seconds": SUMMARY_PERIOD_S,
                     "counts": counts,
                     "load": list(self._owner.load()),
+                    "upstream_requests": sent - sent_before,
+                    "upstream_limit_per_s": self._owner.notices.rate_limit,
                     "levels": self._owner.queue.levels(),
                     "shares": self.admitted_shares(),
                     "revision": self.revision,
                     "controls": self._controls.open_count,
                 },
             )
+            sent_before = sent
 
     def _connect_local(self):
         caller_end = LocalLink(self._receive_local)
--- a/src/figpick/nodes/_responses.py
+++ b/src/figpick/nodes/_responses.py
@@ -46,6 +46,9 @@
         """Forwards the received part of a response."""
         if execution.is_done:
             return
+        if not execution.has_read_notice:
+            execution.has_read_notice = True
+            self._read_notice(execution, reader)
         if execution.is_streaming:
             self._stream_part(execution, reader)
         elif reader.is_complete:
@@ -65,6 +68,15 @@
         else:
             self._fail(execution, REASON_BROKEN_RESPONSE)
 
+    def _read_notice(self, execution, reader):
+        if reader.status == STATUS_MISDIRECTED or not is_from_upstream(
+            reader, self._names
+        ):
+            return
+        now = self._clock.monotonic()
+        instance = execution.call.instance
+        self.notices.observe(reader, instance, execution.sent_at, now)
+
     def _forward_response(self, execution, reader):
         now = self._clock.monotonic()
         if reader.header(self._names.not_run) is not None:
--- a/src/figpick/wire/__init__.py
+++ b/src/figpick/wire/__init__.py
@@ -7,6 +7,7 @@
     render_request,
     render_response,
 )
+from ._notices import UpstreamNotice, read_notice
 from ._requests import ClientRequest, RequestReader
 from ._responses import BrokenResponseError, ResponseReader
 
@@ -17,6 +18,8 @@
     "ClientRequest",
     "HeaderNames",
     "RequestReader",
+    "UpstreamNotice",
+    "read_notice",
     "render_response",
     "render_request",
     "render_error_response",
--- a/src/figpick/wire/_headers.py
+++ b/src/figpick/wire/_headers.py
@@ -30,6 +30,8 @@
     :param responding_instance: instance that sent the response.
     :param not_run: set on a response when the upstream did not run the request.
     :param caller: service on whose host the request started.
+    :param rate_limit: requests per second that the responding upstream takes.
+    :param leaving: set to ``1`` on the responses of an upstream that is leaving.
     """
 
     request_id: bytes = b"figpick-request-id"
@@ -39,6 +41,8 @@
     responding_instance: bytes = b"figpick-answering-instance"
     not_run: bytes = b"figpick-not-run"
     caller: bytes = b"figpick-caller"
+    rate_limit: bytes = b"figpick-rate-limit"
+    leaving: bytes = b"figpick-leaving"
 
 
 DEFAULT_HEADERS = HeaderNames()
