--- /dev/null
+++ b/tests/test_upstream_limits.py
@@ -0,0 +1,111 @@
+"""Upstreams that name the requests per second that they take from all nodes."""
+
+import asyncio
+
+import pytest
+
+from .fleet import Fleet, async_test
+from .limited_upstreams import (
+    StatingUpstream,
+    allowed,
+    send_load,
+    use_long_routes,
+)
+
+pytestmark = pytest.mark.xfail(strict=True, reason="listed in KNOWN-RED.txt")
+
+SERVICES = ("entries", "entries", "parts")
+KINDS = {
+    "idempotent": {"target": b"/parts/1"},
+    "must-run-once": {"target": b"/parts/once/1", "method": b"POST", "body": b"x"},
+    "streamed": {"target": b"/parts/large"},
+    "failing": {"target": b"/parts/1"},
+}
+
+
+async def restart_node(fleet, host):
+    """Kills the node of a host and starts it again."""
+    host.task.cancel()
+    host.node.close()
+    await asyncio.sleep(0.2)
+    fleet.start_node(host)
+    await asyncio.sleep(0.3)
+    host.node.handle_report(host.upstream.report())
+
+
+@pytest.mark.parametrize("limit", [b"10", b"1.3"])
+@async_test
+async def test_nodes_together_keep_the_limit_of_an_upstream(tmp_path, limit):
+    """Guards against an upstream that gets several times the requests it takes."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        upstream.limit = limit
+        await send_load(entries, per_s=60, seconds=8.0)
+        assert upstream.worst_window() <= allowed(float(limit))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@async_test
+async def test_limit_holds_for_every_kind_of_request(tmp_path, kind):
+    """Guards against requests that do not count towards the limit."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        upstream.limit = b"10"
+        if kind == "streamed":
+            upstream.body = b"x" * 100_000
+        if kind == "failing":
+            upstream.status = b"500 Internal Server Error"
+        await send_load(entries, per_s=60, seconds=7.5, **KINDS[kind])
+        assert upstream.worst_window() <= allowed(10.0)
+
+
+@pytest.mark.parametrize("limit", [b"10", b"1.3"])
+@async_test
+async def test_limit_holds_over_a_restart_of_the_owner(tmp_path, limit):
+    """Guards against a limit that is forgotten with the process that knew it."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        upstream.limit = limit
+        upstream.work_s = 0.4
+        load = asyncio.ensure_future(send_load(entries, per_s=60, seconds=9.0))
+        await asyncio.sleep(5.0)
+        await restart_node(fleet, host)
+        await load
+        assert upstream.worst_window() <= allowed(float(limit))
+
+
+@pytest.mark.parametrize("limit", [b"20", b"1.3"])
+@async_test
+async def test_limit_is_used_for_the_most_important_requests(tmp_path, limit):
+    """Guards against a limited upstream that idles or serves the wrong requests."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        upstream.limit = limit
+        await send_load(entries, per_s=20, seconds=1.0, name=b"first")
+        important, others = await asyncio.gather(
+            send_load(
+                entries,
+                per_s=0.5 * float(limit),
+                seconds=10.0,
+                target=b"/parts/once/1",
+                method=b"POST",
+                name=b"important",
+            ),
+            send_load(entries, per_s=60, seconds=10.0, name=b"other"),
+        )
+        since = upstream.first_stated_at + 2.0
+        assert upstream.served_rate(since, since + 8.0) >= 0.7 * float(limit)
+        served = [
+            sum(status == 200 for status, _ in results) / len(results)
+            for results in (important, others)
+        ]
+        assert served[0] >= 0.8
+        assert served[0] > served[1]
