Stop using an upstream whose responses say that it leaves

The owner now treats such a response like a notice to its node, so no further call starts there, and what waits goes to other hosts.

--- a/src/figpick/directory/_reports.py
+++ b/src/figpick/directory/_reports.py
@@ -113,10 +113,12 @@
         """Marks the upstream as draining if it is about to stop without reporting so.
 
         :param instance: identity of the upstream that is about to stop.
-        :return: whether the upstream is the current one.
+        :return: whether the state of the current upstream has changed.
         """
         if self._report is None or self._report.instance != instance:
             return False
+        if self._report.is_draining:
+            return False
         self._report = self._report._replace(is_draining=True)
         return True
 
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -164,6 +164,15 @@
                 self.notices.adopt_limit(known.instance, known.rate_limit, now)
         self._apply_rate_limit(now)
 
+    def handle_leave(self, instance):
+        """Starts no more calls at an upstream that is about to stop.
+
+        :param instance: identity of the upstream.
+        """
+        if self.view.mark_draining(instance):
+            log.notice("Upstream leaves.", extra={"instance": instance})
+            self.apply_upstream_state()
+
     def _apply_rate_limit(self, now):
         if self.notices.rate_limit == self._queue.rate_limit_per_s:
             return
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -229,9 +229,7 @@
 
         :param instance: identity of the upstream.
         """
-        if self._owner.view.mark_draining(instance):
-            log.notice("Upstream leaves.", extra={"instance": instance})
-            self._owner.apply_upstream_state()
+        self._owner.handle_leave(instance)
 
     def on_record(self, record):
         """Handles a newer record of another node."""
--- a/src/figpick/nodes/_responses.py
+++ b/src/figpick/nodes/_responses.py
@@ -75,8 +75,10 @@
             return
         now = self._clock.monotonic()
         instance = execution.call.instance
-        self.notices.observe(reader, instance, execution.sent_at, now)
+        notice = self.notices.observe(reader, instance, execution.sent_at, now)
         self._apply_rate_limit(now)
+        if notice.is_leaving:
+            self.handle_leave(instance)
 
     def _forward_response(self, execution, reader):
         now = self._clock.monotonic()
--- /dev/null
+++ b/tests/test_leaving_upstreams.py
@@ -0,0 +1,72 @@
+"""Upstreams that say in their responses that they leave."""
+
+import asyncio
+import time
+
+import pytest
+
+from .fleet import Fleet, async_test
+from .limited_upstreams import (
+    DRAIN_S,
+    StatingUpstream,
+    send_load,
+    use_long_routes,
+)
+from .test_upstream_limits import KINDS
+
+SERVICES = ("entries", "entries", "parts", "parts")
+
+
+async def keep_reporting(host, seconds):
+    """Sends reports of an upstream that say that it is ready."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        host.node.handle_report(host.upstream.report())
+        await asyncio.sleep(0.2)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@async_test
+async def test_upstream_that_says_it_leaves_gets_no_more_requests(tmp_path, kind):
+    """Guards against requests to a leaving upstream whose reports say it is ready."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host, other = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        StatingUpstream(other.upstream)
+        if kind == "streamed":
+            upstream.body = b"x" * 100_000
+        load = asyncio.ensure_future(
+            send_load(entries, per_s=40, seconds=4.5, **KINDS[kind])
+        )
+        reports = asyncio.ensure_future(keep_reporting(host, 4.5))
+        await asyncio.sleep(1.0)
+        upstream.is_leaving = True
+        if kind == "failing":
+            upstream.status = b"500 Internal Server Error"
+        results = await load
+        await reports
+        late = [
+            at for at in upstream.arrivals if at > upstream.first_stated_at + DRAIN_S
+        ]
+        assert not late
+        assert sum(status == 200 for status, _ in results) >= 0.9 * len(results)
+
+
+@async_test
+async def test_next_instance_on_the_host_is_used(tmp_path):
+    """Guards against a leave that outlasts the instance that announced it."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host, other = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        StatingUpstream(other.upstream)
+        upstream.is_leaving = True
+        await send_load(entries, per_s=40, seconds=1.0)
+        upstream.is_leaving = False
+        host.upstream.instance = "i-next"
+        host.upstream.sequence = 0
+        host.node.handle_report(host.upstream.report())
+        before = len(upstream.arrivals)
+        await send_load(entries, per_s=40, seconds=1.0)
+        assert len(upstream.arrivals) > before
