Do not use a leaving upstream again after a late report

An upstream that had announced its end could be used again: a late report of an earlier instance made that one current, and the next report of the leaving one, sent before its end, made it ready, since the end was kept only in the newest report. A notice of an instance that was not the current one was dropped. The view of the upstream now keeps the leaving instances apart from the reports, with their start times, so that a later start with the same identity is used.

--- a/src/figpick/directory/_reports.py
+++ b/src/figpick/directory/_reports.py
@@ -14,6 +14,7 @@
 # Reports up to this sequence number are the first ones of an incarnation.
 FIRST_SEQUENCES = 2
 MAX_OTHER_INCARNATIONS = 64
+MAX_LEAVING_INSTANCES = 64
 
 
 class UpstreamReport(NamedTuple):
@@ -54,6 +55,8 @@
         self._is_down = False
         # Newest reports of incarnations other than the current one.
         self._other_incarnations = {}
+        # Leaving instances, with their start times as far as known.
+        self._leaving = {}
 
     def __repr__(self):
         return f"<UpstreamView {self.instance} {self.state}>"
@@ -93,12 +96,11 @@
         :param now: monotonic seconds.
         :return: whether the report was accepted.
         """
+        report = self._mark_if_leaving(report)
         current = self._report
         if current is not None and report.incarnation == current.incarnation:
             if report.sequence <= current.sequence:
                 return False
-            if current.is_draining:
-                report = report._replace(is_draining=True)
         elif current is not None:
             if not self._is_newer_incarnation(report, now):
                 return False
@@ -115,11 +117,17 @@
         :param instance: identity of the upstream that is about to stop.
         :return: whether the state of the current upstream has changed.
         """
-        if self._report is None or self._report.instance != instance:
-            return False
-        if self._report.is_draining:
+        current = self._report
+        known = (current, *self._other_incarnations.values())
+        started_ms = [
+            report.started_ms
+            for report in known
+            if report is not None and report.instance == instance
+        ]
+        self._set_leaving(instance, started_ms[0] if started_ms else None)
+        if current is None or current.instance != instance or current.is_draining:
             return False
-        self._report = self._report._replace(is_draining=True)
+        self._report = current._replace(is_draining=True)
         return True
 
     def mark_down(self):
@@ -137,7 +145,7 @@
         for other in self._other_incarnations.values():
             if other.instance == instance:
                 self._store_other(self._report)
-                self._report = other
+                self._report = self._mark_if_leaving(other)
                 self._is_down = False
                 return
         self.mark_down()
@@ -163,6 +171,23 @@
         has_ended = self._is_down or current.is_draining
         return is_silent or has_ended or report.sequence <= FIRST_SEQUENCES
 
+    def _mark_if_leaving(self, report):
+        """Returns a report as draining if its incarnation is known to leave."""
+        if report.is_draining:
+            self._set_leaving(report.instance, report.started_ms)
+            return report
+        if report.instance not in self._leaving:
+            return report
+        left_ms = self._leaving[report.instance]
+        if None not in (left_ms, report.started_ms) and report.started_ms > left_ms:
+            return report
+        return report._replace(is_draining=True)
+
+    def _set_leaving(self, instance, started_ms):
+        self._leaving[instance] = started_ms
+        if len(self._leaving) > MAX_LEAVING_INSTANCES:
+            del self._leaving[next(iter(self._leaving))]
+
     def _store_other(self, report):
         self._other_incarnations[report.incarnation] = report
         if len(self._other_incarnations) > MAX_OTHER_INCARNATIONS:
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -86,3 +86,34 @@
     view.handle_report(report("i-2", 1), 1.0)
     view.restore_instance("i-1" if known else "i-9")
     assert view.slots == (20 if known else 0)
+
+
+@pytest.mark.parametrize("is_reported", [True, False])
+def test_leaving_incarnation_that_was_displaced_does_not_return(is_reported):
+    """Guards against calls to a leaving upstream after a late report of another."""
+    view = UpstreamView()
+    view.handle_report(report("i-1", 50), 0.0)
+    view.handle_report(report("i-0", 1), 1.0)
+    if is_reported:
+        view.handle_report(report("i-1", 51, is_draining=True), 1.5)
+    else:
+        view.mark_draining("i-1")
+    view.handle_report(report("i-1", 52), 2.0)
+    view.restore_instance("i-1")
+    assert view.slots == 0
+
+
+def test_upstream_that_leaves_before_its_first_report_is_not_used():
+    """Guards against a late report of an upstream that a new process knows not of."""
+    view = UpstreamView()
+    view.mark_draining("i-1")
+    view.handle_report(report("i-1", 50), 0.0)
+    assert view.slots == 0
+
+
+def test_later_start_with_the_same_identity_is_used():
+    view = UpstreamView()
+    view.handle_report(report("i-1", 50, started_ms=1000), 0.0)
+    view.mark_draining("i-1")
+    view.handle_report(report("i-1", 1, started_ms=2000), 1.0)
+    assert view.slots == 20
