Keep the announced end of an upstream over restarts of its node

The knowledge ended with the process. It is now kept in two further places. A calling node remembers the instances that leave, sends them nothing whatever their owner reports later, and names them as it connects to a node that starts again. A node that starts again reads the record of its earlier start, which control processes send it; where it has no report yet, it announces the leaving instance as its own, so that the next restart knows it as well. A record of a stopped node says whether its upstream was draining.

A planned stop of a node beside an upstream that stays does not end the upstream.

--- a/src/figpick/directory/__init__.py
+++ b/src/figpick/directory/__init__.py
@@ -1,7 +1,15 @@
 """The known hosts, what runs on them and where their processes listen."""
 
 from ._announcer import Announcer
-from ._records import CONTROL, DRAINING, LEFT, NODE, HostRecord, decode_record
+from ._records import (
+    CONTROL,
+    DRAINING,
+    LEFT,
+    NO_UPSTREAM,
+    NODE,
+    HostRecord,
+    decode_record,
+)
 from ._reports import UpstreamReport, UpstreamView
 from ._table import Directory
 
@@ -9,6 +17,7 @@
     "CONTROL",
     "DRAINING",
     "LEFT",
+    "NO_UPSTREAM",
     "NODE",
     "Announcer",
     "Directory",
--- a/src/figpick/directory/_announcer.py
+++ b/src/figpick/directory/_announcer.py
@@ -8,10 +8,13 @@
 
     :param record: initial :class:`~figpick.directory.HostRecord` of this incarnation.
     :param directory: :class:`~figpick.directory.Directory`.
+    :param on_earlier: called with a record that an earlier incarnation of this process
+        has left.
     """
 
-    def __init__(self, record, directory):
+    def __init__(self, record, directory, on_earlier=None):
         self._record = record
+        self._on_earlier = on_earlier
         self._directory = directory
         directory.merge(record)
 
@@ -46,7 +49,11 @@
         """
         record = decode_record(fields)
         if record.name == self._record.name:
-            if record.token == self._record.token or record.order < self._record.order:
+            if record.token == self._record.token:
+                return None
+            if self._on_earlier is not None:
+                self._on_earlier(record)
+            if record.order < self._record.order:
                 return None
             self._replace(incarnation=record.incarnation + 1)
             return self._record
--- a/src/figpick/directory/_records.py
+++ b/src/figpick/directory/_records.py
@@ -52,6 +52,14 @@
         """The IP address and port of its links, as a tuple."""
         return self.ip, self.port
 
+    @property
+    def has_leaving_upstream(self):
+        """Whether the upstream has announced its end."""
+        if self.state == LEFT:
+            # A process that leaves announces no slots if its upstream is draining.
+            return bool(self.instance) and not self.slots
+        return self.state == DRAINING
+
     @property
     def order(self):
         """The sort key that decides which of two records of one name is newer."""
--- a/src/figpick/directory/_reports.py
+++ b/src/figpick/directory/_reports.py
@@ -51,6 +51,8 @@
 
     def __init__(self):
         self._report = None
+        # A leaving instance that this process has no report of.
+        self._unreported_instance = ""
         self._reported_at = 0.0
         self._is_down = False
         # Newest reports of incarnations other than the current one.
@@ -69,7 +71,7 @@
     @property
     def instance(self):
         """The identity of the upstream, empty without an upstream."""
-        return self._report.instance if self._report else ""
+        return self._report.instance if self._report else self._unreported_instance
 
     @property
     def service(self):
@@ -84,7 +86,9 @@
     @property
     def state(self):
         """``ready``, ``draining`` or ``none``."""
-        if self._report is None or self._is_down:
+        if self._report is None:
+            return DRAINING if self._unreported_instance else NO_UPSTREAM
+        if self._is_down:
             return NO_UPSTREAM
         return DRAINING if self._report.is_draining else READY
 
@@ -125,7 +129,11 @@
             if report is not None and report.instance == instance
         ]
         self._set_leaving(instance, started_ms[0] if started_ms else None)
-        if current is None or current.instance != instance or current.is_draining:
+        if current is None:
+            has_changed = instance != self._unreported_instance
+            self._unreported_instance = instance
+            return has_changed
+        if current.instance != instance or current.is_draining:
             return False
         self._report = current._replace(is_draining=True)
         return True
--- a/src/figpick/nodes/_known_notices.py
+++ b/src/figpick/nodes/_known_notices.py
@@ -1,8 +1,8 @@
 """What calling nodes know of upstreams, for owners that have just started.
 
-An upstream states its limit in responses, which the process beside it reads. When that
-process starts again, the nodes that passed on those responses still know the limit and
-state it as they connect.
+An upstream states its limit and its end in responses and to the process beside it. When
+that process starts again, the nodes that passed on those responses still know both and
+state them as they connect.
 """
 
 from typing import NamedTuple
@@ -16,10 +16,12 @@
 
     :param instance: identity of the instance.
     :param rate_limit: requests per second that it takes, 0 without a limit.
+    :param is_leaving: whether it has announced its end.
     """
 
     instance: str
-    rate_limit: float
+    rate_limit: float = 0.0
+    is_leaving: bool = False
 
 
 class KnownNotices:
@@ -45,20 +47,24 @@
         :param instance: identity of the instance.
         :param rate_limit: requests per second that it takes, 0 without a limit.
         """
+        if rate_limit or host in self._hosts:
+            self._update(host, instance, rate_limit=rate_limit)
+
+    def mark_leaving(self, host, instance):
+        """Records that an instance has announced its end, which is final."""
+        self._update(host, instance, is_leaving=True)
+
+    def is_leaving(self, host, instance):
+        """Returns whether an instance has announced its end."""
         known = self._hosts.get(host)
-        if known is None:
-            if not rate_limit:
-                return
-            known = self._add_host(host)
-        if not rate_limit:
-            known.pop(instance, None)
-            return
-        known[instance] = KnownNotice(instance, rate_limit)
+        return known is not None and instance in known and known[instance].is_leaving
+
+    def _update(self, host, instance, **fields):
+        known = self._hosts.setdefault(host, {})
+        notice = known.pop(instance, KnownNotice(instance))._replace(**fields)
+        if notice != KnownNotice(instance):
+            known[instance] = notice
         if len(known) > MAX_INSTANCES:
             del known[next(iter(known))]
-
-    def _add_host(self, host):
-        if len(self._hosts) >= MAX_HOSTS:
+        if len(self._hosts) > MAX_HOSTS:
             del self._hosts[next(iter(self._hosts))]
-        known = self._hosts[host] = {}
-        return known
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -18,8 +18,8 @@
 * ``not-run``: number, reason, ms until a slot is expected, load, level. The call
   did not run and never will.
 * ``credit``: number, count of bytes that were forwarded to the client.
-* ``load``: load of the owner, the instance and the service of its upstream, sent when
-  a link opens and when the upstream changes or fails.
+* ``load``: load of the owner, the instance and the service of its upstream, whether it
+  is draining; sent when a link opens and when the upstream changes or fails.
 * ``attach``: numbers of the attempts whose responses are awaited on a new link.
 
 The load is a list of the fields of :class:`~figpick.placing.Load`.
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -162,6 +162,8 @@
             known = KnownNotice(*notice)
             if known.rate_limit:
                 self.notices.adopt_limit(known.instance, known.rate_limit, now)
+            if known.is_leaving:
+                self.handle_leave(known.instance)
         self._apply_rate_limit(now)
 
     def handle_leave(self, instance):
--- a/src/figpick/nodes/_owner_links.py
+++ b/src/figpick/nodes/_owner_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ..directory import DRAINING
 from ._messages import FAILED, LOAD, NOT_RUN, REASON_LINK_LOST, RESPONSE_CUT_OFF
 
 # A call keeps running for this long after its link closed, since its caller may
@@ -77,7 +78,9 @@
             self._last_forgotten[peer] = max(known, number)
 
     def _load_report(self):
-        return LOAD, self.load(), self.view.instance, self.view.service
+        view = self.view
+        is_draining = view.state == DRAINING
+        return LOAD, self.load(), view.instance, view.service, is_draining
 
     def _report_load(self):
         message = self._load_report()
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -55,6 +55,8 @@
         self.dialer = None
         self.link = None
         self.token = None
+        self._instance = ""
+        self._is_leaving = False
         self.instance = record.instance
         self.attempts = {}
         self._silence = SilenceDetector()
@@ -67,6 +69,25 @@
         """Name of the node."""
         return self.record.name
 
+    @property
+    def instance(self):
+        """Instance of the upstream to which calls are sent, empty without one."""
+        return self._instance
+
+    @instance.setter
+    def instance(self, instance):
+        self._instance = instance
+        self._is_leaving = self._notices.is_leaving(self.name, instance)
+
+    def mark_leaving(self, instance):
+        """Sends no more calls to an instance, whatever its owner reports later.
+
+        :param instance: identity of the instance, empty without an upstream.
+        """
+        if instance and not self._notices.is_leaving(self.name, instance):
+            self._notices.mark_leaving(self.name, instance)
+            self.instance = self._instance
+
     @property
     def is_suspected(self):
         """Whether the node did not respond when last checked, although it should."""
@@ -111,7 +132,9 @@
     @property
     def accepts_calls(self):
         """Whether calls can be sent to the node now."""
-        return self.link is not None and bool(self.instance) and self.target.load.limit
+        if self.link is None or not self._instance or self._is_leaving:
+            return False
+        return self.target.load.limit > 0
 
 
 class Peers:
@@ -174,6 +197,8 @@
         """
         self.stop_retired()
         peer = self._peers.get(record.name)
+        if record.has_leaving_upstream:
+            self._mark_leaving(record)
         if peer is not None and (
             peer.record.address != record.address or record.state == LEFT
         ):
@@ -192,6 +217,13 @@
         if peer is not None and record.cold_s > 0:
             peer.target.cold_until = now + record.cold_s
 
+    def _mark_leaving(self, record):
+        peer = self._peers.get(record.name)
+        if peer is not None:
+            peer.mark_leaving(record.instance)
+        else:
+            self._notices.mark_leaving(record.name, record.instance)
+
     def forget(self, name):
         """Removes a node that no longer exists."""
         peer = self._peers.get(name)
@@ -298,12 +330,15 @@
         if peer.link is link:
             self._handlers.on_peer_message(peer, message)
 
-    def handle_load(self, peer, load, instance, service=None):
+    def handle_load(self, peer, load, instance, service=None, is_draining=False):
         """Handles a load report of an owner.
 
         :param instance: instance of its upstream, empty without an upstream.
         :param service: service of its upstream, ``None`` from earlier releases.
+        :param is_draining: whether its upstream is leaving.
         """
+        if is_draining:
+            peer.mark_leaving(instance)
         if instance:
             # The report of another service can overtake the record of the node.
             is_same_service = service in (None, peer.record.service)
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -7,7 +7,15 @@
 from ..base._errors import FigpickError, InvalidDocumentError
 from ..base._logs import CALL_LOG_LIMITER, logger
 from ..base._supervisor import Supervisor
-from ..directory import LEFT, NODE, Announcer, Directory, HostRecord
+from ..directory import (
+    DRAINING,
+    LEFT,
+    NO_UPSTREAM,
+    NODE,
+    Announcer,
+    Directory,
+    HostRecord,
+)
 from ..links import Link, listen
 from ._control_links import ControlLinks
 from ._counters import CallCounters
@@ -59,7 +67,7 @@
             settings.data_center,
             settings.service,
         )
-        self._announcer = Announcer(record, self._directory)
+        self._announcer = Announcer(record, self._directory, self._on_earlier_record)
         self.counters = CallCounters(clock)
         self._quarantine = CrashQuarantine()
         self._owner = Owner(
@@ -260,7 +268,13 @@
         self._quarantine.record_crash(crash_id, fingerprints, self._clock.monotonic())
 
     def _announce_left(self):
-        self._announcer.update(state=LEFT)
+        view = self._owner.view
+        is_up = view.state != NO_UPSTREAM
+        self._announcer.update(
+            state=LEFT,
+            instance=view.instance if is_up else "",
+            slots=0 if view.state == DRAINING else max(1, view.slots),
+        )
         self._controls.announce()
 
     def _stop_links(self):
@@ -280,6 +294,10 @@
             "controls": self._controls.open_links(),
         }
 
+    def _on_earlier_record(self, record):
+        if record.has_leaving_upstream:
+            self._owner.handle_leave(record.instance)
+
     def _on_crash(self, crash_id, fingerprints):
         self.on_crash_report(crash_id, fingerprints)
         self._controls.report_crash(crash_id, fingerprints)
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-from .fleet import Fleet, async_test
+from .fleet import Fleet, async_test, wait_until
 from .limited_upstreams import (
     DRAIN_S,
     StatingUpstream,
     send_load,
     use_long_routes,
 )
-from .test_upstream_limits import KINDS
+from .test_upstream_limits import KINDS, restart_node
 
 SERVICES = ("entries", "entries", "parts", "parts")
 
@@ -53,6 +53,60 @@
         assert sum(status == 200 for status, _ in results) >= 0.9 * len(results)
 
 
+@async_test
+async def test_upstream_that_left_stays_unused_after_a_restart_of_its_node(tmp_path):
+    """Guards against a restarted node that takes a late report for a ready upstream."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host, other = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        StatingUpstream(other.upstream)
+        await send_load(entries, per_s=40, seconds=1.0)
+        assert upstream.arrivals
+        upstream.is_leaving = True
+        await send_load(entries, per_s=40, seconds=1.0)
+        await restart_node(fleet, host)
+        await keep_reporting(host, 0.5)
+        before = len(upstream.arrivals)
+        await asyncio.sleep(DRAIN_S)
+        await send_load(entries, per_s=40, seconds=2.0)
+        assert len(upstream.arrivals) == before
+
+
+@pytest.mark.parametrize("has_callers", [True, False])
+@pytest.mark.parametrize("announces", ["leave", "draining"])
+@async_test
+async def test_acknowledged_leave_holds_over_a_restart_of_the_node(
+    tmp_path, announces, has_callers
+):
+    """Guards against a restart that forgets an acknowledged end of an upstream."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host, other = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        StatingUpstream(other.upstream)
+        if has_callers:
+            await send_load(entries, per_s=40, seconds=1.0)
+            assert upstream.arrivals
+        late_report = host.upstream.report()
+        if announces == "leave":
+            host.node.handle_leave(host.upstream.instance)
+        else:
+            host.node.handle_report(host.upstream.report(is_draining=True))
+        await asyncio.sleep(0.3)
+        host.task.cancel()
+        host.node.close()
+        await asyncio.sleep(0.2)
+        fleet.start_node(host)
+        await wait_until(lambda: host.node.state()["controls"])
+        await asyncio.sleep(0.2)
+        host.node.handle_report(late_report)
+        before = len(upstream.arrivals)
+        await asyncio.sleep(0.3)
+        await send_load(entries, per_s=40, seconds=1.5)
+        assert len(upstream.arrivals) == before
+
+
 @async_test
 async def test_next_instance_on_the_host_is_used(tmp_path):
     """Guards against a leave that outlasts the instance that announced it."""
@@ -70,3 +124,29 @@
         before = len(upstream.arrivals)
         await send_load(entries, per_s=40, seconds=1.0)
         assert len(upstream.arrivals) > before
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+@async_test
+async def test_planned_stop_of_a_node_keeps_what_its_upstream_announced(
+    tmp_path, is_draining
+):
+    """Guards against a stop that forgets a leaving upstream, or drops a ready one."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host, other = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        StatingUpstream(other.upstream)
+        late_report = host.upstream.report()
+        if is_draining:
+            host.node.handle_report(host.upstream.report(is_draining=True))
+        await asyncio.sleep(0.2)
+        await host.node.drain()
+        host.task.cancel()
+        fleet.start_node(host)
+        await wait_until(lambda: host.node.state()["controls"])
+        await asyncio.sleep(0.2)
+        host.node.handle_report(late_report)
+        await asyncio.sleep(0.3)
+        await send_load(entries, per_s=40, seconds=1.5)
+        assert bool(upstream.arrivals) != is_draining
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -95,3 +95,14 @@
             lines = [line for line in capture.lines() if "not a number" in line.msg]
     assert len(lines) == 1
     assert len(lines[0].fields["value"]) <= 40
+
+
+def test_end_of_an_instance_is_final():
+    """Guards against a leaving instance that a later message brings back."""
+    known = KnownNotices()
+    known.mark_leaving("node-1", "i-1")
+    known.set_rate_limit("node-1", "i-1", 10.0)
+    known.set_rate_limit("node-1", "i-1", 0.0)
+    assert known.is_leaving("node-1", "i-1")
+    assert not known.is_leaving("node-1", "i-2")
+    assert not known.is_leaving("node-2", "i-1")
