Tell processes that start again which requests crash upstreams

A node that started again ran a request that had crashed two upstreams before: reports of crashes were sent once, to the nodes that were connected then. Control processes now keep them for as long as nodes refuse such a request and send them to each process that connects. The class is that of the limit: what is known to a process is gone after its restart, though others are bound by it.

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 
 from ..base._errors import PeerError
+from ..base._expiring_table import ExpiringTable
 from ..base._logs import logger
 from ..base._supervisor import Supervisor
 from ..configuration import ChangeSet
@@ -35,6 +36,10 @@
 FLUSH_TIMEOUT_S = 2.0
 # A process that runs closes a finished link within a round trip.
 UNCONFIRMED_TIMEOUT_S = 0.5
+# Nodes refuse a request that crashes upstreams for this long after its last crash.
+CRASH_TTL_S = 120.0
+MAX_CRASHES = 256
+
 log = logger("control")
 
 
@@ -63,6 +68,7 @@
         self._member = QuorumMember(settings, clock, self._send_to, self._on_applied)
         self._dialers = {}
         self._accepted_links = set()
+        self._crashes = ExpiringTable(CRASH_TTL_S, MAX_CRASHES)
         self._leader_requests = LeaderRequests(self._member, self._leader_link)
         self._is_finished = False
         self._min_voters = required_voters(settings.tolerated_losses)
@@ -256,6 +262,11 @@
             records = [list(record) for record in self._directory]
             link.send(encode(RecordTable(records)))
             link.send(encode(RevisionUpdate(self._member.registry.revision)))
+            # A process that starts again has forgotten them.
+            for crash_id, _, fingerprints in self._crashes.items(
+                self._clock.monotonic()
+            ):
+                link.send(encode(CrashReport(crash_id, fingerprints)))
 
     def _is_dialled(self, link):
         return any(dialer.link is link for dialer in self._dialers.values())
@@ -290,6 +301,8 @@
 
     @_handle.register
     def _handle_crash_report(self, message: CrashReport, link):
+        now = self._clock.monotonic()
+        self._crashes.put(message.crash_id, message.fingerprints, now)
         for other in list(self._accepted_links):
             # Nodes report to several control processes. Each forwards the report to
             # nodes only; otherwise it would circulate endlessly between the control
