Send calls to another host if their upstream leaves while they connect

Callers got 503 although another host had room: a call that was waiting for a connection when its upstream left was given back as having waited too long, which is final for requests of clients. It is given back as meeting a leaving upstream now.

The new test answered 503 to all five requests, and answers 200 now.

--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -351,7 +351,9 @@
         reason = None
         if not self._has_time(call, now):
             reason = REASON_STOPPED
-        elif now >= execution.deadline - QUEUE_MARGIN_S or self._is_outdated(call):
+        elif self._is_outdated(call):
+            reason = REASON_LEAVING
+        elif now >= execution.deadline - QUEUE_MARGIN_S:
             reason = REASON_QUEUE_TIMEOUT
         if reason is not None:
             connection.idle_since = now
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -150,3 +150,35 @@
         await asyncio.sleep(0.3)
         await send_load(entries, per_s=40, seconds=1.5)
         assert bool(upstream.arrivals) != is_draining
+
+
+@async_test
+async def test_call_whose_upstream_leaves_while_it_connects_goes_to_another(tmp_path):
+    """Guards against a refusal although another host has room."""
+    async with Fleet(tmp_path, ("entries", "parts", "parts")) as fleet:
+        await use_long_routes(fleet)
+        entry, *hosts = fleet.hosts
+        upstreams = [StatingUpstream(host.upstream) for host in hosts]
+        await send_load([entry], per_s=20, seconds=0.3)
+        for host in hosts:
+            connect = host.node.owner._pool.connect
+
+            async def connect_late(connect=connect):
+                await asyncio.sleep(0.2)
+                return await connect()
+
+            host.node.owner._pool.connect = connect_late
+            for connection in list(host.upstream.connections):
+                connection.transport.close()
+        await asyncio.sleep(0.1)
+        sending = asyncio.ensure_future(send_load([entry], per_s=50, seconds=0.1))
+        await asyncio.sleep(0.15)
+        busiest = max(hosts, key=lambda host: host.node.owner.queue.running)
+        busiest.node.handle_leave(busiest.upstream.instance)
+        before = [len(upstream.arrivals) for upstream in upstreams]
+        results = await sending
+        assert {status for status, _ in results} == {200}
+        assert (
+            len(upstreams[hosts.index(busiest)].arrivals)
+            == before[hosts.index(busiest)]
+        )
