Close the connection on which an upstream refused a call

A caller was told that its request had not run, while it ran: an upstream refused a first attempt, and a second copy of that refusal arrived as the next attempt of the request was running on the same connection. Both attempts have the id of the request, so the id does not tell the copy apart. After a refusal (not run, or sent to another instance) the connection is closed now, and the copy with it.

--- a/src/figpick/nodes/_responses.py
+++ b/src/figpick/nodes/_responses.py
@@ -93,7 +93,7 @@
                 extra={"instance": execution.call.instance},
             )
             other = reader.header(self._names.responding_instance) or b""
-            self._release(execution, reader, now)
+            self._discard_connection(execution)
             self._finish_not_run(execution, REASON_MISDIRECTED)
             self.view.restore_instance(other.decode("latin-1"))
             self.apply_upstream_state()
@@ -178,10 +178,16 @@
         # connection cannot be reused then.
         connection.release(now, may_reuse=execution.remaining_body_bytes <= 0)
 
+    def _discard_connection(self, execution):
+        # A later copy of a refusal would pass for the response to the next attempt of
+        # its call, which has the same id.
+        connection, execution.connection = execution.connection, None
+        connection.close()
+
     def _return_unrun(self, execution, reader):
         now = self._clock.monotonic()
         log_not_run(execution, reader.status, self._queue, now)
-        self._release(execution, reader, now)
+        self._discard_connection(execution)
         self._finish_not_run(execution, REASON_UPSTREAM_FULL)
 
     def _start_streaming(self, execution, reader):
