Cut a streamed response whose owner is lost

Callers got a response with bytes of two upstreams: when the node beside the upstream ended or fell silent in the middle of a streamed response, the call was sent to another host like one without any response, and the whole second response followed the part of the first. A client could take it for complete. An attempt whose response has begun is now cut off, and the connection of its client closes.

--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -229,6 +229,10 @@
             self._finish_not_run(call, reason, retry_after_ms / 1000)
 
     def _on_failed(self, attempt, reason, load):
+        if attempt.is_streaming:
+            # Its client has a part of the response, which nothing else can follow.
+            self._on_response_cut_off(attempt)
+            return
         call = attempt.call
         self._dispatcher.forget(attempt)
         target = attempt.peer.target
--- /dev/null
+++ b/tests/test_silent_owners.py
@@ -0,0 +1,66 @@
+"""Owners that are silent for a while, or end, with calls of other nodes."""
+
+import asyncio
+
+import pytest
+
+from .fleet import Client, Fleet, async_test
+
+
+async def read_rest(client):
+    """Returns what arrives until the connection ends, at most for three seconds."""
+    rest = b""
+    try:
+        async with asyncio.timeout(3.0):
+            while data := await client.reader.read(65536):
+                rest += data
+    except (TimeoutError, ConnectionError):
+        pass
+    return rest
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize("returns", [True, False])
+@async_test
+async def test_stream_of_an_owner_that_is_killed_is_not_continued_by_another(
+    tmp_path, framing, returns
+):
+    """Guards against a response with bytes of two upstreams, or of an error."""
+    async with Fleet(tmp_path, ("entries", "parts", "parts")) as fleet:
+        entry, *owners = fleet.hosts
+        first = []
+
+        def make_handler(owner):
+            async def stream(connection, request):
+                owner.upstream.record_run(request)
+                if first:
+                    whole = owner.upstream.render(request, b"z" * 200_000)
+                    connection.transport.write(whole)
+                    return
+                first.append(owner)
+                head = owner.upstream.render(request, b"")
+                length, part = b"Content-Length: 200000", b"a" * 150_000
+                if framing == "chunked":
+                    length = b"Transfer-Encoding: chunked"
+                    part = b"%x\r\n%b\r\n" % (len(part), part)
+                head = head.replace(b"Content-Length: 0", length)
+                connection.transport.write(head + part)
+
+            return stream
+
+        for owner in owners:
+            owner.upstream.handler = make_handler(owner)
+        async with Client(entry.settings.call_address) as client:
+            client.send(b"/parts/1", b"a")
+            await client.reader.readuntil(b"\r\n\r\n")
+            await client.reader.readexactly(100_000)
+            killed = first[0]
+            killed.task.cancel()
+            killed.node.close()
+            if returns:
+                fleet.start_node(killed)
+            rest = await read_rest(client)
+            is_closed = client.reader.at_eof()
+        assert b"z" not in rest and b"error" not in rest
+        assert not rest.endswith(b"0\r\n\r\n")
+        assert is_closed
