Keep no last part as the result of a streamed call

A response without its middle reached a client as complete: a link broke, the owner went on streaming into it until the response ended, and kept the last part as the result of the call. The caller that attached the call to its next link got only that part, behind what it had before. The result of a streamed call is now that it was cut off.

The new test got the end of the response in both framings before, with 30,000 bytes of 200,000 missing.

--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -411,7 +411,7 @@
         key = (execution.peer, execution.number)
         self._executions.pop(key, None)
         self._queue.finish(execution.ticket, now, is_success)
-        self._remember_result(key, None if execution.link.is_open else message)
+        self._remember_result(key, _result_to_keep(execution, message))
         if message is not None:
             execution.link.send(message)
         if self._queue.queued:
@@ -464,3 +464,11 @@
         # calls report the level of the queue.
         own = self._queue.level(call.rank, now) if call.is_nested else 1.0
         return round(min(own, nested_level), 3)
+
+
+def _result_to_keep(execution, message):
+    """Returns what a caller gets that attaches after the end of a call."""
+    if execution.is_streaming:
+        # Parts may be lost with the link.
+        return RESPONSE_CUT_OFF, execution.number
+    return None if execution.link.is_open else message
--- a/tests/test_silent_owners.py
+++ b/tests/test_silent_owners.py
@@ -64,3 +64,41 @@
         assert b"z" not in rest and b"error" not in rest
         assert not rest.endswith(b"0\r\n\r\n")
         assert is_closed
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@async_test
+async def test_stream_whose_link_breaks_before_its_end_is_not_complete(
+    tmp_path, framing
+):
+    """Guards against a response without its middle that looks complete."""
+    async with Fleet(tmp_path, ("entries", "parts")) as fleet:
+        entry, owner = fleet.hosts
+        may_end = asyncio.Event()
+
+        async def stream(connection, request):
+            parts = [b"a" * 150_000, b"m" * 30_000, b"z" * 20_000]
+            head = owner.upstream.render(request, b"")
+            length = b"Content-Length: 200000"
+            if framing == "chunked":
+                length = b"Transfer-Encoding: chunked"
+                parts = [b"%x\r\n%b\r\n" % (len(part), part) for part in parts]
+                parts[-1] += b"0\r\n\r\n"
+            head = head.replace(b"Content-Length: 0", length)
+            connection.transport.write(head + parts[0])
+            await may_end.wait()
+            for part in parts[1:]:
+                connection.transport.write(part)
+                await asyncio.sleep(0.005)
+
+        owner.upstream.handler = stream
+        async with Client(entry.settings.call_address) as client:
+            client.send(b"/parts/1", b"a")
+            await client.reader.readuntil(b"\r\n\r\n")
+            await client.reader.readexactly(100_000)
+            entry.node.close_peer_links()
+            await asyncio.sleep(0.01)
+            may_end.set()
+            rest = await read_rest(client)
+        assert b"z" not in rest
+        assert not rest.endswith(b"0\r\n\r\n")
