Wait for the result of a request that must run once

A client got 502 for a request that its upstream ran: the way to the owner was silent for 1 to 6 s, its link was closed, and the response had been written to the dead link, or the call was given up 1.8 s after the link. Nothing else can run such a request, so a calling node now waits for its result until the timeout of the call, and an owner keeps the last responses to such calls, 4 MiB at most, and sends them to a caller that attaches again.

--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -41,6 +41,9 @@
 LOAD = "load"
 ATTACH = "attach"
 
+# Index of the body in a response message.
+RESPONSE_BODY = 5
+
 # Request bodies larger than this are sent in parts.
 BODY_PART_BYTES = 64 * 1024
 # Bytes of a response that may be in transit to a client that reads slowly.
--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -31,9 +31,9 @@
 HOST_LOST_REASONS = frozenset((REASON_OWNER_LOST, REASON_LINK_LOST))
 MAX_PLACEMENTS = 3
 MAX_NESTED_PLACEMENTS = 6
-# A lost link is open again after a few milliseconds unless its host is gone.
+# A lost link is open again after a few milliseconds unless its host is gone or stands
+# still.
 REATTACH_WAIT_S = 0.5
-REATTACH_WAIT_NON_IDEMPOTENT_S = 1.8
 # Tells a timeout of an upstream beside a stopping node from that of the caller.
 EARLY_TIMEOUT_MARGIN_S = 0.1
 
@@ -45,14 +45,15 @@
     _sends_again = True
 
     def on_link_lost(self, peer):
-        """Fails the calls of a lost link unless it opens again in time."""
+        """Fails the calls of a lost link unless it opens again in time.
+
+        Calls that must run once have no other host to go to. They wait until their
+        timeout, since the owner may still run them and keeps their results.
+        """
         loop = asyncio.get_running_loop()
         for attempt in list(peer.attempts.values()):
-            must_run_once = not attempt.call.route.is_idempotent
-            wait_s = (
-                REATTACH_WAIT_NON_IDEMPOTENT_S if must_run_once else REATTACH_WAIT_S
-            )
-            loop.call_later(wait_s, self._fail_if_unattached, attempt)
+            if attempt.call.route.is_idempotent or attempt.is_streaming:
+                loop.call_later(REATTACH_WAIT_S, self._fail_if_unattached, attempt)
 
     def on_peer_lost(self, peer, attempts):
         """Fails the attempts at an owner that is gone; they may have run."""
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -77,6 +77,9 @@
         self._executions = {}
         self._finished = {}
         self._last_forgotten = {}
+        # Keys and sizes of the responses in ``_finished`` whose link was open.
+        self._kept_responses = deque()
+        self._kept_bytes = 0
         self.running_requests = RunningRequests()
         self._broken_calls = deque(maxlen=MAX_BROKEN_CALLS)
         self._streaming_times_s = {}
@@ -411,7 +414,7 @@
         key = (execution.peer, execution.number)
         self._executions.pop(key, None)
         self._queue.finish(execution.ticket, now, is_success)
-        self._remember_result(key, _result_to_keep(execution, message))
+        self._keep_result(execution, message)
         if message is not None:
             execution.link.send(message)
         if self._queue.queued:
@@ -464,11 +467,3 @@
         # calls report the level of the queue.
         own = self._queue.level(call.rank, now) if call.is_nested else 1.0
         return round(min(own, nested_level), 3)
-
-
-def _result_to_keep(execution, message):
-    """Returns what a caller gets that attaches after the end of a call."""
-    if execution.is_streaming:
-        # Parts may be lost with the link.
-        return RESPONSE_CUT_OFF, execution.number
-    return None if execution.link.is_open else message
--- a/src/figpick/nodes/_owner_links.py
+++ b/src/figpick/nodes/_owner_links.py
@@ -3,13 +3,26 @@
 import asyncio
 
 from ..directory import DRAINING
-from ._messages import FAILED, LOAD, NOT_RUN, REASON_LINK_LOST, RESPONSE_CUT_OFF
+from ._messages import (
+    FAILED,
+    LOAD,
+    NOT_RUN,
+    REASON_LINK_LOST,
+    RESPONSE,
+    RESPONSE_BODY,
+    RESPONSE_CUT_OFF,
+)
 
 # A call keeps running for this long after its link closed, since its caller may
 # attach it to a new link.
 ATTACH_WINDOW_S = 2.0
 # Results of this many finished calls are kept for callers that attach afterwards.
 MAX_FINISHED_CALLS = 8192
+# A link can be dead long before that is seen. The last responses to calls that must run
+# once are kept for that case, up to so many bytes.
+MAX_KEPT_BYTES = 4 * 1024 * 1024
+# Memory of a kept response beside its body.
+KEPT_OVERHEAD_BYTES = 1024
 
 
 class OwnerLinks:
@@ -69,6 +82,31 @@
                 self._queue.withdraw(execution.ticket)
                 self._finish(execution)
 
+    def _keep_result(self, execution, message):
+        """Keeps what a caller gets that attaches after the end of a call."""
+        key = execution.peer, execution.number
+        if execution.is_streaming:
+            # Parts may be lost with the link.
+            message = RESPONSE_CUT_OFF, execution.number
+        elif execution.link.is_open:
+            if execution.call.is_idempotent:
+                message = None
+            else:
+                self._bound_kept_bytes(key, message)
+        self._remember_result(key, message)
+
+    def _bound_kept_bytes(self, key, message):
+        if message is None or message[0] != RESPONSE:
+            return
+        size = len(message[RESPONSE_BODY]) + KEPT_OVERHEAD_BYTES
+        self._kept_responses.append((key, size))
+        self._kept_bytes += size
+        while self._kept_bytes > MAX_KEPT_BYTES:
+            oldest, size = self._kept_responses.popleft()
+            self._kept_bytes -= size
+            if oldest in self._finished:
+                self._finished[oldest] = None
+
     def _remember_result(self, key, message):
         self._finished[key] = message
         if len(self._finished) > MAX_FINISHED_CALLS:
--- a/tests/test_silent_owners.py
+++ b/tests/test_silent_owners.py
@@ -4,7 +4,79 @@
 
 import pytest
 
-from .fleet import Client, Fleet, async_test
+from bench.faultproxy import FaultProxy
+
+from .fleet import (
+    Client,
+    Fleet,
+    async_test,
+    free_address,
+    make_configuration,
+    make_routes,
+    wait_until,
+)
+
+
+class SilentPath:
+    """A way from one node of a fleet to another that can fall silent.
+
+    :param entry: host of the node that sends calls.
+    :param owner: host of the node that receives them.
+    """
+
+    def __init__(self, entry, owner):
+        self._entry = entry
+        self._owner = owner
+        ip, port = owner.settings.link_address
+        self._proxy = FaultProxy(f"{ip}:{port}")
+
+    async def open(self):
+        ip, port = free_address()
+        self._proxy.listen(port, ip)
+        known = self._owner.node._announcer.record
+        moved = known._replace(version=known.version + 1, ip=ip, port=port)
+        self._entry.node.on_record(moved)
+
+    def fall_silent(self):
+        self._proxy.configure(accepts=False)
+        self._proxy.silence()
+
+    def recover(self):
+        self._proxy.configure(accepts=True)
+        self._proxy.reset()
+
+    def close(self):
+        self._proxy.stop()
+
+
+@pytest.mark.parametrize("silent_s", [1.0, 3.0, 6.0])
+@pytest.mark.parametrize("work_s", [0.5, 7.0])
+@async_test
+async def test_request_that_runs_at_a_silent_owner_is_not_given_up(
+    tmp_path, silent_s, work_s
+):
+    """Guards against a failure, or a second run, of work that goes on meanwhile."""
+    async with Fleet(tmp_path, ("entries", "parts")) as fleet:
+        routes = tuple(route._replace(timeout_s=12.0) for route in make_routes())
+        await fleet.put_configuration(make_configuration(2, 1, routes))
+        await asyncio.sleep(0.3)
+        entry, owner = fleet.hosts
+        path = SilentPath(entry, owner)
+        async with Client(entry.settings.call_address) as client:
+            await client.call(b"/parts/1", b"first")
+            await path.open()
+            assert (await client.call(b"/parts/1", b"second"))[0] == 200
+            owner.upstream.delay_s = work_s
+            client.send(b"/parts/once/1", b"once", method=b"POST", deadline_ms=14000)
+            await wait_until(lambda: "once" in owner.upstream.runs)
+            path.fall_silent()
+            await asyncio.sleep(silent_s)
+            path.recover()
+            async with asyncio.timeout(14.0):
+                status, _, _ = await client.receive()
+        path.close()
+        assert status == 200
+        assert owner.upstream.runs.count("once") == 1
 
 
 async def read_rest(client):
