Say that a request was refused for the limit of an upstream

The log and the client did not show it: a request that all hosts refused for their limits counted as meeting full hosts, and its Retry-After was 0.2 to 0.4 s whatever the limit. Owners now give the reason rate-limited, and the caller passes on the shortest wait that they state, within a third of the time that the client has.

Both new tests failed before.

--- a/src/figpick/admission/__init__.py
+++ b/src/figpick/admission/__init__.py
@@ -2,7 +2,7 @@
 
 from ._offered_load import ENTRY_SHARE
 from ._quarantine import CrashQuarantine
-from ._queue import AdmissionQueue
+from ._queue import REASON_RATE_LIMITED, AdmissionQueue
 from ._retry_budget import RetryBudget
 from ._throttle import (
     FREE_CAPACITY_LEVEL,
@@ -16,6 +16,7 @@
     "ENTRY_SHARE",
     "FREE_CAPACITY_LEVEL",
     "NO_CAPACITY_LEVEL",
+    "REASON_RATE_LIMITED",
     "AdmissionLevel",
     "AdmissionQueue",
     "CrashQuarantine",
--- a/src/figpick/admission/_queue.py
+++ b/src/figpick/admission/_queue.py
@@ -39,6 +39,7 @@
 MAX_QUEUED = 2000
 
 REASON_FULL = "full"
+REASON_RATE_LIMITED = "rate-limited"
 REASON_NO_UPSTREAM = "no-upstream"
 
 
@@ -237,7 +238,9 @@
             return Refusal(REASON_FULL, max(wait_s, MIN_RETRY_AFTER_S))
         remaining_s = min(ticket.target_at, ticket.start_deadline) - now
         if wait_s + ticket.expected_service_s > PLANNED_SHARE * remaining_s:
-            return Refusal(REASON_FULL, max(wait_s, MIN_RETRY_AFTER_S))
+            has_slot = self._running < self._limit
+            reason = REASON_RATE_LIMITED if has_slot else REASON_FULL
+            return Refusal(reason, max(wait_s, MIN_RETRY_AFTER_S))
         if ticket.is_nested:
             ticket.start_deadline = min(
                 ticket.start_deadline, now + NESTED_WAIT_SHARE * remaining_s
--- a/src/figpick/admission/_tickets.py
+++ b/src/figpick/admission/_tickets.py
@@ -9,7 +9,7 @@
 class Refusal(NamedTuple):
     """Why a call did not run, and when its caller may retry.
 
-    :param reason: ``full`` or ``no-upstream``.
+    :param reason: ``full``, ``rate-limited`` or ``no-upstream``.
     :param retry_after_s: seconds until a slot is expected to be free.
     """
 
--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -63,6 +63,7 @@
         "was_at_upstream",
         "may_have_run",
         "failure",
+        "rate_limit_wait_s",
         "is_done",
         "timer",
         "hedge_timer",
@@ -102,6 +103,8 @@
         self.may_have_run = False
         # Status, head and body of the upstream's failure after which it was sent again.
         self.failure = None
+        # Shortest wait at the hosts that refused it for the limit of their upstream.
+        self.rate_limit_wait_s = None
         self.is_done = False
         self.timer = None
         self.hedge_timer = None
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
-from ..admission import FREE_CAPACITY_LEVEL, NO_CAPACITY_LEVEL, RetryBudget
+from ..admission import (
+    FREE_CAPACITY_LEVEL,
+    NO_CAPACITY_LEVEL,
+    REASON_RATE_LIMITED,
+    RetryBudget,
+)
 from ..placing import choose
 from ._calls import Attempt
 from ._messages import (
@@ -140,9 +145,11 @@
             peer.accepts_calls for peer in self.peers.for_service(call.service)
         )
         if has_available_host and call.placements:
-            self._forwarder.on_placement_failed(
-                call, "every host of the service is full", 0.0
-            )
+            if call.rate_limit_wait_s is not None:
+                reason, wait_s = REASON_RATE_LIMITED, call.rate_limit_wait_s
+            else:
+                reason, wait_s = "every host of the service is full", 0.0
+            self._forwarder.on_placement_failed(call, reason, wait_s)
             return
         call.is_waiting_for_host = True
         call.tried_hosts.clear()
--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -6,7 +6,11 @@
 
 import asyncio
 
-from ..admission import FREE_CAPACITY_LEVEL, NO_CAPACITY_LEVEL
+from ..admission import (
+    FREE_CAPACITY_LEVEL,
+    NO_CAPACITY_LEVEL,
+    REASON_RATE_LIMITED,
+)
 from ..placing import Load
 from ._call_logging import log_ended
 from ._calls import STATUS_FAILED, STATUS_TIMEOUT
@@ -210,6 +214,10 @@
         call.level = level
         if call.is_done or call.attempts:
             return
+        if reason == REASON_RATE_LIMITED:
+            wait_s = retry_after_ms / 1000
+            known_s = call.rate_limit_wait_s
+            call.rate_limit_wait_s = wait_s if known_s is None else min(known_s, wait_s)
         limit = MAX_NESTED_PLACEMENTS if call.is_nested else MAX_PLACEMENTS
         # A nested call waits at each host for only a part of its remaining time, so it
         # may still run at another one.
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -12,6 +12,7 @@
 from figpick.operators._explain import explain, format_lines, read_lines
 
 from .fleet import Client, Fleet, async_test, make_configuration, make_routes
+from .limited_upstreams import StatingUpstream
 
 
 class LogCapture:
@@ -59,6 +60,19 @@
     return refused[0]
 
 
+async def refused_for_a_rate_limit(fleet):
+    entry, *hosts = fleet.hosts
+    for host in hosts:
+        StatingUpstream(host.upstream).limit = b"1"
+    address = entry.settings.call_address
+    for number in range(20):
+        async with Client(address) as client:
+            request_id = b"limited-%d" % number
+            if (await client.call(b"/parts/1", request_id))[0] == 503:
+                return request_id
+    raise AssertionError("no request was refused")
+
+
 async def cut_off_by_a_closed_connection(fleet):
     async def close_connection(connection, request):
         connection.transport.abort()
@@ -89,6 +103,11 @@
             {"route", "service", "reason", "placements", "version", "waited_s"},
             "full|waited-too-long",
         ),
+        (
+            refused_for_a_rate_limit,
+            {"route", "service", "reason", "placements", "version", "retry_after_s"},
+            "rate-limited|waited-too-long",
+        ),
         (
             cut_off_by_a_closed_connection,
             {"route", "host", "instance", "reason", "after_s", "load", "version"},
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .fleet import Fleet, async_test
+from .fleet import Client, Fleet, async_test
 from .limited_upstreams import (
     StatingUpstream,
     allowed,
@@ -107,3 +107,19 @@
         ]
         assert served[0] >= 0.8
         assert served[0] > served[1]
+
+
+@async_test
+async def test_refused_client_is_told_when_a_limited_upstream_has_room(tmp_path):
+    """Guards against clients that return at once and in vain."""
+    async with Fleet(tmp_path, ("entries", "parts", "parts")) as fleet:
+        entry, *hosts = fleet.hosts
+        for host in hosts:
+            StatingUpstream(host.upstream).limit = b"0.5"
+        async with Client(entry.settings.call_address) as client:
+            for number in range(20):
+                status, headers, _ = await client.call(b"/parts/1", b"r%d" % number)
+                if status == 503:
+                    break
+        # Clients wait for up to a third of their remaining time, which is 5 s here.
+        assert float(headers["retry-after"]) > 0.8
