--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -29,7 +29,8 @@
     encode,
 )
 from ._quorum_member import QuorumMember, format_address
-from ._reconfiguration import describe_members, next_members, required_voters
+from ._reconfiguration import describe_members, next_members
+from ._voter_check import VoterCheck
 
 RECONFIGURATION_PERIOD_S = 0.3
 # Time for the last messages to processes that read slowly.
@@ -71,8 +72,7 @@
         self._crashes = ExpiringTable(CRASH_TTL_S, MAX_CRASHES)
         self._leader_requests = LeaderRequests(self._member, self._leader_link)
         self._is_finished = False
-        self._min_voters = required_voters(settings.tolerated_losses)
-        self._has_enough_voters = None
+        self._voters = VoterCheck(settings.tolerated_losses)
         self._announced_revision = 0
         self._tasks = set()
         self._metrics = None
@@ -375,30 +375,11 @@
             candidates,
             raft.progress,
             raft.log.last_index,
-            self._min_voters,
+            self._voters.required,
             self._clock.monotonic(),
         )
         if members is not None:
             log.notice("Members change.", extra=describe_members(members))
             self._member.change_members(members)
         else:
-            self._check_voters(raft.members)
-
-    def _check_voters(self, members):
-        """Logs whether the quorum tolerates the stated losses, when that changes."""
-        has_enough_voters = len(members.voters) >= self._min_voters
-        if has_enough_voters == self._has_enough_voters:
-            return
-        self._has_enough_voters = has_enough_voters
-        extra = {
-            "voters": len(members.voters),
-            "required": self._min_voters,
-            "tolerated_losses": self._settings.tolerated_losses,
-        }
-        if has_enough_voters:
-            log.notice("The quorum tolerates the stated losses.", extra=extra)
-        else:
-            log.warning(
-                "The quorum does not tolerate the stated losses: too few voters.",
-                extra=extra,
-            )
+            self._voters.check(raft.members)
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -19,7 +19,6 @@
     fingerprint,
     render_head,
 )
-from ._known_notices import KnownNotice
 from ._messages import (
     NOT_RUN,
     REASON_LEAVING,
@@ -33,6 +32,8 @@
     RESPONSE_WINDOW_BYTES,
 )
 from ._owner_links import OwnerLinks
+from ._owner_notices import OwnerNotices
+from ._owner_queue import OwnerQueue
 from ._responses import ResponseRelay
 from ._upstream import UpstreamPool
 from ._upstream_notices import UpstreamNotices
@@ -40,18 +41,16 @@
 # The upstream stops at its deadline and sends a timeout response, which arrives
 # within this time.
 TIMEOUT_RESPONSE_MARGIN_S = 0.3
-EXPIRY_CHECK_PERIOD_S = 0.02
 # If the upstream refuses a connection, calls whose connections were lost within this
 # time before the refusal are assumed to have been running when the upstream crashed.
 CRASH_WINDOW_S = 1.0
-# Limit for the recorded calls whose connections were lost; an upstream has fewer slots
-# than this.
+# Recorded calls whose connections were lost; an upstream has fewer slots than this.
 MAX_BROKEN_CALLS = 1024
 
 log = logger("owner")
 
 
-class Owner(OwnerLinks, ResponseRelay):
+class Owner(OwnerLinks, OwnerNotices, OwnerQueue, ResponseRelay):
     """Runs calls at one upstream.
 
     :param settings: :class:`~figpick.nodes.NodeSettings`.
@@ -98,7 +97,7 @@
 
     @property
     def queue(self):
-        """The :class:`~figpick.admission.AdmissionQueue`, only to be read by others."""
+        """The :class:`~figpick.admission.AdmissionQueue`, which others only read."""
         return self._queue
 
     @property
@@ -155,37 +154,6 @@
         if slots:
             self._start_ready()
 
-    def adopt_notices(self, notices):
-        """Takes what a calling node knows of the upstream.
-
-        :param notices: lists of the fields of
-            :class:`~figpick.nodes._known_notices.KnownNotice`.
-        """
-        now = self._clock.monotonic()
-        for notice in notices:
-            known = KnownNotice(*notice)
-            if known.rate_limit:
-                self.notices.adopt_limit(known.instance, known.rate_limit, now)
-            if known.is_leaving:
-                self.handle_leave(known.instance)
-        self._apply_rate_limit(now)
-
-    def handle_leave(self, instance):
-        """Starts no more calls at an upstream that is about to stop.
-
-        :param instance: identity of the upstream.
-        """
-        if self.view.mark_draining(instance):
-            log.notice("Upstream leaves.", extra={"instance": instance})
-            self.apply_upstream_state()
-
-    def _apply_rate_limit(self, now):
-        if self.notices.rate_limit == self._queue.rate_limit_per_s:
-            return
-        self._queue.set_rate_limit(self.notices.rate_limit, now)
-        if self._queue.queued:
-            self._start_ready()
-
     def begin_stop(self, stop):
         """Lets the upstream work on further calls only until the node ends.
 
@@ -420,43 +388,6 @@
         if self._queue.queued:
             self._start_ready()
 
-    def _start_ready(self):
-        started, expired = self._queue.start_ready(self._clock.monotonic())
-        for ticket in expired:
-            self._finish_not_run(ticket.call, REASON_QUEUE_TIMEOUT)
-        for ticket in started:
-            self._start(ticket.call)
-        self._schedule_start(self._clock.monotonic())
-
-    def _schedule_start(self, now):
-        """Schedules the next start of a call that waits for the rate limit."""
-        delay_s = self._queue.next_start_s(now)
-        if delay_s is not None and self._start_timer is None:
-            loop = asyncio.get_running_loop()
-            self._start_timer = loop.call_later(delay_s, self._start_delayed)
-
-    def _start_delayed(self):
-        self._start_timer = None
-        self._start_ready()
-
-    def _schedule_expiry_check(self):
-        if self._expiry_timer is None:
-            loop = asyncio.get_running_loop()
-            self._expiry_timer = loop.call_later(
-                EXPIRY_CHECK_PERIOD_S, self._return_expired
-            )
-
-    def _return_expired(self):
-        self._expiry_timer = None
-        for ticket in self._queue.remove_expired(self._clock.monotonic()):
-            self._finish_not_run(ticket.call, REASON_QUEUE_TIMEOUT)
-        if self._queue.queued:
-            self._schedule_expiry_check()
-
-    def _return_queued(self, reason):
-        for ticket in self._queue.remove_all():
-            self._finish_not_run(ticket.call, reason)
-
     def _send_not_run(self, link, number, reason, retry_after_s, call):
         level = self._level(call, self._clock.monotonic())
         retry_after_ms = int(retry_after_s * 1000)
--- /dev/null
+++ b/src/figpick/nodes/_owner_notices.py
@@ -0,0 +1,56 @@
+"""What an owner does about the limit and the end that its upstream states."""
+
+from ..base._logs import logger
+from ._executions import is_from_upstream
+from ._known_notices import KnownNotice
+
+STATUS_MISDIRECTED = 421
+
+log = logger("owner")
+
+
+class OwnerNotices:
+    """Base class of the owner that applies the notices of its upstream."""
+
+    def adopt_notices(self, notices):
+        """Takes what a calling node knows of the upstream.
+
+        :param notices: lists of the fields of
+            :class:`~figpick.nodes._known_notices.KnownNotice`.
+        """
+        now = self._clock.monotonic()
+        for notice in notices:
+            known = KnownNotice(*notice)
+            if known.rate_limit:
+                self.notices.adopt_limit(known.instance, known.rate_limit, now)
+            if known.is_leaving:
+                self.handle_leave(known.instance)
+        self._apply_rate_limit(now)
+
+    def handle_leave(self, instance):
+        """Starts no more calls at an upstream that is about to stop.
+
+        :param instance: identity of the upstream.
+        """
+        if self.view.mark_draining(instance):
+            log.notice("Upstream leaves.", extra={"instance": instance})
+            self.apply_upstream_state()
+
+    def _read_notice(self, execution, reader):
+        if reader.status == STATUS_MISDIRECTED or not is_from_upstream(
+            reader, self._names
+        ):
+            return
+        now = self._clock.monotonic()
+        instance = execution.call.instance
+        notice = self.notices.observe(reader, instance, execution.sent_at, now)
+        self._apply_rate_limit(now)
+        if notice.is_leaving:
+            self.handle_leave(instance)
+
+    def _apply_rate_limit(self, now):
+        if self.notices.rate_limit == self._queue.rate_limit_per_s:
+            return
+        self._queue.set_rate_limit(self.notices.rate_limit, now)
+        if self._queue.queued:
+            self._start_ready()
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -35,9 +35,9 @@
 )
 from ._owner import Owner
 from ._peers import LocalLink, Peers
+from ._summary import Summary
 
 REFRESH_PERIOD_S = 1.0
-SUMMARY_PERIOD_S = 5.0
 
 log = logger("node")
 
@@ -102,7 +102,7 @@
         self._supervisor.add("entry", self._entry.enforce_timeouts)
         self._supervisor.add("refresh", self._refresh)
         self._supervisor.add("pauses", self._drainer.record_pauses)
-        self._supervisor.add("summary", self._log_summary)
+        self._supervisor.add("summary", Summary(self).run)
 
     def __repr__(self):
         return f"<NodeProcess {self._settings.name}>"
@@ -122,6 +122,11 @@
         """Revision of the active configuration, 0 before the first."""
         return self._controls.revision
 
+    @property
+    def open_control_links(self):
+        """Number of open links to control processes."""
+        return self._controls.open_count
+
     def admitted_shares(self):
         """Returns the share of admitted requests by route, where it is below 1."""
         return self._forwarder.policy.admitted_shares()
@@ -328,35 +333,6 @@
             if omitted:
                 log.info("Lines left out.", extra={"counts": omitted})
 
-    async def _log_summary(self):
-        before = {}
-        sent_before = 0
-        while True:
-            await asyncio.sleep(SUMMARY_PERIOD_S)
-            outcomes = self.counters.outcomes
-            sent = self._owner.sent_requests
-            counts = {
-                f"{route} {outcome}": count - before.get((route, outcome), 0)
-                for (route, outcome), count in outcomes.items()
-                if count != before.get((route, outcome), 0)
-            }
-            before = dict(outcomes)
-            log.notice(
-                "Calls of the last seconds.",
-                extra={
-                    "seconds": SUMMARY_PERIOD_S,
-                    "counts": counts,
-                    "load": list(self._owner.load()),
-                    "upstream_requests": sent - sent_before,
-                    "upstream_limit_per_s": self._owner.notices.rate_limit,
-                    "levels": self._owner.queue.levels(),
-                    "shares": self.admitted_shares(),
-                    "revision": self.revision,
-                    "controls": self._controls.open_count,
-                },
-            )
-            sent_before = sent
-
     def _connect_local(self):
         caller_end = LocalLink(self._receive_local)
         owner_end = LocalLink(self._receive_call)
--- a/src/figpick/nodes/_responses.py
+++ b/src/figpick/nodes/_responses.py
@@ -19,11 +19,11 @@
     RESPONSE_PART,
     RESPONSE_WINDOW_BYTES,
 )
+from ._owner_notices import STATUS_MISDIRECTED
 
 # Responses up to this size are buffered and forwarded whole, so that a call whose
 # response was cut off can be retried.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
-STATUS_MISDIRECTED = 421
 # Above this share of failed calls, the load is also reported to nodes that have not
 # sent calls recently, but not after each response.
 FAILING_SHARE = 0.3
@@ -70,18 +70,6 @@
         else:
             self._fail(execution, REASON_BROKEN_RESPONSE)
 
-    def _read_notice(self, execution, reader):
-        if reader.status == STATUS_MISDIRECTED or not is_from_upstream(
-            reader, self._names
-        ):
-            return
-        now = self._clock.monotonic()
-        instance = execution.call.instance
-        notice = self.notices.observe(reader, instance, execution.sent_at, now)
-        self._apply_rate_limit(now)
-        if notice.is_leaving:
-            self.handle_leave(instance)
-
     def _forward_response(self, execution, reader):
         now = self._clock.monotonic()
         if reader.header(self._names.not_run) is not None:
