Let upstreams of the soak name limits and leave

The soak of planned stops did not know the two notices, so it could not show the incident LIMIT. Half of its upstreams now name a limit and one leaves, while processes stop, freeze and start again; its checker holds LIMIT and DRAIN, summed over nodes and over restarts of owners.

--- a/bench/soak_clients.py
+++ b/bench/soak_clients.py
@@ -213,6 +213,7 @@
             return False
         request = self._pending[0]
         request.received_bytes = len(head)
+        self._checker.notices.record_told(request.node, headers)
         if headers.get("connection") == "close":
             self.is_closing = True
         request.begun.set()
--- a/bench/soak_endpoints.py
+++ b/bench/soak_endpoints.py
@@ -16,6 +16,8 @@
     b"instance-id",
     b"not-run",
     b"caller-service",
+    b"server-limit",
+    b"server-leaving",
 )
 HEARTBEAT_INTERVAL_S = 0.5
 SLOTS = 20
@@ -121,6 +123,7 @@
         self._heartbeat_task = None
         self._connections = set()
         self._tasks = set()
+        self._is_draining = False
         # Number of crashes that keep the upstream down; the last one restarts it.
         self._active_crashes = 0
 
@@ -194,7 +197,7 @@
                 "service": self._service,
                 "address": f"{ip}:{port}",
                 "slots": SLOTS,
-                "state": "ready",
+                "state": "draining" if self._is_draining else "ready",
                 "sequence": self._sequence,
             }
             await send_request(
--- a/bench/soak_responses.py
+++ b/bench/soak_responses.py
@@ -8,6 +8,7 @@
 from bench.soak_checks import NOT_RUN_STATUSES
 from bench.soak_cluster import GRACE_S
 from bench.soak_documents import ROUTE_TIMEOUT_S
+from bench.soak_notices import NoticeChecker
 
 # Faults count as a cause of failures for this time after their end.
 STABLE_S = 3.0
@@ -82,6 +83,7 @@
         self._requests = []
         self._runs = defaultdict(list)
         self._windows = []
+        self.notices = NoticeChecker(self._windows)
         self._lags = []
         self._thread_lags = []
         self._stops = []
@@ -188,6 +190,8 @@
     def list_violations(self):
         """Returns a dict of fields for each violation."""
         violations = [*self._violations, *self._list_late_exits()]
+        requests = {request.request_id: request for request in self._requests}
+        violations += self.notices.list_violations(requests)
         cut_without_stop = []
         self._exempt_count = 0
         for request in self._requests:
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -24,6 +24,7 @@
     SLOW_TIMEOUT_S,
 )
 from bench.soak_memory import measure_memory, measure_thread_lag
+from bench.soak_notices import draw_notices
 from bench.soak_operators import Operators
 from bench.soak_responses import APPLY_S, STABLE_S, ResponseChecker
 from bench.soak_signals import SignalledProcess, draw_events, draw_lowered_times
@@ -93,9 +94,13 @@
             print(json.dumps(event._asdict()), flush=True)
         lowered_times = draw_lowered_times(self._seed, node_events)
         print(json.dumps({"lowered": lowered_times}), flush=True)
+        notices = draw_notices(self._seed, self._seconds, len(cluster.services))
+        print(json.dumps({"notices": notices}), flush=True)
         try:
             if await self._start():
-                await self._run_traffic(node_events, control_events, lowered_times)
+                await self._run_traffic(
+                    node_events, control_events, lowered_times, notices
+                )
         finally:
             for process in self._processes:
                 await process.close()
@@ -115,6 +120,7 @@
         """Returns the figures of the run."""
         figures = {"max_lag_s": round(self._max_lag_s, 2)}
         figures["max_memory_mb"] = max(self._memory_kb.values(), default=0) // 1000
+        figures |= self.responses.notices.summary()
         return self.responses.summary() | self.changes.summary() | figures
 
     def _hosts(self, service):
@@ -178,7 +184,7 @@
         self._checker.record_recovery(not waiting, time.time() - started_at)
         return not waiting
 
-    async def _run_traffic(self, node_events, control_events, lowered_times):
+    async def _run_traffic(self, node_events, control_events, lowered_times, notices):
         started_at = time.time()
         clients_until = started_at + self._seconds + GRACE_S
         tasks = [
@@ -203,6 +209,7 @@
         await asyncio.gather(
             *(self._apply(event, started_at) for event in node_events),
             self._apply_control_events(control_events, started_at),
+            *(self._apply_notice(notice, started_at) for notice in notices),
         )
         self._operators.is_stopped = True
         await asyncio.gather(*tasks)
@@ -256,6 +263,10 @@
             await asyncio.sleep(event.gap_s)
         await asyncio.gather(*tasks)
 
+    async def _apply_notice(self, notice, started_at):
+        await asyncio.sleep(started_at + notice.at_s - time.time())
+        await self._upstreams[notice.upstream].apply(notice)
+
     async def _apply_control_events(self, events, started_at):
         """Applies the events of control processes, one after another."""
         for event in events:
--- a/bench/soak_upstreams.py
+++ b/bench/soak_upstreams.py
@@ -20,6 +20,9 @@
 SLOW_CALL_SHARE = 0.3
 SLOW_CALL_WORK_MS = (500, 2500)
 ONCE_SHARE = 0.3
+# A leaving upstream ends after this time, whatever it still runs.
+LONGEST_LEAVE_S = 11.0
+LEAVE_POLL_INTERVAL_S = 0.05
 # Share of nested calls that are sent on a connection that the node is closing.
 KEPT_CLOSING_SHARE = 0.3
 
@@ -118,6 +121,41 @@
         self._rng = random.Random(f"upstream {seed} {number}")
         self._caller = _NestedCaller(node_address, responses, self._rng)
         self._call_count = 0
+        self._running_count = 0
+        self._limit = 0.0
+        self._is_leaving = False
+
+    async def apply(self, notice):
+        """States a notice for its duration; a leaving upstream starts anew then.
+
+        :param notice: :class:`~bench.soak_notices.Notice`.
+        """
+        started_at = time.time()
+        if notice.limit:
+            self._limit = notice.limit
+            instance = self._instance_id
+            await asyncio.sleep(notice.for_s)
+            self._limit = 0.0
+            self._responses.notices.record_limit(
+                instance, notice.limit, started_at, time.time()
+            )
+            return
+        self._is_leaving, self._is_draining = True, notice.is_reported
+        await asyncio.sleep(notice.for_s)
+        while self._running_count and time.time() - started_at < LONGEST_LEAVE_S:
+            await asyncio.sleep(LEAVE_POLL_INTERVAL_S)
+        self.stop()
+        self._responses.record_window(self._number, "leave", time.time(), time.time())
+        self._is_leaving = self._is_draining = False
+        await self.start()
+
+    def _notice_headers(self):
+        lines = f"Server-Stamp: s\r\nInstance-Id: {self._instance_id}\r\n"
+        if self._limit:
+            lines += f"Server-Limit: {self._limit}\r\n"
+        if self._is_leaving:
+            lines += "Server-Leaving: 1\r\n"
+        return lines.encode()
 
     def stop(self):
         """Stops without draining."""
@@ -126,7 +164,15 @@
 
     async def run_request(self, connection, request):
         """Executes a request and sends its response."""
+        self._running_count += 1
+        try:
+            await self._run(connection, request)
+        finally:
+            self._running_count -= 1
+
+    async def _run(self, connection, request):
         request_id = (request.header(HEADER_NAMES.request_id) or b"").decode()
+        self._responses.notices.record_arrival(self._instance_id, request_id)
         run = Run(self._number, self._service, time.time())
         deadline_s = int(request.header(HEADER_NAMES.deadline_ms)) / 1000
         run.expires_at = run.started_at + deadline_s
@@ -155,7 +201,7 @@
         body = make_body(request_id, int(query["size"][0]) if run.status == 200 else 0)
         run.ended_at, run.was_cut = time.time(), connection.transport.is_closing()
         status = b"%d Status" % run.status
-        connection.send_response(request, status, body, b"Server-Stamp: s\r\n")
+        connection.send_response(request, status, body, self._notice_headers())
 
     async def _work(self, request_id, work_s, deadline_s):
         """Works and makes nested calls; returns whether all calls succeeded."""
