--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -465,7 +465,7 @@
 @pytest.mark.processes
 def test_guarantees_hold_around_planned_stops():
     """Guards against cut responses of stopping nodes and refused resends."""
-    command = [sys.executable, "-m", "bench.soak", "1", "3", "stops"]
+    command = [sys.executable, "-m", "bench.soak", "1", "6", "stops"]
     result = subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, timeout=90
     )
