--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -8,9 +8,10 @@
 
 sys.path.append(str(Path(__file__).parents[1] / "platform"))
 
-from adapter import documents, reports, settings  # noqa: E402
+from adapter import documents, names, reports, settings  # noqa: E402
 from figpick.configuration import check  # noqa: E402
 from figpick.exceptions import InvalidDocumentError  # noqa: E402
+from figpick.wire import UpstreamNotice, read_notice  # noqa: E402
 
 COLUMNS = [
     "name",
@@ -209,3 +210,9 @@
     fields = {"network": {"portRange": [7620, 7635], "seeds": ["10.0.0.2:80", seed]}}
     with pytest.raises(ValueError):
         settings.seed_link_addresses(fields)
+
+
+def test_notices_of_upstreams_have_the_names_of_the_platform():
+    """Guards against a limit or a leave that is read under another name."""
+    headers = [(b"Server-Limit", b"1.3"), (b"Server-Leaving", b"1")]
+    assert read_notice(headers, names.HEADERS) == UpstreamNotice(1.3, True)
