--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -1,10 +1,11 @@
 """Upstreams that name the requests per second that they take from all nodes."""
 
 import asyncio
+import time
 
 import pytest
 
-from .fleet import Client, Fleet, async_test
+from .fleet import Client, Fleet, async_test, wait_until
 from .limited_upstreams import (
     StatingUpstream,
     allowed,
@@ -123,3 +124,37 @@
                     break
         # Clients wait for up to a third of their remaining time, which is 5 s here.
         assert float(headers["retry-after"]) > 0.8
+
+
+@async_test
+async def test_limit_holds_for_nested_calls(tmp_path):
+    """Guards against calls of running requests that do not count."""
+    async with Fleet(tmp_path, ("entries", "parts")) as fleet:
+        await use_long_routes(fleet)
+        entry, host = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        upstream.limit = b"10"
+        entry.upstream.delay_s = 8.0
+        async with Client(entry.settings.call_address) as parent:
+            parent.send(b"/entries/1", b"p", deadline_ms=12000)
+            await wait_until(lambda: entry.upstream.runs)
+            await send_load([entry], per_s=60, seconds=7.5, name=b"p.n")
+        since = upstream.first_stated_at + 2.0
+        assert upstream.worst_window() <= allowed(10.0)
+        assert upstream.served_rate(since, since + 4.0) >= 7.0
+
+
+@async_test
+async def test_limit_holds_after_a_pause_of_the_process(tmp_path):
+    """Guards against calls that a pause held back and that all start after it."""
+    async with Fleet(tmp_path, SERVICES) as fleet:
+        await use_long_routes(fleet)
+        *entries, host = fleet.hosts
+        upstream = StatingUpstream(host.upstream)
+        upstream.limit = b"10"
+        load = asyncio.ensure_future(send_load(entries, per_s=60, seconds=8.0))
+        for _ in range(4):
+            await asyncio.sleep(1.5)
+            time.sleep(1.0)
+        await load
+        assert upstream.worst_window() <= allowed(10.0)
