Give up must-run-once calls at hosts that have left

A client waited until its timeout, with 504, for a call at a node that had left and whose process had ended: since a call that must run once waits for its link without a bound, but nothing opens the link of a host that has left again.

test_node_whose_component_fails_responds_before_it_ends replaced a method that had moved, so nothing failed in it. It replaces the summary in its new place; what it asserts is the same.

--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -38,6 +38,8 @@
 # A lost link is open again after a few milliseconds unless its host is gone or stands
 # still.
 REATTACH_WAIT_S = 0.5
+# A node that has left reads what it is sent until its process ends.
+LEFT_REATTACH_WAIT_S = 1.8
 # Tells a timeout of an upstream beside a stopping node from that of the caller.
 EARLY_TIMEOUT_MARGIN_S = 0.1
 
@@ -52,12 +54,16 @@
         """Fails the calls of a lost link unless it opens again in time.
 
         Calls that must run once have no other host to go to. They wait until their
-        timeout, since the owner may still run them and keeps their results.
+        timeout, unless their host has left, since the owner may still run them and
+        keeps their results.
         """
         loop = asyncio.get_running_loop()
         for attempt in list(peer.attempts.values()):
             if attempt.call.route.is_idempotent or attempt.is_streaming:
                 loop.call_later(REATTACH_WAIT_S, self._fail_if_unattached, attempt)
+            elif peer.is_retired:
+                wait_s = LEFT_REATTACH_WAIT_S
+                loop.call_later(wait_s, self._fail_if_unattached, attempt)
 
     def on_peer_lost(self, peer, attempts):
         """Fails the attempts at an owner that is gone; they may have run."""
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -55,6 +55,8 @@
         self.dialer = None
         self.link = None
         self.token = None
+        # Whether it has left or moved, so that only earlier responses are awaited.
+        self.is_retired = False
         self._instance = ""
         self._is_leaving = False
         self.instance = record.instance
@@ -303,6 +305,9 @@
     def _retire(self, peer):
         self._withhold(peer)
         self._retired.add(peer)
+        peer.is_retired = True
+        if peer.link is None:
+            self._handlers.on_link_lost(peer)
         self.stop_retired()
 
     def _change_service(self, peer, record):
--- a/tests/test_process_exits.py
+++ b/tests/test_process_exits.py
@@ -32,14 +32,14 @@
 FAILING_NODE = """
 import asyncio, os, runpy, sys
 sys.path[:0] = {folders!r}
-from figpick.nodes import NodeProcess
+from figpick.nodes._summary import Summary
 
-async def fail_when_told(process):
+async def fail_when_told(summary):
     while not os.path.exists({flag!r}):
         await asyncio.sleep(0.05)
     raise RuntimeError("the test has told the task to fail")
 
-NodeProcess._log_summary = fail_when_told
+Summary.run = fail_when_told
 runpy.run_path({program!r}, run_name="__main__")
 """
 
