Say which voters answer and how many disks may be lost

Without a leader, a control process said only that none is known. The leader now logs how many disks may be lost, counting only voters that answer and have not left; without a leader each process names the voters that it does not hear. The same is in the state and, from the leader, in the metrics.

The former check compared the number of voters with the required one and called a quorum of six sound that had lost one for good.

--- a/src/figpick/control/_metrics.py
+++ b/src/figpick/control/_metrics.py
@@ -18,10 +18,17 @@
 def _values(process):
     member = process.member
     replica = member.replica
-    return {
+    health = process.quorum_health()
+    values = {
         ("is_leader",): int(member.is_leader),
         ("log_index",): replica.applied_index if replica else 0,
         ("log_term",): replica.raft.term if replica else 0,
         ("revision",): member.registry.revision,
         ("hosts",): process.host_count,
+        ("voters",): len(health.voters),
     }
+    if member.is_leader:
+        # Followers hear only from the leader and cannot tell who else answers.
+        values["absent_voters",] = len(health.absent)
+        values["bearable_losses",] = health.bearable_losses
+    return values
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -28,9 +28,9 @@
     deliver,
     encode,
 )
+from ._quorum_health import HealthLog, QuorumHealth, VoterState
 from ._quorum_member import QuorumMember, format_address
 from ._reconfiguration import describe_members, next_members
-from ._voter_check import VoterCheck
 
 RECONFIGURATION_PERIOD_S = 0.3
 # Time for the last messages to processes that read slowly.
@@ -72,7 +72,7 @@
         self._crashes = ExpiringTable(CRASH_TTL_S, MAX_CRASHES)
         self._leader_requests = LeaderRequests(self._member, self._leader_link)
         self._is_finished = False
-        self._voters = VoterCheck(settings.tolerated_losses)
+        self._health_log = HealthLog(settings.tolerated_losses)
         self._announced_revision = 0
         self._tasks = set()
         self._metrics = None
@@ -99,11 +99,29 @@
             "is_leader": self._member.is_leader,
             "leader": self._member.leader_address,
             "members": describe_members(replica.raft.members) if replica else None,
+            "quorum": self._describe_quorum(),
             "version": self._member.registry.version,
             "revision": self._member.registry.revision,
             "hosts": [list(record) for record in self._directory],
         }
 
+    def _describe_quorum(self):
+        # Followers hear only from the leader and cannot tell who else answers.
+        if not self._member.is_leader and self._member.leader_address is not None:
+            return None
+        return self.quorum_health().describe()
+
+    def quorum_health(self):
+        """Returns the :class:`QuorumHealth` as this process sees it now."""
+        left = self._left_identities()
+        silences = self._member.voter_silences()
+        return QuorumHealth(
+            [
+                VoterState(identity, silent_s, identity in left)
+                for identity, silent_s in silences.items()
+            ]
+        )
+
     @property
     def host_count(self):
         """Number of processes in the directory."""
@@ -359,9 +377,26 @@
             await asyncio.sleep(RECONFIGURATION_PERIOD_S)
             if self._announcer.update(identity=self._member.identity):
                 self._announce()
+            self._check_health()
             if self._member.is_leader:
                 self._reconfigure()
 
+    def _check_health(self):
+        now = self._clock.monotonic()
+        health = self.quorum_health()
+        if self._member.is_leader:
+            self._health_log.check_as_leader(health, now)
+        else:
+            has_leader = self._member.leader_address is not None
+            self._health_log.check_as_follower(health, has_leader, now)
+
+    def _left_identities(self):
+        return {
+            record.identity
+            for record in self._directory
+            if record.role == CONTROL and record.state == LEFT
+        }
+
     def _reconfigure(self):
         raft = self._member.replica.raft
         candidates = {
@@ -375,11 +410,9 @@
             candidates,
             raft.progress,
             raft.log.last_index,
-            self._voters.required,
+            self._health_log.required,
             self._clock.monotonic(),
         )
         if members is not None:
             log.notice("Members change.", extra=describe_members(members))
             self._member.change_members(members)
-        else:
-            self._voters.check(raft.members)
--- a/src/figpick/control/_quorum_member.py
+++ b/src/figpick/control/_quorum_member.py
@@ -76,6 +76,7 @@
         self._formation = None
         self._deadline_moved_up = asyncio.Event()
         self._planned_tick_at = 0.0
+        self._heard_at = {}
 
     def __repr__(self):
         return f"<QuorumMember {self.identity}>"
@@ -217,9 +218,27 @@
         type_ = REQUEST_TYPES.get(kind) or REPLY_TYPES.get(kind.removesuffix("-reply"))
         if type_ is None:
             raise FigpickError(f"unknown kind of quorum message: {kind!r}")
-        self._replica.receive(decode(type_, fields), self._clock.monotonic())
+        message = decode(type_, fields)
+        now = self._clock.monotonic()
+        self._heard_at[message.sender] = now
+        self._replica.receive(message, now)
         self._process_output()
 
+    def voter_silences(self):
+        """Returns the seconds since the last message of each voter, by identity.
+
+        The value is ``None`` for a voter that was not heard since the start.
+        """
+        if self._replica is None:
+            return {}
+        now = self._clock.monotonic()
+        heard_at = {**self._heard_at, self.identity: now}
+        voters = self._replica.raft.members.voters
+        self._heard_at = {each: heard_at[each] for each in voters if each in heard_at}
+        return {
+            each: now - heard_at[each] if each in heard_at else None for each in voters
+        }
+
     async def propose(self, change):
         """Adds a change set to the log and waits until it is applied.
 
--- a/src/figpick/control/_reconfiguration.py
+++ b/src/figpick/control/_reconfiguration.py
@@ -9,6 +9,8 @@
 from ..consensus._consensus_messages import Membership
 from ..consensus._formation import name_of
 
+# A voter is not counted on after this silence. Heartbeats are answered every 0.15 s.
+ABSENCE_S = 1.5
 # A member that sends no reply for this long is removed, unless the remaining voters
 # would be too few. A partition of a few seconds must not reduce the number of copies
 # of the log.
