--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -101,6 +101,7 @@
         self.files = None
         self.replica = None
         self.tick_at = None
+        self._identity = None
         self._clock_offset_s = simulation.random.uniform(0, 1000)
         self._clock_rate = simulation.random.uniform(0.95, 1.05)
 
@@ -109,6 +110,11 @@
         """Whether the process is running."""
         return self.replica is not None
 
+    @property
+    def disk_identity(self):
+        """Identity that is stored on the disk."""
+        return self._identity
+
     def now(self):
         """Returns the monotonic time of this host in seconds."""
         return self._clock_offset_s + self._clock_rate * self._simulation.now
@@ -118,6 +124,7 @@
 
         :param identity: identity that is stored on the new disk.
         """
+        self._identity = identity
         self.files = SimulatedFiles(self._simulation.random, self._simulation.syncs)
         Storage(self.files).create(identity)
 
