Let successors take the places of control hosts that are gone

Cause: a host that was gone for good stayed a voter for 20 s, and its successor voted beside it. Six voters need four; with one of them gone and two disks lost three are left, and only a leader could have removed the one that was gone.

Now the number of voters is kept odd and a further host waits as a learner. A voter that is absent (silent for 1.5 s, or 0.4 s after it announced its stop) gives its place to a ready learner, or is removed when the number of voters is even. Neither lowers the number of disks that may be lost, at any step between, and a host that was only away returns as a learner. Without a learner an absent voter stays, so a cut or a restart does not shrink the quorum. At the cap of eleven voters the place is exchanged as well; before, a successor waited 20 s. Hosts without a link to the leader are no longer added, which had made members that are gone come and go.

test_quorum_repair calls the function with hosts in place of candidates; its checks are unchanged.

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -30,7 +30,7 @@
 )
 from ._quorum_health import HealthLog, QuorumHealth, VoterState
 from ._quorum_member import QuorumMember, format_address
-from ._reconfiguration import describe_members, next_members
+from ._reconfiguration import Host, describe_members, next_members
 
 RECONFIGURATION_PERIOD_S = 0.3
 # Time for the last messages to processes that read slowly.
@@ -113,7 +113,7 @@
 
     def quorum_health(self):
         """Returns the :class:`QuorumHealth` as this process sees it now."""
-        left = self._left_identities()
+        left = {host.identity for host in self._control_hosts() if host.has_left}
         silences = self._member.voter_silences()
         return QuorumHealth(
             [
@@ -390,24 +390,24 @@
             has_leader = self._member.leader_address is not None
             self._health_log.check_as_follower(health, has_leader, now)
 
-    def _left_identities(self):
-        return {
-            record.identity
+    def _control_hosts(self):
+        return [
+            Host(
+                record.identity,
+                format_address(record.address),
+                self._link_to(format_address(record.address)) is not None,
+                record.state == LEFT,
+            )
             for record in self._directory
-            if record.role == CONTROL and record.state == LEFT
-        }
+            if record.role == CONTROL and record.identity
+        ]
 
     def _reconfigure(self):
         raft = self._member.replica.raft
-        candidates = {
-            record.identity: format_address(record.address)
-            for record in self._directory.controls()
-            if record.identity
-        }
         members = next_members(
             raft.members,
             self._member.identity,
-            candidates,
+            self._control_hosts(),
             raft.progress,
             raft.log.last_index,
             self._health_log.required,
--- a/src/figpick/control/_quorum_health.py
+++ b/src/figpick/control/_quorum_health.py
@@ -4,7 +4,7 @@
 
 from ..base._logs import logger
 from ..consensus._formation import name_of
-from ._reconfiguration import ABSENCE_S, required_voters
+from ._reconfiguration import is_absent, required_voters
 
 # A leader is usually elected within this time after the last one was lost.
 LEADERLESS_S = 2.0
@@ -27,8 +27,7 @@
     @property
     def is_present(self):
         """Whether the voter can be counted on now."""
-        is_heard = self.silent_s is not None and self.silent_s < ABSENCE_S
-        return is_heard and not self.has_left
+        return not is_absent(self.silent_s, self.has_left)
 
 
 class QuorumHealth(NamedTuple):
--- a/src/figpick/control/_reconfiguration.py
+++ b/src/figpick/control/_reconfiguration.py
@@ -4,22 +4,53 @@
 that announce themselves. A process whose disk was lost has a new identity at its old
 address. The member with the old identity is removed at once, since that identity can
 never return.
+
+A host that is gone for good looks like one that is cut off or restarts, so no voter is
+removed merely because it is silent. What counts is how many disks may be lost now: the
+voters that answer, less a majority of all voters. An absent voter is therefore removed
+when that does not lower this number and frees a place: when the number of voters is
+even, or when a learner is ready to take the place. It returns as a learner.
+
+The number of voters is kept odd, because a sixth voter raises the majority without
+bearing another loss. A single further host stays a learner, ready to replace a voter.
 """
 
+from typing import NamedTuple
+
 from ..consensus._consensus_messages import Membership
 from ..consensus._formation import name_of
 
 # A voter is not counted on after this silence. Heartbeats are answered every 0.15 s.
 ABSENCE_S = 1.5
+# The same for a voter that has announced that it stops. A shorter silence would count
+# a host as absent that has started again, while its new record is on the way.
+LEFT_ABSENCE_S = 0.4
 # A member that sends no reply for this long is removed, unless the remaining voters
 # would be too few. A partition of a few seconds must not reduce the number of copies
 # of the log.
 MAX_SILENCE_S = 20.0
 # A majority of all control hosts must be able to commit, so all of them vote up to the
-# size of the largest deployments.
+# size of the largest deployments. Odd, see above.
 MAX_VOTERS = 11
-# A learner becomes a voter when it lacks at most this many entries.
+# A learner becomes a voter when it lacks at most this many entries and has replied
+# within this time.
 MAX_LAG_ENTRIES = 8
+MAX_LEARNER_SILENCE_S = 1.0
+
+
+class Host(NamedTuple):
+    """A control process that announces itself.
+
+    :param identity: identity of the process and its disk.
+    :param address: address of the process.
+    :param is_connected: whether the leader has an open link to it.
+    :param has_left: whether it has announced that it stops.
+    """
+
+    identity: str
+    address: str
+    is_connected: bool = True
+    has_left: bool = False
 
 
 def required_voters(tolerated_losses):
@@ -30,33 +61,54 @@
     return 2 * tolerated_losses + 1
 
 
-def next_members(members, own_id, candidates, progress, last_index, min_voters, now):
+def is_absent(silent_s, has_left):
+    """Returns whether a member is not counted on for a majority.
+
+    :param silent_s: seconds since its last message, ``None`` without any.
+    :param has_left: whether it has announced that it stops.
+    """
+    limit_s = LEFT_ABSENCE_S if has_left else ABSENCE_S
+    return silent_s is None or silent_s >= limit_s
+
+
+def next_members(members, own_id, hosts, progress, last_index, min_voters, now):
     """Returns the next membership that the leader should propose.
 
     :param members: active
         :class:`~figpick.consensus._consensus_messages.Membership`.
     :param own_id: identity of the leader.
-    :param candidates: dict of identity to address of the control processes that
-        announce themselves.
+    :param hosts: list of :class:`Host`.
     :param progress: dict of identity to
         :class:`~figpick.consensus._consensus_leader.Progress`.
     :param last_index: last index of the log.
-    :param min_voters: number of voters below which no silent voter is removed.
+    :param min_voters: number of voters that bears the stated losses.
     :param now: monotonic seconds.
     :return: :class:`Membership`, or ``None`` when no change is needed.
     """
+    silent_s = {
+        identity: now - member_progress.last_reply_at
+        for identity, member_progress in progress.items()
+        if identity != own_id
+    }
+    left = {host.identity for host in hosts if host.has_left}
+    ready = [
+        identity
+        for identity in sorted(members.learners)
+        if identity not in left
+        and silent_s.get(identity, MAX_SILENCE_S) <= MAX_LEARNER_SILENCE_S
+        and last_index - progress[identity].match <= MAX_LAG_ENTRIES
+    ]
     return (
-        _without_replaced(members, own_id, candidates)
-        or _with_promoted(members, progress, last_index, now)
-        or _with_new(members, candidates)
-        or _without_silent(members, own_id, progress, min_voters, now)
+        _without_replaced(members, own_id, hosts)
+        or _without_absent(members, silent_s, left, ready, min_voters)
+        or _with_promoted(members, ready)
+        or _with_new(members, hosts)
+        or _without_silent(members, silent_s, min_voters)
     )
 
 
-def _without_replaced(members, own_id, candidates):
-    identity_by_address = {
-        address: identity for identity, address in candidates.items()
-    }
+def _without_replaced(members, own_id, hosts):
+    identity_by_address = {host.address: host.identity for host in hosts}
     for identity, address in members.addresses.items():
         if (
             identity != own_id
@@ -66,36 +118,47 @@
     return None
 
 
-def _with_new(members, candidates):
-    for identity, address in sorted(candidates.items()):
-        if identity not in members.addresses:
-            learners = {**members.learners, identity: address}
-            return members._replace(learners=learners)
+def _without_absent(members, silent_s, left, ready, min_voters):
+    count = len(members.voters)
+    absent = [
+        identity
+        for identity in members.voters
+        if identity in silent_s and is_absent(silent_s[identity], identity in left)
+    ]
+    absent.sort(key=lambda identity: (identity not in left, -silent_s[identity]))
+    if not absent:
+        return None
+    is_even = count % 2 == 0
+    has_surplus = is_even and count > min_voters
+    # Without two of them the quorum bears one loss more.
+    have_two_left = count >= min_voters + 2 and left.issuperset(absent[:2])
+    if has_surplus or (not is_even and (ready or (absent[1:] and have_two_left))):
+        return _without_member(members, absent[0])
     return None
 
 
-def _with_promoted(members, progress, last_index, now):
-    if len(members.voters) >= MAX_VOTERS:
+def _with_promoted(members, ready):
+    count = len(members.voters)
+    is_even = count % 2 == 0
+    if not ready or count >= MAX_VOTERS or not (is_even or ready[1:]):
         return None
-    for identity, address in sorted(members.learners.items()):
-        member_progress = progress.get(identity)
-        if member_progress is None or now - member_progress.last_reply_at > 1.0:
-            continue
-        if last_index - member_progress.match <= MAX_LAG_ENTRIES:
-            learners = dict(members.learners)
-            del learners[identity]
-            return Membership({**members.voters, identity: address}, learners)
+    learners = dict(members.learners)
+    address = learners.pop(ready[0])
+    return Membership({**members.voters, ready[0]: address}, learners)
+
+
+def _with_new(members, hosts):
+    for host in sorted(hosts):
+        is_available = host.is_connected and not host.has_left
+        if is_available and host.identity not in members.addresses:
+            learners = {**members.learners, host.identity: host.address}
+            return members._replace(learners=learners)
     return None
 
 
-def _without_silent(members, own_id, progress, min_voters, now):
+def _without_silent(members, silent_s, min_voters):
     for identity in sorted(members.addresses):
-        member_progress = progress.get(identity)
-        if (
-            identity == own_id
-            or member_progress is None
-            or now - member_progress.last_reply_at < MAX_SILENCE_S
-        ):
+        if silent_s.get(identity, 0.0) < MAX_SILENCE_S:
             continue
         if identity in members.voters and len(members.voters) <= min_voters:
             continue
--- a/tests/membership_schedules.py
+++ b/tests/membership_schedules.py
@@ -16,7 +16,7 @@
 from bench.simulation import SimulatedProcess, Simulation
 from figpick.base._errors import NoQuorumError
 from figpick.consensus._consensus_messages import Membership
-from figpick.control._reconfiguration import next_members, required_voters
+from figpick.control._reconfiguration import Host, next_members, required_voters
 
 # Number of control hosts, and how many of their disks may be lost at once.
 FLEETS = ((3, 1), (4, 1), (5, 1), (5, 2), (6, 2), (11, 2))
@@ -189,15 +189,20 @@
 
     def _decide(self, process, raft):
         left = self._left_known_by[process.name]
-        candidates = {
-            other.disk_identity: other.name
+        cut_links = self._simulation.cut_links
+        hosts = [
+            Host(
+                other.disk_identity,
+                other.name,
+                other.is_up and (process.name, other.name) not in cut_links,
+                other.disk_identity in left,
+            )
             for other in self._simulation.processes.values()
-            if other.disk_identity not in left
-        }
+        ]
         return next_members(
             raft.members,
             process.replica.identity,
-            candidates,
+            hosts,
             raft.progress,
             raft.log.last_index,
             required_voters(self._tolerated),
@@ -394,9 +399,15 @@
         duration_s = self._random.uniform(2.0, 7.0)
         self._split_until = self._simulation.now + duration_s
 
+        # A successor may be cut off from the voters that must take it in.
+        unready = self._lost_slots()
+
         def heal():
             self._simulation.cut_links -= links
             self._disturbed_at = self._simulation.now
+            for slot in unready:
+                if slot.lost_until < NEVER:
+                    slot.lost_until = self._simulation.now + CATCH_UP_S
 
         self._simulation.call_later(duration_s, heal)
 
--- a/tests/test_quorum_health.py
+++ b/tests/test_quorum_health.py
@@ -34,7 +34,7 @@
     return QuorumHealth(
         [VoterState(f"{name}#1", 0.1, False) for name in present]
         + [VoterState(f"{name}#1", 4.0, False) for name in silent]
-        + [VoterState(f"{name}#1", 0.1, True) for name in left]
+        + [VoterState(f"{name}#1", 0.5, True) for name in left]
         + [VoterState(f"{name}#1", None, False) for name in unheard]
     )
 
--- a/tests/test_quorum_repair.py
+++ b/tests/test_quorum_repair.py
@@ -2,9 +2,14 @@
 
 from types import SimpleNamespace
 
+import pytest
+
 from figpick.consensus._consensus_messages import Membership
 from figpick.control._reconfiguration import (
+    ABSENCE_S,
+    LEFT_ABSENCE_S,
     MAX_SILENCE_S,
+    Host,
     next_members,
     required_voters,
 )
@@ -16,9 +21,36 @@
     return {each: SimpleNamespace(last_reply_at=at, match=match) for each in identities}
 
 
-def step(members, candidates, progress, tolerated_losses=1, now=100.0):
+def step(members, candidates, progress, tolerated_losses=1, left=(), gone=()):
     min_voters = required_voters(tolerated_losses)
-    return next_members(members, "a:1#x", candidates, progress, 50, min_voters, now)
+    hosts = [
+        Host(identity, address, identity not in gone, identity in left)
+        for identity, address in candidates.items()
+    ]
+    return next_members(members, "a:1#x", hosts, progress, 50, min_voters, 100.0)
+
+
+def voters_of(names):
+    return {f"{name}:1#x": f"{name}:1" for name in names}
+
+
+def progress_with_silent(names, silent, silent_s):
+    present = set(names) - set(silent)
+    return progress_of(*voters_of(present)) | progress_of(
+        *voters_of(silent), at=100.0 - silent_s
+    )
+
+
+def changes(names, learners="", silent="", silent_s=ABSENCE_S, left="", losses=2):
+    """Applies decisions until none follows, and returns the names of the voters."""
+    known = voters_of(names + learners)
+    members = Membership(voters_of(names), voters_of(learners))
+    progress = progress_with_silent(names + learners, silent, silent_s)
+    left, gone = voters_of(left), voters_of(silent)
+    while after := step(members, known, progress, losses, left, gone):
+        assert len(set(after.voters) ^ set(members.voters)) <= 1
+        members = after
+    return "".join(sorted(identity[0] for identity in members.voters))
 
 
 def test_nothing_changes_while_all_members_reply():
@@ -92,6 +124,71 @@
     voters = {f"{number}:1#x": f"{number}:1" for number in range(11)}
     members = Membership(dict(list(voters.items())[:3]), {})
     progress = progress_of(*voters)
-    while after := next_members(members, "0:1#x", voters, progress, 50, 5, 100.0):
+    hosts = [Host(*each) for each in voters.items()]
+    while after := next_members(members, "0:1#x", hosts, progress, 50, 5, 100.0):
         members = after
     assert set(members.voters) == set(voters)
+
+
+@pytest.mark.parametrize("silent_s", [ABSENCE_S, 10.0])
+@pytest.mark.parametrize("names, losses", [("abc", 1), ("abcde", 1), ("abcde", 2)])
+def test_silence_of_some_seconds_does_not_shrink_the_quorum(names, losses, silent_s):
+    """Guards against a cut or a rolling restart that costs voters."""
+    for silent in ("b", "bc"):
+        assert changes(names, "", silent, silent_s, losses=losses) == names
+
+
+def test_restart_does_not_shrink_the_quorum():
+    """Guards against planned restarts that are taken for hosts that leave."""
+    for losses in (1, 2):
+        assert changes("abcde", silent="b", left="b", losses=losses) == "abcde"
+
+
+@pytest.mark.parametrize(
+    "silent, left, silent_s",
+    [("b", "", ABSENCE_S), ("b", "b", LEFT_ABSENCE_S)],
+    ids=["unannounced", "planned"],
+)
+def test_ready_learner_takes_the_place_of_an_absent_voter(silent, left, silent_s):
+    """Guards against a quorum that counts hosts that are gone for good."""
+    assert changes("abcde", "f", silent, silent_s, left) == "acdef"
+    assert changes("abcdef", "", silent, silent_s, left) == "acdef"
+    names = "abcdefghijk"
+    assert changes(names, "l", silent, silent_s, left) == "acdefghijkl"
+
+
+def test_two_learners_take_the_places_of_two_absent_voters():
+    """Guards against only one of two replacements that takes effect."""
+    assert changes("abcde", "fg", "bc", ABSENCE_S) == "adefg"
+    assert changes("abcdefg", "", "bc", LEFT_ABSENCE_S, "bc") == "adefg"
+
+
+def test_single_further_host_waits_as_a_learner():
+    """Guards against a sixth voter, which raises the majority and bears no more."""
+    assert changes("abcde", "f") == "abcde"
+    assert changes("abcde", "fg") == "abcdefg"
+
+
+def test_learner_that_lags_or_is_silent_does_not_vote():
+    """Guards against a majority that needs a host without the log."""
+    members = Membership(voters_of("abcde"), voters_of("f"))
+    known = voters_of("abcdef")
+    progress = progress_with_silent("abcde", "b", ABSENCE_S)
+    for learner in (
+        progress_of("f:1#x", match=10),
+        progress_of("f:1#x", at=98.0),
+    ):
+        assert step(members, known, progress | learner, 2) is None
+
+
+def test_voter_that_started_again_is_kept_while_its_old_notice_is_known():
+    """Guards against the removal of a host whose new record is still on the way."""
+    assert changes("abcdef", silent="b", silent_s=0.2, left="b") == "abcdef"
+
+
+def test_host_that_is_gone_is_not_added_again():
+    """Guards against members that come and go for ever."""
+    members = Membership(voters_of("acdef"), {})
+    progress = progress_of(*voters_of("acdef"))
+    assert step(members, voters_of("abcdef"), progress, 2, gone={"b:1#x"}) is None
+    assert step(members, voters_of("abcdef"), progress, 2, left={"b:1#x"}) is None
--- a/tests/test_replaced_controls.py
+++ b/tests/test_replaced_controls.py
@@ -7,10 +7,6 @@
 KINDS = ("planned", "unannounced", "planned leader", "unannounced leader")
 SHORT_SEARCH_SEEDS = range(1, 41)
 
-not_borne = pytest.mark.xfail(
-    strict=True, reason="issue 35: hosts that are gone stay voters, see KNOWN-RED.txt"
-)
-
 
 def play(fleet, kinds, seed):
     """Replaces hosts one after the other and returns what is wrong at the end."""
@@ -32,7 +28,6 @@
     return [problem for seed in range(8) for problem in play(fleet, kinds, seed)]
 
 
-@not_borne
 @pytest.mark.parametrize("fleet", [(3, 1), (5, 2)], ids=str)
 @pytest.mark.parametrize("kind", KINDS)
 def test_changes_are_readable_after_a_replacement_and_lost_disks(kind, fleet):
@@ -40,7 +35,6 @@
     assert not problems_of(fleet, [kind])
 
 
-@not_borne
 @pytest.mark.parametrize("kind", KINDS)
 def test_changes_are_readable_after_two_replacements_and_lost_disks(kind):
     """Guards against voters that add up with each replaced host."""
@@ -53,7 +47,6 @@
     assert not problems_of((11, 2), [kind, kind])
 
 
-@not_borne
 def test_no_schedule_loses_what_was_acknowledged():
     """Guards against losses that occur only in rare orders of faults."""
     outcomes = [run_schedule(seed) for seed in SHORT_SEARCH_SEEDS]
