Sync at the start what a killed process may not have synced

What callers could see: a change that was acknowledged is gone after a loss of power. A process that is killed between a write and its sync leaves the record in the cache of the host. The next start read it, answered the leader that it has the entry, or kept a vote by it, and never synced it: the next loss of power took it back. The same held for a rename before the sync of its folder.

The test fails before: a start syncs neither the log nor its folder.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -68,6 +68,10 @@
             raise PowerLossError
         self._write(name, self._cached.get(name, b"") + data)
 
+    def sync(self, name):
+        if name in self._cached:
+            self._durable[name] = self._cached[name]
+
     def truncate(self, name, size):
         self._write(name, self._cached[name][:size])
 
--- a/src/figpick/base/_files.py
+++ b/src/figpick/base/_files.py
@@ -87,6 +87,18 @@
             file.truncate(size)
             os.fsync(file.fileno())
 
+    def sync(self, name):
+        """Syncs a file and its entry in the folder; does nothing if it does not exist.
+
+        :raises OSError: when the sync fails.
+        """
+        try:
+            with open(self.path(name), "rb") as file:
+                os.fsync(file.fileno())
+        except FileNotFoundError:
+            return
+        self._sync_folder()
+
     def replace(self, name, data):
         """Replaces the content of a file atomically.
 
@@ -101,6 +113,9 @@
         if name in self._open_files:
             self._open_files.pop(name).close()
         os.rename(f"{path}.new", path)
+        self._sync_folder()
+
+    def _sync_folder(self):
         folder = os.open(self._folder, os.O_RDONLY)
         try:
             os.fsync(folder)
--- a/src/figpick/consensus/_storage.py
+++ b/src/figpick/consensus/_storage.py
@@ -82,6 +82,10 @@
         """
         snapshot = self._load_snapshot()
         records = self._read_lines(LOG)
+        # A process that was killed before its sync leaves records that the next loss of
+        # power may take back.
+        for name in (SNAPSHOT, LOG):
+            self._call_files(self._files.sync, name)
         if not records:
             if snapshot is not NO_SNAPSHOT:
                 raise StorageError(f"{self._files.path(LOG)}: missing or empty")
@@ -171,9 +175,9 @@
         self._call_files(self._files.replace, LOG, line)
         self._log_bytes = len(line)
 
-    def _call_files(self, operation, name, value):
+    def _call_files(self, operation, name, *values):
         try:
-            operation(name, value)
+            operation(name, *values)
         except OSError as error:
             path = self._files.path(name)
             message = f"{path}: cannot be written: {error.strerror or error}"
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -113,3 +113,16 @@
             os._exit(7)
         os._exit(0)
     assert os.waitstatus_to_exitcode(os.waitpid(child, 0)[1]) == 7
+
+
+def test_start_syncs_what_it_read(folder, monkeypatch):
+    """Guards against a power loss that takes back records of a killed process."""
+    synced = []
+
+    def record(descriptor):
+        synced.append(os.path.realpath(f"/proc/self/fd/{descriptor}"))
+
+    monkeypatch.setattr(os, "fsync", record)
+    monkeypatch.setattr(os, "fdatasync", record)
+    reopen(folder)
+    assert {str(folder / "log"), str(folder)} <= set(synced)
