Recognise a torn line whose first sector was lost

What operators could see: after a loss of power a control process refuses its disk, once a second and for ever, with "damaged record".

Cause: a line that was being written counts as torn if it lacks its end or holds 512 zeros in a row. A line usually begins within a sector. If only that sector is lost, the line has fewer zeros and its end is there, so it was taken for damage of synced data.

Now each sector is looked at on its own. A line never contains zeros, so a part of it that is all zeros was not written. A flipped bit is still reported as damage.

--- a/src/figpick/consensus/_storage.py
+++ b/src/figpick/consensus/_storage.py
@@ -234,7 +234,7 @@
         tail = data[offset:]
         lines = tail.split(b"\n")
         has_valid_line_after = any(_parse_line(line) is not None for line in lines[1:])
-        if has_valid_line_after or not may_be_torn or not _is_torn(tail):
+        if has_valid_line_after or not may_be_torn or not _is_torn(tail, offset):
             path = self._files.path(name)
             raise StorageError(f"{path}: damaged record at byte offset {offset}")
 
@@ -258,12 +258,24 @@
     return payload if is_valid else None
 
 
-def _is_torn(tail):
-    # An interrupted write lacks its end or leaves sectors of zeros. A complete line
-    # with a wrong checksum was synced and then damaged.
+def _is_torn(tail, offset):
+    """Returns whether the last line was being written when the power was lost.
+
+    An interrupted write lacks its end or leaves sectors of zeros; its first and last
+    sector hold other data, too. A complete line with a wrong checksum was synced and
+    then damaged.
+
+    :param tail: bytes from the start of the line.
+    :param offset: position of the line in the file.
+    """
     if not tail.endswith(b"\n"):
         return True
-    return bytes(SECTOR_BYTES) in tail
+    first_end = SECTOR_BYTES - offset % SECTOR_BYTES
+    starts = (0, *range(first_end, len(tail), SECTOR_BYTES))
+    ends = (*starts[1:], len(tail))
+    return any(
+        not any(tail[start:end]) for start, end in zip(starts, ends, strict=True)
+    )
 
 
 def _entries_after(snapshot, header, entries):
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -13,7 +13,7 @@
     Snapshot,
     VoteState,
 )
-from figpick.consensus._storage import Storage
+from figpick.consensus._storage import SECTOR_BYTES, Storage
 
 
 def output(*entries, state=None):
@@ -126,3 +126,18 @@
     monkeypatch.setattr(os, "fdatasync", record)
     reopen(folder)
     assert {str(folder / "log"), str(folder)} <= set(synced)
+
+
+@pytest.mark.parametrize("sector", [0, 1])
+def test_lost_sector_of_the_last_line_is_torn(folder, sector):
+    """Guards against a start that fails because a line began within a sector."""
+    log = folder / "log"
+    data = bytearray(log.read_bytes())
+    start = data.rindex(b"\n", 0, -1) + 1
+    boundary = start - start % SECTOR_BYTES + SECTOR_BYTES
+    assert 0 < boundary - start < SECTOR_BYTES and boundary < len(data)
+    end = min(boundary + SECTOR_BYTES, len(data))
+    part = (start, boundary) if sector == 0 else (boundary, end)
+    data[slice(*part)] = bytes(part[1] - part[0])
+    log.write_bytes(data)
+    assert len(reopen(folder).entries) == 4
