Hand over the leadership of the quorum before a planned stop

What operators saw: a control host that leads and is stopped or replaced as planned left the quorum without a leader for an election timeout of 0.6 to 1.2 s; changes and reads waited, and its successor was taken in only afterwards, close to the 4 s after which two further disks may be lost.

Cause: followers learned of the stop only from the silence of the leader. They refuse votes while the leader lives.

Now a leader that stops asks the voter with the longest log to take over once its requests have results. The request is accepted only from the leader of the current term, and its votes say that they follow such a request. Logs are compared as before, so nothing acknowledged can be lost; if no voter takes over within 0.5 s, an election follows as before.

--- a/src/figpick/consensus/_consensus.py
+++ b/src/figpick/consensus/_consensus.py
@@ -17,6 +17,7 @@
     Entry,
     Install,
     InstallReply,
+    Transfer,
     Vote,
     VoteReply,
 )
@@ -182,6 +183,10 @@
     def _(self, message: VoteReply, now):
         self._on_vote_reply(message, now)
 
+    @_handle.register
+    def _(self, message: Transfer, now):
+        self._on_transfer(message, now)
+
     @_handle.register
     def _(self, message: Append, now):
         self._on_append(message, now)
--- a/src/figpick/consensus/_consensus_elections.py
+++ b/src/figpick/consensus/_consensus_elections.py
@@ -8,13 +8,34 @@
     Core,
 )
 from ._consensus_leader import Leadership
-from ._consensus_messages import NOOP, Vote, VoteReply
+from ._consensus_messages import NOOP, Transfer, Vote, VoteReply
 
 
 class Elections(Core):
     """Campaigns for leadership and replies to candidates."""
 
-    def _campaign(self, role, now):
+    def transfer_leadership(self, now):
+        """Asks the voter with the longest log to take over, if this process leads.
+
+        :param now: monotonic seconds.
+        """
+        if not self.is_leader:
+            return
+        candidates = [
+            (progress.match, progress.last_reply_at, identity)
+            for identity, progress in self.progress.items()
+            if identity in self.members.voters
+        ]
+        if candidates:
+            successor = max(candidates)[2]
+            self._messages.append(Transfer(self._id, successor, self._term))
+
+    def _on_transfer(self, message, now):
+        is_current = message.term == self._term and message.sender == self._leader
+        if is_current and self._id in self.members.voters:
+            self._campaign(CANDIDATE, now, is_transfer=True)
+
+    def _campaign(self, role, now, is_transfer=False):
         self._leader = None
         self._role = role
         self._votes = {self._id}
@@ -34,6 +55,7 @@
                         last_index=self._log.last_index,
                         last_term=self._log.last_term,
                         pre=role == PRE_CANDIDATE,
+                        is_transfer=is_transfer,
                     )
                 )
         self._count_votes(now)
@@ -71,7 +93,7 @@
     def _on_vote(self, message, now):
         # Members with a live leader do not reply, so that a process that returns
         # from a partition or was removed cannot end a term.
-        if self._has_live_leader(now):
+        if self._has_live_leader(now) and not message.is_transfer:
             return
         if message.pre:
             granted = message.term > self._term and self._is_up_to_date(message)
--- a/src/figpick/consensus/_consensus_messages.py
+++ b/src/figpick/consensus/_consensus_messages.py
@@ -99,6 +99,7 @@
 
     :param pre: whether this is a pre-vote, which only queries whether the vote would
         be granted.
+    :param is_transfer: whether the leader has asked the sender to take over.
     """
 
     sender: str
@@ -108,6 +109,7 @@
     last_term: int
     pre: bool = False
     v: int = PROTOCOL_VERSION
+    is_transfer: bool = False
 
 
 class VoteReply(NamedTuple):
@@ -121,6 +123,15 @@
     v: int = PROTOCOL_VERSION
 
 
+class Transfer(NamedTuple):
+    """Asks a voter to take over from the leader at once; it has no reply."""
+
+    sender: str
+    to: str
+    term: int
+    v: int = PROTOCOL_VERSION
+
+
 class Append(NamedTuple):
     """Sends entries, or a heartbeat when there are none.
 
@@ -191,7 +202,12 @@
     v: int = PROTOCOL_VERSION
 
 
-REQUEST_TYPES = {"vote": Vote, "append": Append, "snapshot": Install}
+REQUEST_TYPES = {
+    "vote": Vote,
+    "append": Append,
+    "snapshot": Install,
+    "transfer": Transfer,
+}
 REPLY_TYPES = {"vote": VoteReply, "append": AppendReply, "snapshot": InstallReply}
 REQUEST_KINDS = {type_: kind for kind, type_ in REQUEST_TYPES.items()}
 
--- a/src/figpick/consensus/_replica.py
+++ b/src/figpick/consensus/_replica.py
@@ -198,6 +198,15 @@
         self._pending_changes[index] = (term, done)
         self._process_output(now)
 
+    def transfer_leadership(self, now):
+        """Asks another voter to take over, if this process leads.
+
+        :param now: monotonic seconds.
+        """
+        if self._failure is None:
+            self._raft.transfer_leadership(now)
+            self._process_output(now)
+
     def read(self, done, now):
         """Confirms with a quorum that the registry is current.
 
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -160,12 +160,13 @@
         log.notice("Settings reloaded.", extra={"seeds": len(seeds)})
 
     async def drain(self):
-        """Finishes requests of operators, then announces that this process has left.
+        """Finishes requests of operators, hands over and announces the end.
 
         Returns when other processes have read everything that was sent to them, or
         after a bounded time. No links are opened after the present ones are finished.
         """
         await self._leader_requests.finish()
+        await self._member.hand_over()
         self._is_finished = True
         self._announcer.update(state=LEFT)
         self._announce()
--- a/src/figpick/control/_quorum_member.py
+++ b/src/figpick/control/_quorum_member.py
@@ -29,6 +29,10 @@
 # Delay before the data folder is opened again after an error, such as a full disk.
 REOPEN_PERIOD_S = 1.0
 
+# A voter takes over within two round trips and two syncs.
+HAND_OVER_TIMEOUT_S = 0.5
+HAND_OVER_POLL_S = 0.01
+
 REPLY_KINDS = {type_: kind for kind, type_ in REPLY_TYPES.items()}
 
 log = logger("quorum")
@@ -273,6 +277,19 @@
         self._replica.change_members(members, done, self._clock.monotonic())
         self._process_output()
 
+    async def hand_over(self):
+        """Asks another voter to lead and waits until one does, for a bounded time."""
+        if not self.is_leader or len(self._replica.raft.members.voters) == 1:
+            return
+        self._replica.transfer_leadership(self._clock.monotonic())
+        self._process_output()
+        deadline = self._clock.monotonic() + HAND_OVER_TIMEOUT_S
+        while self.leader_address in (None, self._name):
+            if self._clock.monotonic() > deadline:
+                log.info("No other member leads yet.")
+                return
+            await asyncio.sleep(HAND_OVER_POLL_S)
+
     @property
     def _is_formed(self):
         return self._replica is not None and self._replica.raft.log.last_index > 0
--- a/tests/membership_schedules.py
+++ b/tests/membership_schedules.py
@@ -335,6 +335,7 @@
         self._return_later(slot, self._random.uniform(0.6, 2.0))
 
     def _terminate(self, process):
+        process.call(process.replica.transfer_leadership, process.now())
         self._announce_left(process)
         self._simulation.call_later(
             self._random.uniform(0.05, 0.4), self._stop, process, False
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -16,6 +16,7 @@
     Entry,
     Membership,
     StoredState,
+    Transfer,
     VoteReply,
     VoteState,
     decode,
@@ -109,6 +110,34 @@
     assert leader.replica.raft.term == follower.replica.raft.term == term
 
 
+def test_leader_that_stops_is_followed_at_once(simulation):
+    """Guards against a planned stop that leaves the quorum without a leader."""
+    previous = simulation.leader()
+    term = previous.replica.raft.term
+    previous.call(previous.replica.transfer_leadership, previous.now())
+    simulation.run_until(simulation.now + 0.1)
+    previous.crash()
+    leader = simulation.leader()
+    assert leader is not previous and leader.replica.raft.term == term + 1
+    assert put(simulation, leader, "a", 0)[0]["change"] == "a"
+
+
+def test_only_the_leader_hands_over(simulation):
+    """Guards against elections that a late request of a former leader starts."""
+    previous = simulation.leader()
+    followers = [
+        each for each in simulation.running_processes() if each is not previous
+    ]
+    raft = previous.replica.raft
+    term = raft.term
+    identities = [each.replica.identity for each in followers]
+    for sender, old_term in ((raft.leader, term - 1), (identities[0], term)):
+        request = Transfer(sender, identities[1], old_term)
+        followers[1].call(followers[1].replica.receive, request, followers[1].now())
+    simulation.run_until(simulation.now + 1.0)
+    assert simulation.leader() is previous and raft.term == term
+
+
 def test_retried_change_gets_its_first_result_from_a_later_leader(simulation):
     """Guards against a change that is applied twice when its reply is lost."""
     first = put(simulation, simulation.leader(), "a", 0)
