--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -113,7 +113,11 @@
 
     def quorum_health(self):
         """Returns the :class:`QuorumHealth` as this process sees it now."""
-        left = {host.identity for host in self._control_hosts() if host.has_left}
+        left = {
+            record.identity
+            for record in self._directory
+            if record.role == CONTROL and record.state == LEFT
+        }
         silences = self._member.voter_silences()
         return QuorumHealth(
             [
@@ -384,12 +388,12 @@
 
     def _check_health(self):
         now = self._clock.monotonic()
-        health = self.quorum_health()
         if self._member.is_leader:
-            self._health_log.check_as_leader(health, now)
+            self._health_log.check_as_leader(self.quorum_health(), now)
+        elif self._member.leader_address is not None:
+            self._health_log.note_leader(now)
         else:
-            has_leader = self._member.leader_address is not None
-            self._health_log.check_as_follower(health, has_leader, now)
+            self._health_log.check_without_leader(self.quorum_health(), now)
 
     def _control_hosts(self):
         return [
--- a/src/figpick/control/_quorum_health.py
+++ b/src/figpick/control/_quorum_health.py
@@ -110,17 +110,22 @@
         else:
             log.warning("The quorum does not tolerate the stated losses.", extra=extra)
 
-    def check_as_follower(self, health, has_leader, now):
+    def note_leader(self, now):
+        """Records that another process leads.
+
+        :param now: monotonic seconds.
+        """
+        self._leader_known_at = now
+        self._logged = None
+
+    def check_without_leader(self, health, now):
         """Checks whether a majority of the voters answers while no leader is known.
 
         :param health: :class:`QuorumHealth`.
-        :param has_leader: whether this process knows a leader.
         :param now: monotonic seconds.
         """
-        if has_leader or not health.voters or self._leader_known_at is None:
-            self._leader_known_at = now
-            self._logged = None
-            return
+        if self._leader_known_at is None or not health.voters:
+            self.note_leader(now)
         if now - self._leader_known_at < LEADERLESS_S or self._logged == health.absent:
             return
         self._logged = health.absent
--- a/tests/test_quorum_health.py
+++ b/tests/test_quorum_health.py
@@ -69,7 +69,7 @@
     health_log = HealthLog(2)
     state = health("abc", unheard="def")
     for now in (1.0, 1.3, 1.0 + LEADERLESS_S, 4.0):
-        health_log.check_as_follower(state, False, now)
+        health_log.check_without_leader(state, now)
     [(text, extra)] = lines
     assert text == "No majority of the voters answers."
     assert extra == {"needed": 4, "answering": 3, "missing": ["d", "e", "f"]}
@@ -78,8 +78,11 @@
 def test_short_election_is_not_reported(lines):
     """Guards against warnings at each change of the leader."""
     health_log = HealthLog(1)
-    for now, has_leader in ((1.0, True), (2.0, False), (2.9, True), (4.0, False)):
-        health_log.check_as_follower(health("a", unheard="bc"), has_leader, now)
+    state = health("a", unheard="bc")
+    health_log.note_leader(1.0)
+    health_log.check_without_leader(state, 2.0)
+    health_log.note_leader(2.9)
+    health_log.check_without_leader(state, 4.0)
     assert not lines
 
 
@@ -87,5 +90,5 @@
     """Guards against a report that blames hosts that answer."""
     health_log = HealthLog(1)
     for now in (0.0, LEADERLESS_S):
-        health_log.check_as_follower(health("abc"), False, now)
+        health_log.check_without_leader(health("abc"), now)
     assert lines[0][0] == "No leader, though a majority of the voters answers."
