Restore a quorum from one disk after a majority is lost for good

What operators saw: if more disks are lost than a majority can do without, no configuration can be read or changed any more, and nothing in the product or its pages says what to do. The only way was to form a quorum from nothing.

Now figpick recover shows what a disk holds and, when asked to, makes it the only voter, from which other hosts join again.

--- a/src/figpick/operators/_cli.py
+++ b/src/figpick/operators/_cli.py
@@ -11,6 +11,7 @@
   figpick members add NAME ADDRESS [options]
   figpick members remove NAME [options]
   figpick unquarantine SERVICE FINGERPRINT [options]
+  figpick recover FOLDER [--lose-other-disks]
   figpick explain ID FILE...
   figpick losses FILE... [--interval=SECONDS]
   figpick (-h | --help | --version)
@@ -23,6 +24,9 @@
   --base=VERSION   Version that the change is based on, 0 for a new document.
   --change=ID      Identity of the change; a resend must carry the same.
   --author=NAME    Who makes the change.
+  --lose-other-disks  Make the disk the only one that counts. Changes that it lacks
+                   are lost; all other control processes must start with empty
+                   data folders. Without it, what the disk holds is shown.
   --interval=SECONDS  Length of the intervals of a report [default: 5].
   -h --help        Show this text.
   --version        Show the version.
@@ -98,6 +102,8 @@
         _run_explain(arguments["ID"], arguments["FILE"])
     elif arguments["losses"]:
         _run_losses(arguments["FILE"], arguments["--interval"])
+    elif arguments["recover"]:
+        _print(_recover(arguments["FOLDER"], arguments["--lose-other-disks"])._asdict())
     elif arguments["put"]:
         _print(_put(arguments))
     elif arguments["members"]:
@@ -167,6 +173,14 @@
         print(line)
 
 
+def _recover(folder, is_confirmed):
+    from ..consensus import _recovery
+
+    if not os.path.isdir(folder):
+        _fail(f"{folder}: no such folder", EXIT_INVALID)
+    return _recovery.recover(folder) if is_confirmed else _recovery.inspect(folder)
+
+
 def _load_document(arguments):
     from ..registry import _documents
 
