Replace control hosts of the soak and remove their disks

Now control hosts lose their disks or are replaced, planned and killed, the leader among them, beside the other faults. At the end all are killed, as many disks as must be borne are removed, and the configuration must be readable within 15 s. The events have their own random numbers; the other events of a seed stay as they are.

The short run in the suite takes longer by the last loss, hence its new time limit; what it checks is only more.

--- a/bench/soak_changes.py
+++ b/bench/soak_changes.py
@@ -62,6 +62,7 @@
         self._orders = []
         self._reads = []
         self._probes = []
+        self._unreadable_s = None
 
     def record_change(self, change):
         """Records a change before it is sent first."""
@@ -75,6 +76,10 @@
         """Records a successful read of the configuration."""
         self._reads.append((sent_at, ended_at, process, json.loads(body), is_final))
 
+    def record_unreadable(self, waited_s):
+        """Records that no process returned the configuration at the end."""
+        self._unreadable_s = waited_s
+
     def record_probe(self, change_number, request):
         """Records a request that shows which configuration is in force at a node.
 
@@ -126,8 +131,14 @@
             *self._check_acceptances(accepted_at),
             *self._check_reads(accepted_at, refusals),
             *self._check_probes(accepted_at, refusals),
+            *self._check_readable(),
         ]
 
+    def _check_readable(self):
+        if self._unreadable_s is not None:
+            waited_s = round(self._unreadable_s, 1)
+            yield _violation("no configuration can be read back", waited_s=waited_s)
+
     def _check_refusals(self, accepted_at):
         for order in self._orders:
             number = order.change.number
--- a/bench/soak_cluster.py
+++ b/bench/soak_cluster.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import sys
+from collections import Counter
 from pathlib import Path
 
 from bench.soak_endpoints import free_ports
@@ -57,6 +58,14 @@
         self.services = services
         ports = free_ports(len(PORT_NAMES))
         self._ports = dict(zip(PORT_NAMES, ports, strict=True))
+        # Number of replacements of each control host.
+        self._replacements = Counter()
+        self.is_first_start = True
+
+    @property
+    def tolerated_losses(self):
+        """Number of disks of control hosts that may be lost at once."""
+        return (self.control_count - 1) // 2
 
     @property
     def count(self):
@@ -73,7 +82,21 @@
 
         :param offset: distance of the loopback network from that of the processes.
         """
-        return f"127.{self._network + offset}.{number}.1"
+        host = 1 + self._replacements[number]
+        return f"127.{self._network + offset}.{number}.{host}"
+
+    def replace_host(self, number):
+        """Gives a control process another name, address and disk."""
+        self._replacements[number] += 1
+
+    def data_folder(self, number):
+        """Returns the folder for durable state of a process."""
+        return self._folder / self._name(number)
+
+    def _name(self, number):
+        role = "control" if number < self.control_count else "node"
+        replacements = self._replacements[number]
+        return f"{role}-{number}" + (f"-{replacements}" if replacements else "")
 
     def address(self, number, port_name, offset=0):
         """Returns a tuple of IP address and port of a process."""
@@ -92,12 +115,15 @@
         :param arguments: first arguments of the subclass.
         """
         role = "control" if number < self.control_count else "node"
-        name = f"{role}-{number}"
-        settings = self._settings(name, role, number)
+        name = self._name(number)
+        settings = self.settings(number)
         process_class = process_class or ManagedProcess
         return process_class(*arguments, self._folder, name, role, settings, checker)
 
-    def _settings(self, name, role, number):
+    def settings(self, number):
+        """Returns the content of the settings file of a process, as it is now."""
+        name = self._name(number)
+        role = name.partition("-")[0]
         ip = self.ip(number)
         seeds = [
             f'"{self.ip(control)}:{self._ports["control"]}"'
@@ -113,14 +139,16 @@
             'region = "r"',
             f'service = "{self.service(number)}"',
             f'appAddr = "{ip}:{self._ports["app"]}"',
-            "bootstrap = true",
-            f'dataDir = "{self._folder / name}"',
+            f"bootstrap = {str(self.is_first_start).lower()}",
+            f'dataDir = "{self.data_folder(number)}"',
             "[network]",
             f"portRange = [{self._ports['link']}, {self._ports['link']}]",
             f"seeds = [{', '.join(seeds)}]",
             "[network.listen]",
             f'outbound = "{ip}:{self._ports["outbound"]}"',
             *(f'{key} = "{value}"' for key, value in listen.items()),
+            "[terms.faultTolerance]",
+            f"machines = {self.tolerated_losses}",
             "[terms.bounds]",
             "retryBudgetRatio = 0.2",
             "retryWindowS = 10",
@@ -148,6 +176,7 @@
         self._checker = checker
         # Number of faults that keep the process down; the last one restarts it.
         self._active_outages = 0
+        self._has_ended_for_good = False
         self.process = None
 
     async def start(self):
@@ -161,6 +190,24 @@
             stderr=self._log,
         )
 
+    def rewrite(self, settings):
+        """Replaces the settings file, which the next start reads."""
+        self._path.write_text(settings)
+
+    async def end(self, number, for_good=False):
+        """Ends the process with a signal.
+
+        :param for_good: whether it is not started again.
+        """
+        self._has_ended_for_good = for_good
+        self._signal(number)
+        try:
+            async with asyncio.timeout(EXIT_TIMEOUT_S):
+                await self.process.wait()
+        except TimeoutError:
+            self._signal(signal.SIGKILL)
+            await self.process.wait()
+
     async def apply_fault(self, fault):
         """Applies a fault and reverts it after its duration; faults may overlap."""
         if self.process.returncode is not None and not self._active_outages:
@@ -171,13 +218,7 @@
             self._signal(signal.SIGCONT)
             return
         self._active_outages += 1
-        self._signal(signal.SIGTERM if fault.kind == "stop" else signal.SIGKILL)
-        try:
-            async with asyncio.timeout(EXIT_TIMEOUT_S):
-                await self.process.wait()
-        except TimeoutError:
-            self._signal(signal.SIGKILL)
-            await self.process.wait()
+        await self.end(signal.SIGTERM if fault.kind == "stop" else signal.SIGKILL)
         await asyncio.sleep(fault.for_s)
         self._active_outages -= 1
         if not self._active_outages:
@@ -193,6 +234,6 @@
             self._signal(signal.SIGCONT)
             self._signal(signal.SIGKILL)
             await self.process.wait()
-        else:
+        elif not self._has_ended_for_good:
             self._checker.record_unexpected_exit(self.name, self.process.returncode)
         self._log.close()
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -26,6 +26,12 @@
 from bench.soak_memory import measure_memory, measure_thread_lag
 from bench.soak_notices import draw_notices
 from bench.soak_operators import Operators
+from bench.soak_replacements import (
+    CATCH_UP_S,
+    DISK_EVENTS,
+    Replacements,
+    draw_disk_events,
+)
 from bench.soak_responses import APPLY_S, STABLE_S, ResponseChecker
 from bench.soak_signals import SignalledProcess, draw_events, draw_lowered_times
 from bench.soak_upstreams import WorkingStandIn, draw_behaviours
@@ -75,6 +81,14 @@
         addresses = [self._cluster.address(n, "control") for n in range(controls)]
         self._operators = Operators(seed, addresses, self.changes)
         self._processes = []
+        self._replacements = Replacements(
+            seed,
+            self._cluster,
+            self._processes,
+            addresses,
+            self._checker,
+            self.responses,
+        )
         self._upstreams = []
         self._probe_count = 0
         self._max_lag_s = 0.0
@@ -90,6 +104,8 @@
         node_events, control_events = draw_events(
             self._seed, self._seconds, cluster.control_count, len(cluster.services)
         )
+        disk_events = draw_disk_events(self._seed, self._seconds, cluster.control_count)
+        control_events = sorted((*control_events, *disk_events))
         for event in (*node_events, *control_events):
             print(json.dumps(event._asdict()), flush=True)
         lowered_times = draw_lowered_times(self._seed, node_events)
@@ -102,7 +118,7 @@
                     node_events, control_events, lowered_times, notices
                 )
         finally:
-            for process in self._processes:
+            for process in (*self._processes, *self._replacements.previous):
                 await process.close()
             for upstream in self._upstreams:
                 upstream.stop()
@@ -121,6 +137,7 @@
         figures = {"max_lag_s": round(self._max_lag_s, 2)}
         figures["max_memory_mb"] = max(self._memory_kb.values(), default=0) // 1000
         figures |= self.responses.notices.summary()
+        figures["replaced"] = self._replacements.count
         return self.responses.summary() | self.changes.summary() | figures
 
     def _hosts(self, service):
@@ -217,11 +234,24 @@
         await asyncio.sleep(STABLE_S)
         for number in self._cluster.node_numbers:
             await self._probe_change(number, self._operators.newest.number)
-        await self._operators.read_final()
+        await self._read_back()
         has_ended.set()
         for measurement in measurements:
             measurement.cancel()
 
+    async def _read_back(self):
+        """Reads the configuration after a last loss of disks."""
+        await asyncio.sleep(CATCH_UP_S)
+        lost = await self._replacements.lose_disks_at_the_end()
+        print(json.dumps({"lost disks": lost}), flush=True)
+        started_at = time.time()
+        try:
+            async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+                await self._operators.wait_until_read()
+        except TimeoutError:
+            self.changes.record_unreadable(time.time() - started_at)
+        await self._operators.read_final()
+
     async def _lower_timeouts(self, lowered_times, started_at):
         """Lowers the timeout of the slow routes, mostly in the middle of a stop."""
         for at_s, for_s in lowered_times:
@@ -274,9 +304,17 @@
             if event.kind == "reload":
                 await self._processes[event.target].apply(event)
                 continue
+            if event.kind.startswith(DISK_EVENTS):
+                await self._replace(event)
+                continue
             for _ in range(event.count if event.kind.startswith("restart") else 1):
                 await self._operators.resend_during(lambda e=event: self._disturb(e))
 
+    async def _replace(self, event):
+        is_leader = event.kind.endswith("leader")
+        number = self._leader() if is_leader else event.target
+        await self._replacements.apply(event, number)
+
     async def _disturb(self, event):
         event = event._replace(for_s=min(event.for_s, MAX_CONTROL_DOWN_S))
         if event.kind.startswith("restart"):
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -17,6 +17,7 @@
 from bench.soak_cluster import Cluster
 from bench.soak_documents import make_document
 from bench.soak_endpoints import free_ports
+from bench.soak_replacements import draw_disk_events
 from bench.soak_responses import ResponseChecker, Run
 from bench.soak_signals import SignalledProcess, draw_events
 
@@ -29,6 +30,22 @@
 def test_schedule_depends_only_on_the_seed():
     assert draw_events(5, 30.0, 3, 4) == draw_events(5, 30.0, 3, 4)
     assert draw_events(5, 30.0, 3, 4) != draw_events(6, 30.0, 3, 4)
+    assert draw_disk_events(5, 30.0, 3) == draw_disk_events(5, 30.0, 3)
+    assert draw_disk_events(5, 30.0, 3) != draw_disk_events(6, 30.0, 3)
+
+
+def test_replaced_control_host_is_a_new_host(tmp_path):
+    """Guards against successors that take over the name, address or disk."""
+    cluster = Cluster(tmp_path, 3, ("front",))
+    before = cluster.settings(1)
+    places = cluster.address(1, "control"), cluster.data_folder(1)
+    cluster.is_first_start = False
+    cluster.replace_host(1)
+    after = cluster.settings(1)
+    assert cluster.address(1, "control") != places[0]
+    assert cluster.data_folder(1) != places[1]
+    assert "bootstrap = true" in before and "bootstrap = false" in after
+    assert cluster.ip(1) in cluster.settings(0) and cluster.ip(1) not in before
 
 
 def test_concurrent_runs_use_networks_of_their_own(tmp_path):
@@ -282,6 +299,10 @@
         self.checker.record_probe(number, item)
         return self
 
+    def unreadable(self):
+        self.checker.record_unreadable(15.0)
+        return self
+
     def third(self):
         self.checker.record_change(THIRD)
         return self
@@ -307,6 +328,7 @@
     .read(THIRD, 1011.0)
     .read(SECOND, 1013.2),
     "older version at the end": Scenario().read(FIRST, 1001.1, is_final=True),
+    "nothing read at the end": Scenario().unreadable(),
     "rival of the same number read": Scenario().read(RIVAL, 1003.1),
     "unknown configuration read": Scenario().read(THIRD, 1011.0),
     "added route not served": Scenario().probe(2, 404, 1003.1),
@@ -464,9 +486,12 @@
 
 @pytest.mark.processes
 def test_guarantees_hold_around_planned_stops():
-    """Guards against cut responses of stopping nodes and refused resends."""
+    """Guards against cut responses of stopping nodes and refused resends.
+
+    Control hosts are replaced and lose disks; the configuration is read at the end.
+    """
     command = [sys.executable, "-m", "bench.soak", "1", "6", "stops"]
     result = subprocess.run(
-        command, cwd=ROOT, capture_output=True, text=True, timeout=90
+        command, cwd=ROOT, capture_output=True, text=True, timeout=150
     )
     assert result.returncode == 0, result.stdout[-2000:]
