Replace members only by hosts that are linked, and only with a majority

A record of a host that is gone can name an address that another host has now: its voter would be removed and added again for ever. A leader that was paused hears nobody for a moment: with an even number of voters it would propose to remove one that lives. Both tests fail before.

A host now counts as connected if the link at its address is its own.

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -400,13 +400,17 @@
             Host(
                 record.identity,
                 format_address(record.address),
-                self._link_to(format_address(record.address)) is not None,
+                self._is_connected(record),
                 record.state == LEFT,
             )
             for record in self._directory
             if record.role == CONTROL and record.identity
         ]
 
+    def _is_connected(self, record):
+        link = self._link_to(format_address(record.address))
+        return link is not None and link.peer == record.name
+
     def _reconfigure(self):
         raft = self._member.replica.raft
         members = next_members(
--- a/src/figpick/control/_reconfiguration.py
+++ b/src/figpick/control/_reconfiguration.py
@@ -43,7 +43,7 @@
 
     :param identity: identity of the process and its disk.
     :param address: address of the process.
-    :param is_connected: whether the leader has an open link to it.
+    :param is_connected: whether the leader has an open link to this process.
     :param has_left: whether it has announced that it stops.
     """
 
@@ -108,7 +108,10 @@
 
 
 def _without_replaced(members, own_id, hosts):
-    identity_by_address = {host.address: host.identity for host in hosts}
+    # The record of a host that is gone may name an address that another host has now.
+    identity_by_address = {
+        host.address: host.identity for host in hosts if host.is_connected
+    }
     for identity, address in members.addresses.items():
         if (
             identity != own_id
@@ -126,7 +129,8 @@
         if identity in silent_s and is_absent(silent_s[identity], identity in left)
     ]
     absent.sort(key=lambda identity: (identity not in left, -silent_s[identity]))
-    if not absent:
+    has_majority = 2 * len(absent) < count
+    if not absent or not has_majority:
         return None
     is_even = count % 2 == 0
     has_surplus = is_even and count > min_voters
--- a/tests/test_quorum_repair.py
+++ b/tests/test_quorum_repair.py
@@ -192,3 +192,18 @@
     progress = progress_of(*voters_of("acdef"))
     assert step(members, voters_of("abcdef"), progress, 2, gone={"b:1#x"}) is None
     assert step(members, voters_of("abcdef"), progress, 2, left={"b:1#x"}) is None
+
+
+def test_record_of_a_former_host_at_an_address_replaces_no_member():
+    """Guards against a voter that is removed and added for ever."""
+    members = Membership(voters_of("abc"), {})
+    progress = progress_of(*voters_of("abc"))
+    former = {"c:1#w": "c:1"}
+    for known in ({**voters_of("abc"), **former}, {**former, **voters_of("abc")}):
+        assert step(members, known, progress, gone=former) is None
+
+
+def test_leader_that_hears_no_majority_removes_no_voter():
+    """Guards against a paused leader that takes all others for absent."""
+    assert changes("abcdef", silent="bcd", losses=2) == "abcdef"
+    assert changes("abcde", "f", silent="bcd", losses=2) == "abcde"
