--- a/src/figpick/control/_reconfiguration.py
+++ b/src/figpick/control/_reconfiguration.py
@@ -133,10 +133,15 @@
     if not absent or not has_majority:
         return None
     is_even = count % 2 == 0
-    has_surplus = is_even and count > min_voters
-    # Without two of them the quorum bears one loss more.
-    have_two_left = count >= min_voters + 2 and left.issuperset(absent[:2])
-    if has_surplus or (not is_even and (ready or (absent[1:] and have_two_left))):
+    if (is_even and count > min_voters) or (not is_even and ready):
+        return _without_member(members, absent[0])
+    # Two that have left and do not return make the quorum bear one loss less.
+    have_left = [
+        identity
+        for identity in absent
+        if identity in left and silent_s[identity] >= ABSENCE_S
+    ]
+    if not is_even and have_left[1:] and count >= min_voters + 2:
         return _without_member(members, absent[0])
     return None
 
