Let two successors take the places of voters that a new leader misses

What operators would see: after two control hosts were replaced without notice within seconds and the leader changed meanwhile, seven voters remain of which two are gone for good, and one disk less may be lost than stated, for 20 s.

Cause: two learners become voters together if no voter is known to be absent. A new leader has heard nobody yet and counts silences from its election, so it let both in before it could miss the two that are gone.

Two learners now become voters together only if the leader has heard from every voter, and lately; each of the two takes one place otherwise.

--- a/src/figpick/control/_reconfiguration.py
+++ b/src/figpick/control/_reconfiguration.py
@@ -101,7 +101,7 @@
     return (
         _without_replaced(members, own_id, hosts)
         or _without_absent(members, silent_s, left, ready, min_voters)
-        or _with_promoted(members, ready)
+        or _with_promoted(members, own_id, ready, progress, silent_s)
         or _with_new(members, hosts)
         or _without_silent(members, silent_s, min_voters)
     )
@@ -146,10 +146,19 @@
     return None
 
 
-def _with_promoted(members, ready):
+def _with_promoted(members, own_id, ready, progress, silent_s):
     count = len(members.voters)
     is_even = count % 2 == 0
-    if not ready or count >= MAX_VOTERS or not (is_even or ready[1:]):
+    if not ready or count >= MAX_VOTERS:
+        return None
+    # Two learners become voters together, but not if they are the successors of voters
+    # that are gone. A new leader has to hear from the voters first.
+    are_all_heard = all(
+        identity == own_id
+        or (progress[identity].match and silent_s[identity] < LEFT_ABSENCE_S)
+        for identity in members.voters
+    )
+    if not is_even and not (ready[1:] and are_all_heard):
         return None
     learners = dict(members.learners)
     address = learners.pop(ready[0])
--- a/tests/membership_schedules.py
+++ b/tests/membership_schedules.py
@@ -95,7 +95,8 @@
         self._acknowledged = []
         self._acknowledged_at = 0.0
         self._disturbed_at = 0.0
-        self._split_until = 0.0
+        # Start of the split that lasts, or NEVER.
+        self._split_since = NEVER
         self._is_closing = False
         self._events = []
         self._problems = []
@@ -251,7 +252,7 @@
         self._simulation.call_later(0.25, self._probe)
         now = self._simulation.now
         has_majority = 2 * len(self._connected_slots()) > len(self._slots)
-        if self._is_closing or not has_majority or now < self._split_until:
+        if self._is_closing or not has_majority or self._split_since < NEVER:
             self._disturbed_at = now
         stable_since = self._disturbed_at + STABLE_WINDOW_S
         if now - max(stable_since, self._acknowledged_at) > ACK_S:
@@ -269,8 +270,9 @@
     # Disturbances.
 
     def _lost_slots(self):
-        now = self._simulation.now
-        return [slot for slot in self._slots if now < slot.lost_until]
+        # In a split a successor may be cut off from the voters that must take it in.
+        since = min(self._simulation.now, self._split_since)
+        return [slot for slot in self._slots if since < slot.lost_until]
 
     def _disturb(self):
         kinds = [
@@ -312,6 +314,9 @@
         def start():
             if not process.is_up:
                 process.start()
+            # The record of its new start replaces its notice.
+            for left in self._left_known_by.values():
+                left.discard(process.disk_identity)
             self._disturbed_at = self._simulation.now
             slot.lost_until = self._simulation.now + CATCH_UP_S
 
@@ -389,6 +394,8 @@
                 self._return_later(slot, self._random.uniform(0.3, 1.2))
 
     def _split(self):
+        if self._split_since < NEVER:
+            return
         self._note("split")
         names = [slot.process.name for slot in self._slots]
         self._random.shuffle(names)
@@ -398,14 +405,13 @@
         links |= {(b, a) for a, b in links}
         self._simulation.cut_links |= links
         duration_s = self._random.uniform(2.0, 7.0)
-        self._split_until = self._simulation.now + duration_s
-
-        # A successor may be cut off from the voters that must take it in.
-        unready = self._lost_slots()
+        self._split_since = self._simulation.now
 
         def heal():
             self._simulation.cut_links -= links
             self._disturbed_at = self._simulation.now
+            unready = self._lost_slots()
+            self._split_since = NEVER
             for slot in unready:
                 if slot.lost_until < NEVER:
                     slot.lost_until = self._simulation.now + CATCH_UP_S
@@ -417,7 +423,7 @@
     def wait_until_nothing_is_lost(self):
         """Waits until no host counts as lost by the pages of the platform."""
         for _ in range(200):
-            if not self._lost_slots() and self._simulation.now >= self._split_until:
+            if not self._lost_slots() and self._split_since == NEVER:
                 return
             self._wait(0.1)
 
--- a/tests/test_quorum_repair.py
+++ b/tests/test_quorum_repair.py
@@ -170,6 +170,14 @@
     assert changes("abcde", "fg") == "abcdefg"
 
 
+@pytest.mark.parametrize("state", [{"at": 99.0}, {"match": 0}])
+def test_two_successors_do_not_vote_beside_voters_that_are_gone(state):
+    """Guards against seven voters of which a new leader has yet to miss two."""
+    members = Membership(voters_of("abcde"), voters_of("fg"))
+    progress = progress_of(*voters_of("acdefg")) | progress_of("b:1#x", **state)
+    assert step(members, voters_of("abcdefg"), progress, 2) is None
+
+
 def test_learner_that_lags_or_is_silent_does_not_vote():
     """Guards against a majority that needs a host without the log."""
     members = Membership(voters_of("abcde"), voters_of("f"))
