--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -12,6 +12,7 @@
 from ..directory import CONTROL, LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Dialer, Link, finish_links, listen
 from ._leader_requests import PUT, READ, LeaderRequests
+from ._membership import MembershipKeeper
 from ._messages import (
     CrashReport,
     CurrentConfiguration,
@@ -28,9 +29,8 @@
     deliver,
     encode,
 )
-from ._quorum_health import HealthLog, QuorumHealth, VoterState
 from ._quorum_member import QuorumMember, format_address
-from ._reconfiguration import Host, describe_members, next_members
+from ._reconfiguration import describe_members
 
 RECONFIGURATION_PERIOD_S = 0.3
 # Time for the last messages to processes that read slowly.
@@ -72,7 +72,9 @@
         self._crashes = ExpiringTable(CRASH_TTL_S, MAX_CRASHES)
         self._leader_requests = LeaderRequests(self._member, self._leader_link)
         self._is_finished = False
-        self._health_log = HealthLog(settings.tolerated_losses)
+        self._membership = MembershipKeeper(
+            self._member, self._directory, self._link_to, settings.tolerated_losses
+        )
         self._announced_revision = 0
         self._tasks = set()
         self._metrics = None
@@ -99,32 +101,18 @@
             "is_leader": self._member.is_leader,
             "leader": self._member.leader_address,
             "members": describe_members(replica.raft.members) if replica else None,
-            "quorum": self._describe_quorum(),
+            "quorum": self._membership.describe(self._clock.monotonic()),
             "version": self._member.registry.version,
             "revision": self._member.registry.revision,
             "hosts": [list(record) for record in self._directory],
         }
 
-    def _describe_quorum(self):
-        # Followers hear only from the leader and cannot tell who else answers.
-        if not self._member.is_leader and self._member.leader_address is not None:
-            return None
-        return self.quorum_health().describe()
-
     def quorum_health(self):
-        """Returns the :class:`QuorumHealth` as this process sees it now."""
-        left = {
-            record.identity
-            for record in self._directory
-            if record.role == CONTROL and record.state == LEFT
-        }
-        silences = self._member.voter_silences()
-        return QuorumHealth(
-            [
-                VoterState(identity, silent_s, identity in left)
-                for identity, silent_s in silences.items()
-            ]
-        )
+        """Returns the state of the voters as this process sees it now.
+
+        :return: :class:`~figpick.control._quorum_health.QuorumHealth`.
+        """
+        return self._membership.quorum_health(self._clock.monotonic())
 
     @property
     def host_count(self):
@@ -382,46 +370,4 @@
             await asyncio.sleep(RECONFIGURATION_PERIOD_S)
             if self._announcer.update(identity=self._member.identity):
                 self._announce()
-            self._check_health()
-            if self._member.is_leader:
-                self._reconfigure()
-
-    def _check_health(self):
-        now = self._clock.monotonic()
-        if self._member.is_leader:
-            self._health_log.check_as_leader(self.quorum_health(), now)
-        elif self._member.leader_address is not None:
-            self._health_log.note_leader(now)
-        else:
-            self._health_log.check_without_leader(self.quorum_health(), now)
-
-    def _control_hosts(self):
-        return [
-            Host(
-                record.identity,
-                format_address(record.address),
-                self._is_connected(record),
-                record.state == LEFT,
-            )
-            for record in self._directory
-            if record.role == CONTROL and record.identity
-        ]
-
-    def _is_connected(self, record):
-        link = self._link_to(format_address(record.address))
-        return link is not None and link.peer == record.name
-
-    def _reconfigure(self):
-        raft = self._member.replica.raft
-        members = next_members(
-            raft.members,
-            self._member.identity,
-            self._control_hosts(),
-            raft.progress,
-            raft.log.last_index,
-            self._health_log.required,
-            self._clock.monotonic(),
-        )
-        if members is not None:
-            log.notice("Members change.", extra=describe_members(members))
-            self._member.change_members(members)
+            self._membership.update(self._clock.monotonic())
--- a/src/figpick/control/_quorum_health.py
+++ b/src/figpick/control/_quorum_health.py
@@ -82,10 +82,10 @@
         self._tolerated_losses = tolerated_losses
         self._logged = None
         self._leader_known_at = None
-        self.required = required_voters(tolerated_losses)
+        self._min_voters = required_voters(tolerated_losses)
 
     def __repr__(self):
-        return f"<HealthLog of {self.required}>"
+        return f"<HealthLog of {self._min_voters}>"
 
     def check_as_leader(self, health, now):
         """Checks whether the quorum tolerates the stated losses.
@@ -100,7 +100,7 @@
         self._logged = has_enough, health.absent
         extra = {
             "voters": len(health.voters),
-            "required": self.required,
+            "required": self._min_voters,
             "tolerated_losses": self._tolerated_losses,
             "bears": health.bearable_losses,
             "absent": health.absent,
--- a/src/figpick/control/_quorum_member.py
+++ b/src/figpick/control/_quorum_member.py
@@ -228,14 +228,15 @@
         self._replica.receive(message, now)
         self._process_output()
 
-    def voter_silences(self):
+    def voter_silences(self, now):
         """Returns the seconds since the last message of each voter, by identity.
 
         The value is ``None`` for a voter that was not heard since the start.
+
+        :param now: monotonic seconds.
         """
         if self._replica is None:
             return {}
-        now = self._clock.monotonic()
         heard_at = {**self._heard_at, self.identity: now}
         voters = self._replica.raft.members.voters
         self._heard_at = {each: heard_at[each] for each in voters if each in heard_at}
--- a/src/figpick/control/_reconfiguration.py
+++ b/src/figpick/control/_reconfiguration.py
@@ -38,8 +38,8 @@
 MAX_LEARNER_SILENCE_S = 1.0
 
 
-class Host(NamedTuple):
-    """A control process that announces itself.
+class ControlHost(NamedTuple):
+    """A host whose control process has announced itself.
 
     :param identity: identity of the process and its disk.
     :param address: address of the process.
@@ -77,7 +77,7 @@
     :param members: active
         :class:`~figpick.consensus._consensus_messages.Membership`.
     :param own_id: identity of the leader.
-    :param hosts: list of :class:`Host`.
+    :param hosts: list of :class:`ControlHost`.
     :param progress: dict of identity to
         :class:`~figpick.consensus._consensus_leader.Progress`.
     :param last_index: last index of the log.
--- a/tests/test_quorum_repair.py
+++ b/tests/test_quorum_repair.py
@@ -9,7 +9,7 @@
     ABSENCE_S,
     LEFT_ABSENCE_S,
     MAX_SILENCE_S,
-    Host,
+    ControlHost,
     next_members,
     required_voters,
 )
@@ -24,7 +24,7 @@
 def step(members, candidates, progress, tolerated_losses=1, left=(), gone=()):
     min_voters = required_voters(tolerated_losses)
     hosts = [
-        Host(identity, address, identity not in gone, identity in left)
+        ControlHost(identity, address, identity not in gone, identity in left)
         for identity, address in candidates.items()
     ]
     return next_members(members, "a:1#x", hosts, progress, 50, min_voters, 100.0)
@@ -124,7 +124,7 @@
     voters = {f"{number}:1#x": f"{number}:1" for number in range(11)}
     members = Membership(dict(list(voters.items())[:3]), {})
     progress = progress_of(*voters)
-    hosts = [Host(*each) for each in voters.items()]
+    hosts = [ControlHost(*each) for each in voters.items()]
     while after := next_members(members, "0:1#x", hosts, progress, 50, 5, 100.0):
         members = after
     assert set(members.voters) == set(voters)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -11,7 +11,7 @@
 from figpick.consensus._storage import Storage
 from figpick.operators import _cli
 
-from .membership_schedules import CommandRegistry
+from .membership_fleet import CommandRegistry
 
 NAMES = ("a", "b", "c")
 
