Keep the refusal of a change whose base is not known

What callers saw: an operator sent r7 on r5 while r5 was in progress. r7 was refused with 412.

Cause: a refusal was a decision on the state of one moment and was kept nowhere. All refusals but one kind stay true by themselves, since versions only increase; a change whose base is still to come does not. A further copy of it, here in a control process that was frozen, was decided on anew after the base had arrived.

That the copy arrives late is not the cause: a copy sent again by hand, with no process frozen, is accepted as well (the new test).

Change: the leader adds the refusal to the log and answers 412 once it is committed; a refusal that is not committed gets 503. If the base was committed in between, the change is accepted instead.

Why this works: a change is accepted only by a leader that has applied the base, and the refusal was recorded only if it stands before the base in the log. So each leader that could accept the change knows the refusal.

Earlier releases: the refusal is stored as a change set on version -1, which they refuse without effect, and it is looked up only before a change enters the log, so members of both releases decide alike on an entry.

Related paths: changes of service documents had the same fault (a base that is the index of a later entry); their refusal now enters the log, too. Refusals as invalid depend on the content alone.

--- a/src/figpick/configuration/__init__.py
+++ b/src/figpick/configuration/__init__.py
@@ -1,11 +1,11 @@
 """Configurations of routes, services and limits, and their replicated history."""
 
+from ._commands import ChangeSet, Refusal, encode_command
 from ._model import Configuration, Limits, Route, ServiceSettings, check
 from ._registry import (
     ACCEPTED,
     CONFLICT,
     NEW,
-    ChangeSet,
     ConfigurationRegistry,
     VersionConflictError,
 )
@@ -19,9 +19,11 @@
     "Configuration",
     "ConfigurationRegistry",
     "Limits",
+    "Refusal",
     "Route",
     "RoutingTable",
     "ServiceSettings",
     "VersionConflictError",
     "check",
+    "encode_command",
 ]
--- a/src/figpick/configuration/_registry.py
+++ b/src/figpick/configuration/_registry.py
@@ -1,53 +1,34 @@
-"""The replicated state: the newest configuration and the digests of accepted ones."""
+"""The replicated state: the newest configuration and which others were decided on."""
 
-from typing import NamedTuple
+from functools import singledispatchmethod
 
 import msgspec
 
-from ..base._errors import ConflictError
-
-LOGGED_DIGEST_LENGTH = 12
+from ..base._errors import ConflictError, NoQuorumError
+from ._commands import ChangeSet, Refusal, decode_command
 
 # Decisions of :meth:`ConfigurationRegistry.decide`.
 ACCEPTED = "accepted"
 NEW = "new"
 CONFLICT = "conflict"
 
+# Refusals are removed once the versions on which they are based have passed.
+MAX_REFUSALS = 4096
+
 
 class VersionConflictError(ConflictError):
     """A configuration is not based on the current version."""
 
 
-class ChangeSet(NamedTuple):
-    """A configuration as an entry of the replicated log.
-
-    :param version: version number that the operator assigned.
-    :param base: version on which it is based.
-    :param digest: digest of its content, by which a retry is recognised.
-    :param document: the operator's document, compressed and encoded in base 64.
-    """
-
-    version: int
-    base: int
-    digest: str
-    document: str
-
-    def log_fields(self):
-        """Returns the fields that identify the change set in log lines, as a dict."""
-        return {
-            "version": self.version,
-            "base": self.base,
-            "digest": self.digest[:LOGGED_DIGEST_LENGTH],
-        }
-
-
 class ConfigurationRegistry:
-    """Applies committed change sets in log order."""
+    """Applies committed commands in log order."""
 
     def __init__(self):
         self._current = None
         self._revision = 0
         self._accepted = {}
+        # Bases of refused change sets by digest.
+        self._refused = {}
 
     def __repr__(self):
         return f"<ConfigurationRegistry {self.version} at {self._revision}>"
@@ -72,48 +53,99 @@
         return digest in self._accepted
 
     def decide(self, change):
-        """Decides on a change set by the changes that were applied so far.
+        """Decides on a change set by the commands that were applied so far.
 
         ``accepted`` is final. The other decisions hold only for this state: a member of
-        the quorum may not have applied all committed changes.
+        the quorum may not have applied all committed commands.
 
         :param change: :class:`ChangeSet`.
         :return: ``accepted`` if a change set with this content was accepted before,
-            ``new`` if it is based on the current version and its own version is higher,
-            ``conflict`` otherwise.
+            ``new`` if it is based on the current version, its own version is higher and
+            it was not refused before, ``conflict`` otherwise.
         """
         if change.digest in self._accepted:
             return ACCEPTED
-        if change.base == self.version and change.version > self.version:
+        if change.digest not in self._refused and self._is_next(change):
             return NEW
         return CONFLICT
 
+    def may_apply_later(self, change):
+        """Returns whether a change set in conflict could be accepted in a later state.
+
+        Versions only increase, so this is so only while its base is still to come.
+
+        :param change: :class:`ChangeSet`.
+        """
+        is_ahead = self.version < change.base < change.version
+        return is_ahead and change.digest not in self._refused
+
     def conflict_error(self, change):
         """Returns the :class:`VersionConflictError` for a change set."""
-        message = (
-            f"version {change.version} builds on {change.base}, "
-            f"but {self.version} is current"
-        )
+        if change.digest in self._refused and self._is_next(change):
+            message = (
+                f"version {change.version} was refused before {change.base}, on which "
+                f"it builds, was known; send it under another version"
+            )
+        else:
+            message = (
+                f"version {change.version} builds on {change.base}, "
+                f"but {self.version} is current"
+            )
         return VersionConflictError(message, {"version": self.version})
 
     def apply(self, command, index):
         """Applies a committed command.
 
-        :param command: fields of a :class:`ChangeSet`.
+        :param command: JSON value, see
+            :func:`~figpick.configuration._commands.encode_command`.
         :param index: log index.
-        :return: accepted version, or a :class:`VersionConflictError`. Two change sets
-            based on one version may both enter the log; the second is refused here.
+        :return: result of the command, or an error as a value.
+        """
+        return self._apply(decode_command(command), index)
+
+    @singledispatchmethod
+    def _apply(self, command, index):
+        raise TypeError(f"{type(command).__name__} is not a command")
+
+    @_apply.register
+    def _apply_change(self, change: ChangeSet, index):
+        """Returns the accepted version, or a :class:`VersionConflictError`.
+
+        Two change sets based on one version may both enter the log; the second is
+        refused here. Refusals are not looked up: members of earlier releases do not
+        keep them, and all members must decide alike.
         """
-        change = ChangeSet(**command)
-        decision = self.decide(change)
-        if decision == CONFLICT:
+        if change.digest in self._accepted:
+            return change.version
+        if not self._is_next(change):
             return self.conflict_error(change)
-        if decision == NEW:
-            self._current = change
-            self._revision = index
-            self._accepted[change.digest] = change.version
+        self._current = change
+        self._revision = index
+        self._accepted[change.digest] = change.version
+        self._refused = {
+            digest: base
+            for digest, base in self._refused.items()
+            if base >= change.version
+        }
         return change.version
 
+    @_apply.register
+    def _apply_refusal(self, refusal: Refusal, index):
+        """Returns the decision on the change set; it is refused if in conflict.
+
+        Its base may have been committed while the refusal was on its way.
+        """
+        decision = self.decide(refusal)
+        if decision != CONFLICT or not self.may_apply_later(refusal):
+            return decision
+        if len(self._refused) >= MAX_REFUSALS:
+            return NoQuorumError(f"{MAX_REFUSALS} refusals are kept already")
+        self._refused[refusal.digest] = refusal.base
+        return CONFLICT
+
+    def _is_next(self, change):
+        return change.base == self.version and change.version > self.version
+
     def encode(self):
         """Returns the whole state as bytes."""
         return msgspec.json.encode(
@@ -121,6 +153,7 @@
                 "current": self._current,
                 "revision": self._revision,
                 "accepted": self._accepted,
+                "refused": self._refused,
             }
         )
 
@@ -131,3 +164,5 @@
         self._current = ChangeSet(*current) if current else None
         self._revision = state["revision"]
         self._accepted = state["accepted"]
+        # Earlier releases keep no refusals.
+        self._refused = state.get("refused", {})
--- a/src/figpick/consensus/_replica.py
+++ b/src/figpick/consensus/_replica.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 
-from ..base._errors import FigpickError, NoQuorumError
+from ..base._errors import ConflictError, FigpickError, NoQuorumError
 from ..base._logs import logger
 from ..registry._registry import UnknownCommandError
 from ..registry._registry_commands import put_command
@@ -147,7 +147,11 @@
                     raise error
                 first_result = self._check(message)
             except FigpickError as failure:
-                done(None, failure)
+                if self._may_be_accepted_later(failure, message):
+                    # The log keeps the refusal of the change for its later copies.
+                    self.propose(put_command(message, wall), done, now)
+                else:
+                    done(None, failure)
                 return
             if first_result is not None:
                 done(first_result, None)
@@ -233,6 +237,10 @@
             self._registry.check(message)
         return first_result
 
+    def _may_be_accepted_later(self, error, message):
+        is_conflict = isinstance(error, ConflictError)
+        return is_conflict and self._registry.may_apply_later(message)
+
     def _require_no_failure(self):
         if self._failure is not None:
             raise NoQuorumError(f"no quorum: {self._failure}")
--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -5,7 +5,13 @@
 
 from ..base._errors import ConflictError, FigpickError, NoQuorumError
 from ..base._logs import logger
-from ..configuration import ACCEPTED, CONFLICT, ChangeSet, VersionConflictError
+from ..configuration import (
+    ACCEPTED,
+    CONFLICT,
+    ChangeSet,
+    Refusal,
+    VersionConflictError,
+)
 from ._messages import LeaderReply, LeaderRequest, encode
 
 # Operators try another control process after one second without a response.
@@ -196,6 +202,12 @@
             await self._wait_for_base(change)
             registry = await self._member.confirm()
             decision = registry.decide(change)
+        if decision == CONFLICT and registry.may_apply_later(change):
+            # Another copy of the change may arrive after its base, so the refusal must
+            # be known to each later leader before the operator gets it.
+            decision = await self._member.propose(
+                Refusal(change.version, change.base, change.digest)
+            )
         if decision == CONFLICT:
             raise registry.conflict_error(change)
         if decision == ACCEPTED:
@@ -211,7 +223,7 @@
         loop = asyncio.get_running_loop()
         end_at = loop.time() + BASE_WAIT_S
         while self._member.is_leader and loop.time() < end_at:
-            if self._member.registry.version >= change.base:
+            if not self._member.registry.may_apply_later(change):
                 return
             await asyncio.sleep(BASE_POLL_S)
 
--- a/src/figpick/control/_quorum_member.py
+++ b/src/figpick/control/_quorum_member.py
@@ -7,7 +7,7 @@
 from ..base._errors import FigpickError, NoQuorumError, StorageError
 from ..base._files import Files
 from ..base._logs import logger
-from ..configuration import ConfigurationRegistry
+from ..configuration import ConfigurationRegistry, encode_command
 from ..consensus._callbacks import wait_for_callback
 from ..consensus._consensus_messages import (
     MEMBERS,
@@ -244,15 +244,16 @@
             each: now - heard_at[each] if each in heard_at else None for each in voters
         }
 
-    async def propose(self, change):
-        """Adds a change set to the log and waits until it is applied.
+    async def propose(self, command):
+        """Adds a command to the log and waits until it is applied.
 
-        :param change: :class:`~figpick.configuration.ChangeSet`.
-        :return: version of the change set.
+        :param command: :class:`~figpick.configuration.ChangeSet` or another command.
+        :return: result of the command, see
+            :class:`~figpick.configuration.ConfigurationRegistry`.
         :raises VersionConflictError: when another change set was applied first.
         :raises NoQuorumError: when the outcome is not known.
         """
-        return await self._request_replica(Replica.propose, change._asdict())
+        return await self._request_replica(Replica.propose, encode_command(command))
 
     async def confirm(self):
         """Waits until a quorum confirms that the registry is current.
--- a/src/figpick/registry/_registry.py
+++ b/src/figpick/registry/_registry.py
@@ -91,6 +91,15 @@
         if change["base"] != self._current_version(change["document"]["service"]):
             raise self._conflict_error(change["document"]["service"], change["base"])
 
+    def may_apply_later(self, message):
+        """Returns whether a change in conflict could be accepted in a later state.
+
+        :param message: dict, see :meth:`check`.
+        """
+        if self._change_results.get(message["change"]) is not None:
+            return False
+        return message["base"] > self._current_version(message["document"]["service"])
+
     def check_roster(self, command):
         """Checks a roster before it is appended to the log.
 
--- a/tests/test_change_sets.py
+++ b/tests/test_change_sets.py
@@ -4,18 +4,25 @@
 
 import pytest
 
+from figpick.base._errors import NoQuorumError
 from figpick.base._files import Files
 from figpick.configuration import (
+    ACCEPTED,
+    CONFLICT,
+    NEW,
     ChangeSet,
     Configuration,
     ConfigurationRegistry,
     Limits,
+    Refusal,
     Route,
     RoutingTable,
     ServiceSettings,
     VersionConflictError,
     check,
+    encode_command,
 )
+from figpick.configuration._registry import MAX_REFUSALS
 from figpick.consensus._consensus_messages import (
     NO_SNAPSHOT,
     Membership,
@@ -122,6 +129,83 @@
     assert restored.is_accepted("d2")
 
 
+LATE = ChangeSet(7, 5, "late", "")
+LATE_REFUSAL = encode_command(Refusal(*LATE[:3]))
+
+
+def refusing_registry():
+    """Returns a registry that refused a change before it learned of its base."""
+    registry = ConfigurationRegistry()
+    registry.apply(change(2, 0), 1)
+    assert registry.may_apply_later(LATE)
+    assert registry.apply(LATE_REFUSAL, 2) == CONFLICT
+    return registry
+
+
+def test_refusal_is_kept_in_a_snapshot():
+    """Guards against a refused change that comes into force after a compaction."""
+    registry = ConfigurationRegistry()
+    registry.restore(refusing_registry().encode())
+    registry.apply(change(5, 2), 3)
+    assert registry.decide(LATE) == CONFLICT
+    assert "another version" in str(registry.conflict_error(LATE))
+
+
+def test_change_whose_base_came_before_the_refusal_is_not_refused():
+    """Guards against a refusal of one copy while another is accepted."""
+    registry = ConfigurationRegistry()
+    registry.apply(change(5, 0), 1)
+    assert registry.apply(LATE_REFUSAL, 2) == NEW
+    assert registry.apply(LATE._asdict(), 3) == 7
+    assert registry.apply(LATE_REFUSAL, 4) == ACCEPTED
+
+
+def test_members_that_keep_no_refusals_decide_alike():
+    """Guards against members of two releases whose configurations differ.
+
+    A leader of an earlier release passes on a change that was refused.
+    """
+    registry = refusing_registry()
+    earlier = ConfigurationRegistry()
+    earlier.apply(change(2, 0), 1)
+    for each in (registry, earlier):
+        each.apply(change(5, 2), 3)
+        assert each.apply(LATE._asdict(), 4) == 7
+
+
+def test_earlier_releases_pass_over_other_commands():
+    """Guards against a member of an earlier release that cannot apply an entry."""
+    fields = ChangeSet(**LATE_REFUSAL)
+    assert fields.base < 0
+    assert fields.version == 0
+
+
+def test_command_of_a_later_release_has_no_effect():
+    """Guards against a member that cannot apply an entry of a later release."""
+    registry = ConfigurationRegistry()
+    registry.apply(change(2, 0), 1)
+    later = ChangeSet(0, -1, "later", "{}")._asdict()
+    assert isinstance(registry.apply(later, 2), VersionConflictError)
+    assert registry.version == 2
+
+
+def test_snapshot_of_an_earlier_release_is_restored():
+    registry = ConfigurationRegistry()
+    registry.restore(b'{"current":[2,0,"d2",""],"revision":1,"accepted":{"d2":2}}')
+    assert registry.apply(LATE_REFUSAL, 2) == CONFLICT
+
+
+def test_refusals_are_bounded():
+    """Guards against a refusal that is answered but not kept."""
+    registry = ConfigurationRegistry()
+    registry.apply(change(2, 0), 1)
+    for number in range(MAX_REFUSALS):
+        registry.apply(encode_command(Refusal(7, 5, f"x{number}")), 2 + number)
+    assert isinstance(registry.apply(LATE_REFUSAL, 9000), NoQuorumError)
+    registry.apply(change(9, 2), 9001)
+    assert registry.apply(encode_command(Refusal(12, 11, "y")), 9002) == CONFLICT
+
+
 def test_accepted_change_is_kept_after_a_restart(tmp_path):
     def start():
         storage = Storage(Files(str(tmp_path)))
