Tell the starts of an upstream under one identity apart on all nodes

What callers saw: 503 for a service whose server reported that it was leaving, ended and started again under its id with a later start time.

Cause: the end of an upstream is final, and calling nodes and records kept it by the identity alone, so it also held for each later start.

Change: processes exchange the key of an incarnation, which is the identity with the start time where one is given. The header for the upstream has the bare identity as before. An end that is announced for a start that was never reported gets the present time as its start time, so it holds for late heartbeats and not for later starts.

Why this works: what is kept of an end fits one start only, and the owner, which compares start times, decides about late reports.

--- a/src/figpick/directory/__init__.py
+++ b/src/figpick/directory/__init__.py
@@ -1,6 +1,7 @@
 """The known hosts, what runs on them and where their processes listen."""
 
 from ._announcer import Announcer
+from ._incarnations import Incarnation, parse_incarnation
 from ._records import (
     CONTROL,
     DRAINING,
@@ -22,7 +23,9 @@
     "Announcer",
     "Directory",
     "HostRecord",
+    "Incarnation",
     "UpstreamReport",
     "UpstreamView",
     "decode_record",
+    "parse_incarnation",
 ]
--- a/src/figpick/directory/_records.py
+++ b/src/figpick/directory/_records.py
@@ -25,7 +25,7 @@
     :param port: port of its links.
     :param data_center: data centre of the host.
     :param service: service of the upstream, empty for control processes.
-    :param instance: instance of the upstream, empty without an upstream.
+    :param instance: key of the incarnation of the upstream, empty without an upstream.
     :param slots: requests that the upstream runs at the same time.
     :param state: ``ready``, ``draining``, ``none`` or ``left``.
     :param cold_s: seconds for which the upstream is still slow after its start.
--- a/src/figpick/directory/_reports.py
+++ b/src/figpick/directory/_reports.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from ._incarnations import Incarnation, parse_incarnation
 from ._records import DRAINING, NO_UPSTREAM, READY
 
 # Three heartbeats: an incarnation that was silent for longer counts as ended.
@@ -42,8 +43,8 @@
 
     @property
     def incarnation(self):
-        """The key that identifies the incarnation."""
-        return self.instance, self.started_ms
+        """The :class:`~figpick.directory.Incarnation`."""
+        return Incarnation(self.instance, self.started_ms)
 
 
 class UpstreamView:
@@ -51,8 +52,8 @@
 
     def __init__(self):
         self._report = None
-        # A leaving instance that this process has no report of.
-        self._unreported_instance = ""
+        # Key of a leaving incarnation that this process has no report of.
+        self._unreported = ""
         self._reported_at = 0.0
         self._is_down = False
         # Newest reports of incarnations other than the current one.
@@ -71,7 +72,12 @@
     @property
     def instance(self):
         """The identity of the upstream, empty without an upstream."""
-        return self._report.instance if self._report else self._unreported_instance
+        return parse_incarnation(self.incarnation_key).instance
+
+    @property
+    def incarnation_key(self):
+        """The key of the incarnation of the upstream, empty without an upstream."""
+        return self._report.incarnation.key if self._report else self._unreported
 
     @property
     def service(self):
@@ -87,7 +93,7 @@
     def state(self):
         """``ready``, ``draining`` or ``none``."""
         if self._report is None:
-            return DRAINING if self._unreported_instance else NO_UPSTREAM
+            return DRAINING if self._unreported else NO_UPSTREAM
         if self._is_down:
             return NO_UPSTREAM
         return DRAINING if self._report.is_draining else READY
@@ -115,28 +121,43 @@
         self._is_down = False
         return True
 
-    def mark_draining(self, instance):
+    def find_incarnation(self, instance):
+        """Returns the known :class:`Incarnation` of an instance, or ``None``."""
+        for report in (self._report, *self._other_incarnations.values()):
+            if report is not None and report.instance == instance:
+                return report.incarnation
+        return None
+
+    def mark_draining(self, key):
         """Marks the upstream as draining if it is about to stop without reporting so.
 
-        :param instance: identity of the upstream that is about to stop.
+        :param key: key of the incarnation that is about to stop, without its start time
+            if that is not known.
         :return: whether the state of the current upstream has changed.
         """
+        incarnation = parse_incarnation(key)
+        if incarnation.started_ms is None:
+            incarnation = self.find_incarnation(key) or incarnation
+        if self._report is not None:
+            return self.add_departures([incarnation.key])
+        self._set_leaving(incarnation)
+        has_changed = incarnation.key != self._unreported
+        self._unreported = incarnation.key
+        return has_changed
+
+    def add_departures(self, keys):
+        """Records incarnations that have announced their end.
+
+        :param keys: keys of the incarnations.
+        :return: whether the state of the current upstream has changed.
+        """
+        for key in keys:
+            self._set_leaving(parse_incarnation(key))
         current = self._report
-        known = (current, *self._other_incarnations.values())
-        started_ms = [
-            report.started_ms
-            for report in known
-            if report is not None and report.instance == instance
-        ]
-        self._set_leaving(instance, started_ms[0] if started_ms else None)
         if current is None:
-            has_changed = instance != self._unreported_instance
-            self._unreported_instance = instance
-            return has_changed
-        if current.instance != instance or current.is_draining:
             return False
-        self._report = current._replace(is_draining=True)
-        return True
+        self._report = self._mark_if_leaving(current)
+        return self._report.is_draining and not current.is_draining
 
     def mark_down(self):
         """Marks the upstream as down until its next report; it refuses connections."""
@@ -182,7 +203,7 @@
     def _mark_if_leaving(self, report):
         """Returns a report as draining if its incarnation is known to leave."""
         if report.is_draining:
-            self._set_leaving(report.instance, report.started_ms)
+            self._set_leaving(report.incarnation)
             return report
         if report.instance not in self._leaving:
             return report
@@ -191,7 +212,11 @@
             return report
         return report._replace(is_draining=True)
 
-    def _set_leaving(self, instance, started_ms):
+    def _set_leaving(self, incarnation):
+        instance, started_ms = incarnation
+        known_ms = self._leaving.get(instance)
+        if None not in (known_ms, started_ms):
+            started_ms = max(known_ms, started_ms)
         self._leaving[instance] = started_ms
         if len(self._leaving) > MAX_LEAVING_INSTANCES:
             del self._leaving[next(iter(self._leaving))]
--- a/src/figpick/nodes/_executions.py
+++ b/src/figpick/nodes/_executions.py
@@ -4,6 +4,7 @@
 from hashlib import blake2b
 
 from ..admission import Ticket
+from ..directory import parse_incarnation
 
 # A queued call is refused this long before its caller times out.
 QUEUE_MARGIN_S = 0.03
@@ -131,10 +132,11 @@
     :param remaining_ms: milliseconds until its caller times out.
     :param names: :class:`~figpick.wire.HeaderNames`.
     """
+    instance = parse_incarnation(call.instance).instance
     lines = [
         call.head,
         b"%b: %d\r\n" % (names.deadline_ms, remaining_ms),
-        b"%b: %b\r\n" % (names.instance, call.instance.encode()),
+        b"%b: %b\r\n" % (names.instance, instance.encode()),
         b"%b: %b\r\n" % (names.caller, call.caller.encode()),
     ]
     if call.body_bytes or not call.head.startswith((b"GET ", b"HEAD ")):
--- a/src/figpick/nodes/_known_notices.py
+++ b/src/figpick/nodes/_known_notices.py
@@ -12,9 +12,9 @@
 
 
 class KnownNotice(NamedTuple):
-    """What is known of one instance of an upstream.
+    """What is known of one incarnation of an upstream.
 
-    :param instance: identity of the instance.
+    :param instance: key of the incarnation.
     :param rate_limit: requests per second that it takes, 0 without a limit.
     :param is_leaving: whether it has announced its end.
     """
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -18,8 +18,8 @@
 * ``not-run``: number, reason, ms until a slot is expected, load, level. The call
   did not run and never will.
 * ``credit``: number, count of bytes that were forwarded to the client.
-* ``load``: load of the owner, the instance and the service of its upstream, whether it
-  is draining; sent when a link opens and when the upstream changes or fails.
+* ``load``: load of the owner, the incarnation and the service of its upstream, whether
+  it is draining; sent when a link opens and when the upstream changes or fails.
 * ``attach``: numbers of the attempts whose responses are awaited on a new link.
 
 The load is a list of the fields of :class:`~figpick.placing.Load`.
@@ -68,7 +68,7 @@
 class CallMessage(NamedTuple):
     """A call as it is sent to the owner.
 
-    :param instance: instance of the upstream that must run it.
+    :param instance: key of the incarnation of the upstream that must run it.
     :param rank: order of execution; the lowest number runs first.
     :param key: number in [0, 1) assigned to the request at the entry.
     :param is_nested: whether the call is nested: a running request needs its response.
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -144,7 +144,7 @@
     def apply_upstream_state(self):
         """Applies the state of :attr:`view` to the queue and reports the load."""
         slots = 0 if self._is_stopping else self.view.slots
-        self.notices.use_instance(self.view.instance)
+        self.notices.use_instance(self.view.incarnation_key)
         self._apply_rate_limit(self._clock.monotonic())
         self._queue.set_slots(slots)
         if not slots:
@@ -247,7 +247,7 @@
             execution.connection.resume()
 
     def _refusal_reason(self, call, now):
-        if self._is_stopping or call.instance != self.view.instance:
+        if self._is_stopping or call.instance != self.view.incarnation_key:
             return REASON_WRONG_INSTANCE
         if not self.view.slots:
             return REASON_LEAVING
@@ -310,8 +310,7 @@
         )
         if suspect_fingerprints and self.view.report is not None:
             # The start time is included, as an upstream may restart with its identity.
-            instance, started_ms = self.view.report.incarnation
-            self._on_crash(f"{instance} {started_ms}", suspect_fingerprints)
+            self._on_crash(self.view.incarnation_key, suspect_fingerprints)
         self.view.mark_down()
         self._pool.close_idle()
         self.apply_upstream_state()
@@ -351,7 +350,7 @@
         connection.start(execution, data, call.request_id or None, call.is_head)
 
     def _is_outdated(self, call):
-        return call.instance != self.view.instance or not self.view.slots
+        return call.instance != self.view.incarnation_key or not self.view.slots
 
     def _time_out(self, execution):
         execution.timer = None
--- a/src/figpick/nodes/_owner_links.py
+++ b/src/figpick/nodes/_owner_links.py
@@ -118,7 +118,7 @@
     def _load_report(self):
         view = self.view
         is_draining = view.state == DRAINING
-        return LOAD, self.load(), view.instance, view.service, is_draining
+        return LOAD, self.load(), view.incarnation_key, view.service, is_draining
 
     def _report_load(self):
         message = self._load_report()
--- a/src/figpick/nodes/_owner_notices.py
+++ b/src/figpick/nodes/_owner_notices.py
@@ -27,13 +27,13 @@
                 self.handle_leave(known.instance)
         self._apply_rate_limit(now)
 
-    def handle_leave(self, instance):
+    def handle_leave(self, key):
         """Starts no more calls at an upstream that is about to stop.
 
-        :param instance: identity of the upstream.
+        :param key: key of its incarnation.
         """
-        if self.view.mark_draining(instance):
-            log.notice("Upstream leaves.", extra={"instance": instance})
+        if self.view.mark_draining(key):
+            log.notice("Upstream leaves.", extra={"instance": key})
             self.apply_upstream_state()
 
     def _read_notice(self, execution, reader):
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -16,6 +16,7 @@
     Announcer,
     Directory,
     HostRecord,
+    Incarnation,
 )
 from ..links import Link, listen
 from ._control_links import ControlLinks
@@ -223,11 +224,11 @@
             )
             return
         view = self._owner.view
-        before = (view.instance, view.state, view.slots)
+        before = (view.incarnation_key, view.state, view.slots)
         if not view.handle_report(report, self._clock.monotonic()):
             log.debug("Outdated report of {} ignored.", report.instance)
             return
-        if (view.instance, view.state, view.slots) != before:
+        if (view.incarnation_key, view.state, view.slots) != before:
             log.notice(
                 "Upstream changed.",
                 extra={
@@ -244,8 +245,15 @@
         """Handles the notice of an upstream that it is leaving.
 
         :param instance: identity of the upstream.
+        :return: key of the incarnation that leaves.
         """
-        self._owner.handle_leave(instance)
+        incarnation = self._owner.view.find_incarnation(instance)
+        if incarnation is None:
+            # Its start is not known; a later incarnation starts after this moment.
+            now_ms = int(self._clock.wall() * 1000)
+            incarnation = Incarnation(instance, now_ms)
+        self._owner.handle_leave(incarnation.key)
+        return incarnation.key
 
     def on_record(self, record):
         """Handles a newer record of another node."""
@@ -280,7 +288,7 @@
         is_up = view.state != NO_UPSTREAM
         self._announcer.update(
             state=LEFT,
-            instance=view.instance if is_up else "",
+            instance=view.incarnation_key if is_up else "",
             slots=0 if view.state == DRAINING else max(1, view.slots),
         )
         self._controls.announce()
@@ -315,7 +323,7 @@
         report = view.report
         changed = self._announcer.update(
             service=report.service if report else self._settings.service,
-            instance=view.instance,
+            instance=view.incarnation_key,
             slots=view.slots,
             state=view.state,
             cold_s=report.cold_s if report else 0.0,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -204,20 +204,18 @@
         self._folder = folder
         self._tasks = []
         links = [free_address() for _ in range(controls)]
-        self.controls = [
-            ControlProcess(
-                ControlSettings(
-                    f"control-{number}",
-                    "dc",
-                    link,
-                    tuple(links),
-                    True,
-                    str(folder / str(number)),
-                ),
-                Clock(),
+        self._control_settings = [
+            ControlSettings(
+                f"control-{number}",
+                "dc",
+                link,
+                tuple(links),
+                True,
+                str(folder / str(number)),
             )
             for number, link in enumerate(links)
         ]
+        self.controls = []
         self.hosts = []
         for number, name in enumerate(services):
             upstream = FakeUpstream(name, f"i-{number}")
@@ -239,8 +237,7 @@
             )
 
     async def __aenter__(self):
-        for control in self.controls:
-            self._tasks.append(asyncio.ensure_future(control.run()))
+        self._start_controls()
         for host in self.hosts:
             await host.upstream.start()
             self.start_node(host)
@@ -269,15 +266,37 @@
                 task.result()
 
     async def __aexit__(self, *error):
+        self._kill()
+        for host in self.hosts:
+            host.upstream.stop()
+
+    def _start_controls(self):
+        self.controls = [
+            ControlProcess(settings, Clock()) for settings in self._control_settings
+        ]
+        self._tasks = [
+            asyncio.ensure_future(control.run()) for control in self.controls
+        ]
+
+    def _kill(self):
         for host in self.hosts:
             host.task.cancel()
             host.node.close()
-            host.upstream.stop()
         for task in self._tasks:
             task.cancel()
         for control in self.controls:
             control.close()
 
+    async def restart_all(self):
+        """Kills all processes, but no upstream, and starts them with their disks."""
+        self._kill()
+        tasks = (*self._tasks, *(host.task for host in self.hosts))
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._start_controls()
+        for host in self.hosts:
+            self.start_node(host)
+        await self._wait_until(lambda: all(host.node.is_ready for host in self.hosts))
+
     def start_node(self, host):
         """Starts or restarts the node of a host."""
         host.node = NodeProcess(host.settings, Clock(), decode_document)
