Store the end of an upstream before it is acknowledged

Cause: the end of an upstream was kept in memory only, in its node, in the calling nodes and in the control processes.

The node asks two control processes at a time, others at each attempt, and goes on trying. Control processes send the stored ends of a host to its node when a link opens and when they apply further ones.

Why this works: whatever is acknowledged is on the disks of a majority, and a node that starts gets it with its first link, or once the log is applied.

Related paths: ends that an upstream states in its responses are stored too. Stated limits and crash reports are in memory only and not acknowledged.

--- a/src/figpick/configuration/__init__.py
+++ b/src/figpick/configuration/__init__.py
@@ -1,6 +1,6 @@
 """Configurations of routes, services and limits, and their replicated history."""
 
-from ._commands import ChangeSet, Refusal, encode_command
+from ._commands import ChangeSet, Departure, Refusal, encode_command
 from ._model import Configuration, Limits, Route, ServiceSettings, check
 from ._registry import (
     ACCEPTED,
@@ -18,6 +18,7 @@
     "ChangeSet",
     "Configuration",
     "ConfigurationRegistry",
+    "Departure",
     "Limits",
     "Refusal",
     "Route",
--- a/src/figpick/configuration/_commands.py
+++ b/src/figpick/configuration/_commands.py
@@ -14,6 +14,7 @@
 
 NEVER_CURRENT = -1
 REFUSAL = "refusal"
+DEPARTURE = "departure"
 
 
 class ChangeSet(NamedTuple):
@@ -50,7 +51,18 @@
     digest: str
 
 
-TYPES_BY_NAME = {REFUSAL: Refusal}
+class Departure(NamedTuple):
+    """An upstream has announced its end, which is final.
+
+    :param host: name of the node on its host.
+    :param incarnation: key of its incarnation.
+    """
+
+    host: str
+    incarnation: str
+
+
+TYPES_BY_NAME = {REFUSAL: Refusal, DEPARTURE: Departure}
 
 
 @singledispatch
@@ -72,6 +84,11 @@
     return _encode_other(REFUSAL, command)
 
 
+@encode_command.register
+def _(command: Departure):
+    return _encode_other(DEPARTURE, command)
+
+
 def decode_command(fields):
     """Returns the command of a log entry.
 
--- a/src/figpick/configuration/_registry.py
+++ b/src/figpick/configuration/_registry.py
@@ -1,11 +1,12 @@
-"""The replicated state: the newest configuration and which others were decided on."""
+"""The replicated state: the newest configuration, decisions on others, departures."""
 
 from functools import singledispatchmethod
 
 import msgspec
 
 from ..base._errors import ConflictError, NoQuorumError
-from ._commands import ChangeSet, Refusal, decode_command
+from ._commands import ChangeSet, Departure, Refusal, decode_command
+from ._departures import Departures
 
 # Decisions of :meth:`ConfigurationRegistry.decide`.
 ACCEPTED = "accepted"
@@ -29,6 +30,7 @@
         self._accepted = {}
         # Bases of refused change sets by digest.
         self._refused = {}
+        self._departures = Departures()
 
     def __repr__(self):
         return f"<ConfigurationRegistry {self.version} at {self._revision}>"
@@ -48,6 +50,11 @@
         """The log index of the newest configuration, 0 before the first."""
         return self._revision
 
+    @property
+    def departures(self):
+        """:class:`~figpick.configuration._departures.Departures`, for reading only."""
+        return self._departures
+
     def is_accepted(self, digest):
         """Returns whether a configuration with this content was accepted before."""
         return digest in self._accepted
@@ -143,6 +150,11 @@
         self._refused[refusal.digest] = refusal.base
         return CONFLICT
 
+    @_apply.register
+    def _apply_departure(self, departure: Departure, index):
+        self._departures.add(departure, index)
+        return True
+
     def _is_next(self, change):
         return change.base == self.version and change.version > self.version
 
@@ -154,6 +166,7 @@
                 "revision": self._revision,
                 "accepted": self._accepted,
                 "refused": self._refused,
+                "departures": self._departures.encode(),
             }
         )
 
@@ -164,5 +177,8 @@
         self._current = ChangeSet(*current) if current else None
         self._revision = state["revision"]
         self._accepted = state["accepted"]
-        # Earlier releases keep no refusals.
+        # Earlier releases keep neither refusals nor departures.
         self._refused = state.get("refused", {})
+        self._departures = Departures()
+        if "departures" in state:
+            self._departures.restore(state["departures"])
--- a/src/figpick/control/_leader_requests.py
+++ b/src/figpick/control/_leader_requests.py
@@ -1,4 +1,4 @@
-"""Configuration changes and reads, executed by the leader of the quorum."""
+"""Configuration changes, reads and departures, executed by the leader of the quorum."""
 
 import asyncio
 from contextlib import contextmanager
@@ -9,6 +9,7 @@
     ACCEPTED,
     CONFLICT,
     ChangeSet,
+    Departure,
     Refusal,
     VersionConflictError,
 )
@@ -25,6 +26,7 @@
 STOP_POLL_S = 0.01
 PUT = "put"
 READ = "read"
+DEPART = "depart"
 
 log = logger("control")
 
@@ -51,9 +53,10 @@
     async def send(self, kind, value):
         """Sends a request to the leader, or serves it here if this process leads.
 
-        :param kind: ``put`` or ``read``.
-        :param value: fields of a change set, or ``None``.
-        :return: the version of the change, or the fields of the newest change set.
+        :param kind: ``put``, ``read`` or ``depart``.
+        :param value: fields of a change set or of a departure, or ``None``.
+        :return: the version of the change, the fields of the newest change set, or
+            ``True`` once a departure is stored.
         :raises VersionConflictError: when a change is not based on the current
             version.
         :raises NoQuorumError: when the outcome is not known.
@@ -185,6 +188,8 @@
             registry = await self._member.confirm()
             current = registry.current
             return current._asdict() if current else None
+        if kind == DEPART:
+            return await self._store_departure(Departure(**value))
         change = ChangeSet(**value)
         position = self._member.position()
         try:
@@ -193,6 +198,12 @@
             self._log_refused(change, position, error)
             raise
 
+    async def _store_departure(self, departure):
+        if departure not in self._member.registry.departures:
+            await self._member.propose(departure)
+            log.notice("The end of an upstream is stored.", extra=departure._asdict())
+        return True
+
     async def _put_as_leader(self, change):
         registry = self._member.registry
         decision = registry.decide(change)
--- a/src/figpick/control/_messages.py
+++ b/src/figpick/control/_messages.py
@@ -73,6 +73,28 @@
     fingerprints: list
 
 
+class DepartureReport(NamedTuple):
+    """Asks a control process to store that an upstream has announced its end.
+
+    :param host: name of the node on its host.
+    :param incarnation: key of its incarnation.
+    """
+
+    host: str
+    incarnation: str
+
+
+class StoredDepartures(NamedTuple):
+    """Departures from the host of a node that are stored on the disks of a quorum.
+
+    It is sent after a link opens and when further ones are stored.
+
+    :param incarnations: keys of the incarnations, oldest first.
+    """
+
+    incarnations: list
+
+
 class IdentityRequest(NamedTuple):
     """Requests the identity of another control process."""
 
@@ -104,8 +126,8 @@
     """A request to the leader.
 
     :param number: number that the reply repeats.
-    :param kind: ``put`` or ``read``.
-    :param value: fields of a change set, or ``None``.
+    :param kind: ``put``, ``read`` or ``depart``.
+    :param value: fields of a change set or of a departure, or ``None``.
     """
 
     number: int
@@ -134,6 +156,8 @@
     "fetch": FetchConfiguration,
     "configuration": CurrentConfiguration,
     "crash": CrashReport,
+    "departure": DepartureReport,
+    "departures": StoredDepartures,
     "identify": IdentityRequest,
     "identity": IdentityReply,
     "quorum": QuorumMessage,
--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -4,18 +4,19 @@
 import random
 from functools import singledispatchmethod
 
-from ..base._errors import PeerError
+from ..base._errors import NoQuorumError, PeerError
 from ..base._expiring_table import ExpiringTable
 from ..base._logs import logger
 from ..base._supervisor import Supervisor
-from ..configuration import ChangeSet
+from ..configuration import ChangeSet, Departure
 from ..directory import CONTROL, LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Dialer, Link, finish_links, listen
-from ._leader_requests import PUT, READ, LeaderRequests
+from ._leader_requests import DEPART, PUT, READ, LeaderRequests
 from ._membership import MembershipKeeper
 from ._messages import (
     CrashReport,
     CurrentConfiguration,
+    DepartureReport,
     FetchConfiguration,
     Hello,
     IdentityReply,
@@ -26,6 +27,7 @@
     RecordTable,
     RecordUpdate,
     RevisionUpdate,
+    StoredDepartures,
     deliver,
     encode,
 )
@@ -76,6 +78,7 @@
             self._member, self._directory, self._link_to, settings.tolerated_losses
         )
         self._announced_revision = 0
+        self._announced_departure = 0
         self._tasks = set()
         self._metrics = None
         self._server = None
@@ -273,6 +276,7 @@
             records = [list(record) for record in self._directory]
             link.send(encode(RecordTable(records)))
             link.send(encode(RevisionUpdate(self._member.registry.revision)))
+            self._send_departures(link)
             # A process that starts again has forgotten them.
             for crash_id, _, fingerprints in self._crashes.items(
                 self._clock.monotonic()
@@ -321,6 +325,24 @@
             if other is not link and self._is_node(other):
                 other.send(encode(message))
 
+    @_handle.register
+    def _handle_departure(self, message: DepartureReport, link):
+        self._start(self._store_departure(link, Departure(*message)))
+
+    async def _store_departure(self, link, departure):
+        try:
+            await self._leader_requests.send(DEPART, departure._asdict())
+        except NoQuorumError as error:
+            fields = {**departure._asdict(), "reason": str(error)}
+            log.info("The end of an upstream is not stored.", extra=fields)
+        else:
+            link.send(encode(StoredDepartures([departure.incarnation])))
+
+    def _send_departures(self, link, after=0):
+        keys = self._member.registry.departures.of_host(link.peer, after)
+        if keys:
+            link.send(encode(StoredDepartures(keys)))
+
     def _is_node(self, link):
         record = self._directory.get(link.peer)
         return record is not None and record.role == NODE
@@ -339,7 +361,10 @@
 
     @_handle.register
     def _handle_leader_request(self, message: LeaderRequest, link):
-        task = asyncio.ensure_future(self._leader_requests.serve(link, message))
+        self._start(self._leader_requests.serve(link, message))
+
+    def _start(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -353,6 +378,17 @@
         if revision != self._announced_revision:
             self._announced_revision = revision
             self._broadcast(RevisionUpdate(revision))
+        self._announce_departures()
+
+    def _announce_departures(self):
+        """Sends departures that were stored since the last call to their hosts."""
+        last = self._member.registry.departures.last_index
+        announced = self._announced_departure
+        if last == announced:
+            return
+        self._announced_departure = last
+        for link in list(self._accepted_links):
+            self._send_departures(link, announced if last > announced else 0)
 
     def _broadcast(self, message):
         for link in list(self._accepted_links):
--- a/src/figpick/nodes/_control_links.py
+++ b/src/figpick/nodes/_control_links.py
@@ -7,11 +7,13 @@
 from ..control._messages import (
     CrashReport,
     CurrentConfiguration,
+    DepartureReport,
     FetchConfiguration,
     Hello,
     RecordTable,
     RecordUpdate,
     RevisionUpdate,
+    StoredDepartures,
     deliver,
     encode,
 )
@@ -21,6 +23,8 @@
 # Crash reports are sent to this many control processes, since one may fail before it
 # forwards the report.
 CRASH_COPIES = 2
+# Departures, too.
+DEPARTURE_COPIES = 2
 
 log = logger("control-links")
 
@@ -33,7 +37,8 @@
     :param announcer: :class:`~figpick.directory.Announcer` of this node's record.
     :param clock: :class:`~figpick.base._clock.Clock`.
     :param handlers: object whose ``on_record(record)``, ``on_configuration(revision,
-        document)`` and ``on_crash_report(crash_id, fingerprints)`` are called.
+        document)``, ``on_crash_report(crash_id, fingerprints)`` and
+        ``on_departures(incarnations)`` are called.
     """
 
     def __init__(self, settings, token, announcer, clock, handlers):
@@ -101,6 +106,18 @@
         for link in [link for link in links if link is not None][:CRASH_COPIES]:
             link.send(encode(CrashReport(crash_id, fingerprints)))
 
+    def report_departure(self, incarnation, attempt):
+        """Asks some control processes to store the end of the upstream.
+
+        :param incarnation: key of its incarnation.
+        :param attempt: number of the attempt; each one asks other processes.
+        """
+        links = self.open_links()
+        message = encode(DepartureReport(self._settings.name, incarnation))
+        start = attempt * DEPARTURE_COPIES
+        for number in range(min(DEPARTURE_COPIES, len(links))):
+            links[(start + number) % len(links)].send(message)
+
     def fetch(self):
         """Requests a newer configuration again if it has not arrived."""
         for link, revision in list(self._revisions.items()):
@@ -170,6 +187,10 @@
     def _handle_crash(self, message: CrashReport, link):
         self._handlers.on_crash_report(message.crash_id, message.fingerprints)
 
+    @_handle.register
+    def _handle_departures(self, message: StoredDepartures, link):
+        self._handlers.on_departures(message.incarnations)
+
     def _update_record(self, fields):
         record = self._announcer.handle_record(fields)
         if record is None:
--- /dev/null
+++ b/src/figpick/nodes/_departures.py
@@ -0,0 +1,88 @@
+"""Lets control processes store which upstreams have left the host of a node."""
+
+import asyncio
+
+from ..base._logs import logger
+
+# A process that does not answer is passed over after this time.
+RETRY_PERIOD_S = 0.25
+# Upstreams wait one second for an acknowledgement.
+ACKNOWLEDGEMENT_TIMEOUT_S = 0.85
+MAX_STORED = 64
+MAX_PENDING = 16
+
+log = logger("node")
+
+
+class DepartureKeeper:
+    """Has departures stored, and knows which ones are.
+
+    :param send: called with the key of an incarnation and the number of the attempt,
+        which tells the control processes apart that are asked.
+    """
+
+    def __init__(self, send):
+        self._send = send
+        self._stored = {}
+        # Number of attempts and future of each departure that is not stored yet.
+        self._pending = {}
+
+    def __repr__(self):
+        return f"<DepartureKeeper {len(self._pending)} pending>"
+
+    @property
+    def pending_count(self):
+        """Number of departures that are not stored yet."""
+        return len(self._pending)
+
+    def add(self, key):
+        """Starts to have a departure stored.
+
+        :param key: key of the incarnation that leaves.
+        """
+        if key in self._stored or key in self._pending:
+            return
+        self._pending[key] = [0, asyncio.get_running_loop().create_future()]
+        if len(self._pending) > MAX_PENDING:
+            del self._pending[next(iter(self._pending))]
+        self._send_again(key)
+
+    def mark_stored(self, key):
+        """Records that a departure is stored on the disks of a quorum."""
+        self._stored[key] = None
+        if len(self._stored) > MAX_STORED:
+            del self._stored[next(iter(self._stored))]
+        _, future = self._pending.pop(key, (0, None))
+        if future is not None:
+            log.notice("The end of an upstream is stored.", extra={"instance": key})
+            if not future.done():
+                future.set_result(None)
+
+    async def keep(self, key):
+        """Has a departure stored and waits for it, for a bounded time.
+
+        :param key: key of the incarnation that leaves.
+        :return: whether it is stored.
+        """
+        self.add(key)
+        if key in self._stored:
+            return True
+        _, future = self._pending[key]
+        await asyncio.wait((future,), timeout=ACKNOWLEDGEMENT_TIMEOUT_S)
+        if key not in self._stored:
+            log.warning(
+                "The end of an upstream is not stored yet.", extra={"instance": key}
+            )
+        return key in self._stored
+
+    async def run(self):
+        """Retries until cancelled."""
+        while True:
+            await asyncio.sleep(RETRY_PERIOD_S)
+            for key in list(self._pending):
+                self._send_again(key)
+
+    def _send_again(self, key):
+        entry = self._pending[key]
+        entry[0] += 1
+        self._send(key, entry[0])
--- a/src/figpick/nodes/_owner_notices.py
+++ b/src/figpick/nodes/_owner_notices.py
@@ -36,6 +36,18 @@
             log.notice("Upstream leaves.", extra={"instance": key})
             self.apply_upstream_state()
 
+    def add_departures(self, keys):
+        """Starts no more calls at the upstream if it has announced its end before.
+
+        :param keys: keys of incarnations that are known to have left.
+        """
+        if self.view.add_departures(keys):
+            log.notice(
+                "Upstream has announced its end before.",
+                extra={"instance": self.view.incarnation_key},
+            )
+            self.apply_upstream_state()
+
     def _read_notice(self, execution, reader):
         if reader.status == STATUS_MISDIRECTED or not is_from_upstream(
             reader, self._names
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -21,6 +21,7 @@
 from ..links import Link, listen
 from ._control_links import ControlLinks
 from ._counters import CallCounters
+from ._departures import DepartureKeeper
 from ._draining import Drainer
 from ._entry import EntryServer
 from ._forwarding import Forwarder
@@ -86,6 +87,7 @@
             settings, self._token, self._announcer, clock, self
         )
         self._forwarder.use_controls(self._controls)
+        self._departures = DepartureKeeper(self._controls.report_departure)
         self._caller_links = {}
         self._drainer = Drainer(
             settings,
@@ -102,6 +104,7 @@
         self._supervisor = Supervisor("node", clock)
         self._supervisor.add("entry", self._entry.enforce_timeouts)
         self._supervisor.add("refresh", self._refresh)
+        self._supervisor.add("departures", self._departures.run)
         self._supervisor.add("pauses", self._drainer.record_pauses)
         self._supervisor.add("summary", Summary(self).run)
 
@@ -155,6 +158,7 @@
             "load": list(self._owner.load()),
             "upstream": self._owner.view.state,
             "instance": self._owner.view.instance,
+            "unstored_departures": self._departures.pending_count,
             "hosts": [list(record) for record in self._directory],
         }
 
@@ -255,6 +259,26 @@
         self._owner.handle_leave(incarnation.key)
         return incarnation.key
 
+    async def accept_report(self, report):
+        """Handles a heartbeat of the upstream on this host.
+
+        :param report: :class:`~figpick.directory.UpstreamReport`.
+        :return: whether it may be acknowledged. The end of an upstream is acknowledged
+            once it is stored, since it must be known after all processes were killed.
+        """
+        self.handle_report(report)
+        if not report.is_draining or report.address != self._settings.upstream_address:
+            return True
+        return await self._departures.keep(report.incarnation.key)
+
+    async def accept_leave(self, instance):
+        """Handles the notice of an upstream that it is leaving.
+
+        :param instance: identity of the upstream.
+        :return: whether it may be acknowledged, see :meth:`accept_report`.
+        """
+        return await self._departures.keep(self.handle_leave(instance))
+
     def on_record(self, record):
         """Handles a newer record of another node."""
         self._peers.apply_record(record, self._clock.monotonic())
@@ -283,6 +307,12 @@
         """Records the requests that were running when an upstream crashed."""
         self._quarantine.record_crash(crash_id, fingerprints, self._clock.monotonic())
 
+    def on_departures(self, incarnations):
+        """Handles departures from this host that control processes have stored."""
+        for key in incarnations:
+            self._departures.mark_stored(key)
+        self._owner.add_departures(incarnations)
+
     def _announce_left(self):
         view = self._owner.view
         is_up = view.state != NO_UPSTREAM
@@ -321,6 +351,8 @@
     def _on_upstream_changed(self):
         view = self._owner.view
         report = view.report
+        if view.state == DRAINING:
+            self._departures.add(view.incarnation_key)
         changed = self._announcer.update(
             service=report.service if report else self._settings.service,
             instance=view.incarnation_key,
--- a/tests/test_restarted_upstreams.py
+++ b/tests/test_restarted_upstreams.py
@@ -25,9 +25,12 @@
     host.node.handle_report(host.upstream.report())
 
 
+@pytest.mark.parametrize("is_killed", [False, True])
 @pytest.mark.parametrize("how", ["leave", "draining", "response"])
 @async_test
-async def test_upstream_that_left_may_start_again_under_its_identity(tmp_path, how):
+async def test_upstream_that_left_may_start_again_under_its_identity(
+    tmp_path, how, is_killed
+):
     """Guards against an identity that stays unused after one of its starts has left."""
     async with Fleet(tmp_path, SERVICES, 3) as fleet:
         await use_long_routes(fleet)
@@ -43,6 +46,9 @@
             await send_load(entries, per_s=40, seconds=0.3)
             announce_end(host, how)
         await asyncio.sleep(0.4)
+        if is_killed:
+            await fleet.restart_all()
+            other.node.handle_report(other.upstream.report())
         before = len(upstream.arrivals)
         await start_again(host, 2000)
         await asyncio.sleep(0.3)
