Send integers of more than 64 bits between processes

What callers saw: no configuration was ever accepted, and no node became ready. The operator's versions are time stamps in microseconds.

Cause: messages on links have no integers above 64 bits, while the body of the operator, the stored log and Python do. The leader stored the entry and then failed to send any message with it, also after each restart.

Evidence: the tracebacks before each end show OverflowError in encode_frame at a heartbeat of the leader; the stored log is read back in full.

Change: integers above 64 bits are sent as digits in an extension type.

Why this works: links now carry whatever JSON can hold, so nothing that is stored can fail to be sent because of its type.

Earlier releases cannot read such a number; others are sent as before.

Related paths: numbers of routes, deadlines, stated limits and heartbeats were looked at; heartbeats had the same fault in the record of a host.

--- a/src/figpick/links/_frames.py
+++ b/src/figpick/links/_frames.py
@@ -1,4 +1,8 @@
-"""Message framing: a length prefix of four bytes and a MessagePack list."""
+"""Message framing: a length prefix of four bytes and a MessagePack list.
+
+MessagePack has no integers above 64 bits. They are sent as decimal digits in an
+extension type: JSON, in which operators write and messages are stored, has no limit.
+"""
 
 import msgspec
 
@@ -8,20 +12,34 @@
 # HTTP bodies are split into parts of 64 KiB; a compressed configuration is larger.
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(list)
+LONG_INTEGER = 1
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**64 - 1
 
 
 class FrameError(PeerError):
     """Bytes received on a link are not a valid frame."""
 
 
+def _decode_extension(code, data):
+    if code != LONG_INTEGER:
+        raise ValueError(f"extension type {code} is not known")
+    return int(bytes(data))
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list, ext_hook=_decode_extension)
+
+
 def encode_frame(message):
     """Returns a message encoded as a frame.
 
-    :param message: tuple or list of MessagePack values.
+    :param message: tuple or list of JSON values and bytes.
     """
-    payload = _encoder.encode(message)
+    try:
+        payload = _encoder.encode(message)
+    except OverflowError:
+        payload = _encoder.encode(_extend_integers(message))
     return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
 
 
@@ -60,7 +78,7 @@
                     messages.append(
                         _decoder.decode(view[start + LENGTH_BYTES : frame_end])
                     )
-                except msgspec.DecodeError as error:
+                except (msgspec.DecodeError, ValueError) as error:
                     raise FrameError(
                         f"frame is not a MessagePack list: {error}"
                     ) from error
@@ -68,3 +86,14 @@
         if start:
             del self._buffer[:start]
         return messages
+
+
+def _extend_integers(value):
+    """Returns a value whose integers above 64 bits are of the extension type."""
+    if isinstance(value, dict):
+        return {key: _extend_integers(each) for key, each in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [_extend_integers(each) for each in value]
+    if isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
+        return msgspec.msgpack.Ext(LONG_INTEGER, str(value).encode())
+    return value
