Refuse configurations that are larger than a message between processes

What callers saw: a configuration of 9 MB after compression got no clear response, however often it was sent, and no other change was accepted meanwhile (a trial with three control processes; 24 s without a response).

Cause: operators may send 32 MiB and the log stores them, but a message holds 8 MiB. The other members close the link at each message with the entry.

--- a/src/figpick/configuration/__init__.py
+++ b/src/figpick/configuration/__init__.py
@@ -1,6 +1,6 @@
 """Configurations of routes, services and limits, and their replicated history."""
 
-from ._commands import ChangeSet, Departure, Refusal, encode_command
+from ._commands import ChangeSet, Departure, Refusal, check_size, encode_command
 from ._model import Configuration, Limits, Route, ServiceSettings, check
 from ._registry import (
     ACCEPTED,
@@ -26,5 +26,6 @@
     "ServiceSettings",
     "VersionConflictError",
     "check",
+    "check_size",
     "encode_command",
 ]
--- a/src/figpick/configuration/_commands.py
+++ b/src/figpick/configuration/_commands.py
@@ -10,8 +10,13 @@
 
 import msgspec
 
+from ..base._errors import Fault
+
 LOGGED_DIGEST_LENGTH = 12
 
+# A message between processes holds 8 MiB: such a document and a batch of others.
+MAX_DOCUMENT_BYTES = 6 * 1024 * 1024
+
 NEVER_CURRENT = -1
 REFUSAL = "refusal"
 DEPARTURE = "departure"
@@ -40,6 +45,19 @@
         }
 
 
+def check_size(change):
+    """Checks whether a change set can be sent to the other members of the quorum.
+
+    :param change: :class:`ChangeSet`.
+    :return: list of :class:`~figpick.exceptions.Fault`, empty if it can.
+    """
+    size = len(change.document)
+    if size <= MAX_DOCUMENT_BYTES:
+        return []
+    problem = f"{size} bytes after compression, at most {MAX_DOCUMENT_BYTES} fit"
+    return [Fault("", problem)]
+
+
 class Refusal(NamedTuple):
     """The refusal of a change set whose base is not known, which is final.
 
