Trust a refusal of an upstream only if it belongs to the call

A faulty upstream had written an earlier refusal once more on a kept connection, in front of the response. A request that must run once could be sent to a second upstream.

Cause: a refusal counts as "did not run and never will" for the call on whose connection it arrives. Copies with the id of another request were skipped, but not copies without an id, and not those for an attempt that the same upstream had refused before: the call may come to it again while it waits for a host.

Change: a refusal must carry the id of the request, if that has one, and must be the first one of this incarnation for this id. Any other is treated like a broken response: the call may have run.

Why this works: the first refusal with the id of a request can only be that of the request, since no other one had this id.

On the interface for applications, upstreams cannot state that a request was not run. Requests without an id, which the platform does not have, cannot be told apart.

--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -9,6 +9,7 @@
 from collections import deque
 
 from ..admission import AdmissionQueue, Refusal
+from ..base._expiring_table import ExpiringTable
 from ..base._logs import logger
 from ..directory import UpstreamView
 from ..placing import FailureShare, Load
@@ -46,6 +47,9 @@
 CRASH_WINDOW_S = 1.0
 # Recorded calls whose connections were lost; an upstream has fewer slots than this.
 MAX_BROKEN_CALLS = 1024
+# A call that waits for a host, which takes less, may come to one that has refused it.
+REFUSED_REQUEST_TTL_S = 60.0
+MAX_REFUSED_REQUESTS = 4096
 
 log = logger("owner")
 
@@ -81,6 +85,10 @@
         self._kept_bytes = 0
         self.running_requests = RunningRequests()
         self._broken_calls = deque(maxlen=MAX_BROKEN_CALLS)
+        # Keys of incarnations and ids of requests that they have refused.
+        self._refused_requests = ExpiringTable(
+            REFUSED_REQUEST_TTL_S, MAX_REFUSED_REQUESTS
+        )
         self._streaming_times_s = {}
         self._failures = FailureShare()
         self._failures_reported_at = 0.0
