Show that a response whose head is cut is no success

A report of other operators: an upstream stopped in the middle of the head of its response and closed, and clients got a 200 with an empty or short body that was framed as whole. This does not happen here.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -80,3 +80,34 @@
             assert response.body == direct.body
 
     asyncio.run(scenario())
+
+
+# Responses of at least so many bytes may be complete: without a length, the end of the
+# connection ends the body.
+HEAD_CUTS = {"length": 49, "chunked": 60, "close": 38}
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_truncated_head_never_looks_complete(resets):
+    """Guards against a success with an empty body, of which only the head began."""
+
+    sizes = []
+
+    def cut(link):
+        link.cut_after_bytes = sizes[-1] if sizes else None
+        link.reset_on_close = resets
+
+    async def scenario():
+        async with start_proxied_node(cut) as (graph, node, _, proxy):
+            whole = await call(graph, node, "GET", "/body/0/length/7")
+            assert whole.status == 200
+            for framing, whole_bytes in HEAD_CUTS.items():
+                for size in range(1, whole_bytes, 3):
+                    sizes.append(size)
+                    proxy.cut()
+                    # A request that was lost twice is not sent a third time.
+                    path = f"/body/10/{framing}/{size}"
+                    response = await call(graph, node, "GET", path)
+                    assert response.status in (0, 502, 503), (framing, size)
+
+    asyncio.run(scenario())
