Let stand-ins of three tests have what the code reads now

test_broken_messages proposed an object that is no command, test_control_links has a stand-in registry without departures, and test_endless_platform_calls a stand-in process that accepts heartbeats under the former name. Their asserts are the same. A new test shows that the end of an upstream is answered with 503 while it is not stored.

--- a/tests/test_broken_messages.py
+++ b/tests/test_broken_messages.py
@@ -11,6 +11,8 @@
 from figpick.links import Link
 from figpick.links._frames import encode_frame
 
+from .control_processes import change
+
 
 class Transport:
     is_aborted = False
@@ -40,10 +42,6 @@
     settings = ControlSettings("a", "dc-1", ("127.0.0.1", 1), (), False, str(tmp_path))
     member = QuorumMember(settings, Clock(), lambda *_: None, lambda: None)
 
-    class Change:
-        def _asdict(self):
-            return {}
-
-    arguments = (Change(),) if request_name == "propose" else ()
+    arguments = (change(1, 0),) if request_name == "propose" else ()
     with pytest.raises(NoQuorumError):
         asyncio.run(getattr(member, request_name)(*arguments))
--- a/tests/test_control_links.py
+++ b/tests/test_control_links.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from figpick.base._clock import Clock
+from figpick.configuration._departures import Departures
 from figpick.control import ControlProcess, ControlSettings
 from figpick.control._messages import Hello, QuorumMessage, RecordUpdate, encode
 from figpick.directory import CONTROL, HostRecord
@@ -87,10 +88,13 @@
         "a", "dc-1", ("127.0.0.1", 0), (UNREACHABLE,), False, str(tmp_path)
     )
     process = ControlProcess(settings, Clock())
-    member = process._member = SimpleNamespace(registry=SimpleNamespace(revision=5))
+    departures = Departures()
+    member = process._member = SimpleNamespace(
+        registry=SimpleNamespace(revision=5, departures=departures)
+    )
     process._on_applied()
     # The log on disk does not tell that its last entries are committed.
-    member.registry = SimpleNamespace(revision=3)
+    member.registry = SimpleNamespace(revision=3, departures=departures)
     process._on_applied()
     link = AcceptedLink()
     process._receive(link, list(encode(Hello("node", 7))))
--- a/tests/test_endless_platform_calls.py
+++ b/tests/test_endless_platform_calls.py
@@ -47,9 +47,14 @@
     def __init__(self):
         self.reports = []
         self.orders = []
+        self.are_ends_stored = True
 
-    def handle_report(self, report):
+    async def accept_report(self, report):
         self.reports.append(report)
+        return self.are_ends_stored
+
+    async def accept_leave(self, instance):
+        return self.are_ends_stored
 
     async def put(self, change_set):
         self.orders.append(change_set)
@@ -67,11 +72,12 @@
         await endpoints.finish(1.0)
 
 
-async def put(address, path, body):
+async def put(address, path, body, method=b"PUT"):
     """Sends a request and returns the status of its response."""
     reader, writer = await asyncio.open_connection(*address)
     writer.write(
-        b"PUT %b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % (path, len(body))
+        b"%b %b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        % (method, path, len(body))
     )
     writer.write(body)
     async with asyncio.timeout(4.0):
@@ -131,3 +137,16 @@
         body = document()[:-1] + b" " * 2_000_000 + b"}"
         assert await put(endpoint.address, b"/config", body) == 200
         assert len(endpoint.process.orders) == 1
+
+
+@pytest.mark.parametrize(("are_stored", "status"), [(True, 200), (False, 503)])
+@async_test
+async def test_end_of_an_upstream_that_is_not_stored_is_not_acknowledged(
+    are_stored, status
+):
+    """Guards against an acknowledgement that the loss of all processes takes back."""
+    async with serve(handlers.NODE_CONTROL_HANDLERS) as endpoint:
+        endpoint.process.are_ends_stored = are_stored
+        body = msgspec.json.encode({**HEARTBEAT, "state": "draining"})
+        assert await put(endpoint.address, b"/instances/i-1", body) == status
+        assert await put(endpoint.address, b"/instances/i-1", b"", b"DELETE") == status
