Ask for a departure to be stored less often

While no majority answers, each attempt of a node is a log line in two control processes. Three attempts fit into the time that an upstream waits.

--- a/src/figpick/nodes/_departures.py
+++ b/src/figpick/nodes/_departures.py
@@ -5,7 +5,7 @@
 from ..base._logs import logger
 
 # A process that does not answer is passed over after this time.
-RETRY_PERIOD_S = 0.25
+RETRY_PERIOD_S = 0.4
 # Upstreams wait one second for an acknowledgement.
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.85
 MAX_STORED = 64
