Move departures and reports of the upstream out of the process modules

What was added for departures and refusals, and the handling of reports, has modules of its own; nothing else changes.

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -4,14 +4,15 @@
 import random
 from functools import singledispatchmethod
 
-from ..base._errors import NoQuorumError, PeerError
+from ..base._errors import PeerError
 from ..base._expiring_table import ExpiringTable
 from ..base._logs import logger
 from ..base._supervisor import Supervisor
 from ..configuration import ChangeSet, Departure
 from ..directory import CONTROL, LEFT, NODE, Announcer, Directory, HostRecord
 from ..links import Dialer, Link, finish_links, listen
-from ._leader_requests import DEPART, PUT, READ, LeaderRequests
+from ._departures import DepartureAnnouncer
+from ._leader_requests import PUT, READ, LeaderRequests
 from ._membership import MembershipKeeper
 from ._messages import (
     CrashReport,
@@ -27,7 +28,6 @@
     RecordTable,
     RecordUpdate,
     RevisionUpdate,
-    StoredDepartures,
     deliver,
     encode,
 )
@@ -73,12 +73,12 @@
         self._accepted_links = set()
         self._crashes = ExpiringTable(CRASH_TTL_S, MAX_CRASHES)
         self._leader_requests = LeaderRequests(self._member, self._leader_link)
+        self._departures = DepartureAnnouncer(self._member, self._leader_requests)
         self._is_finished = False
         self._membership = MembershipKeeper(
             self._member, self._directory, self._link_to, settings.tolerated_losses
         )
         self._announced_revision = 0
-        self._announced_departure = 0
         self._tasks = set()
         self._metrics = None
         self._server = None
@@ -276,7 +276,7 @@
             records = [list(record) for record in self._directory]
             link.send(encode(RecordTable(records)))
             link.send(encode(RevisionUpdate(self._member.registry.revision)))
-            self._send_departures(link)
+            self._departures.send_all(link)
             # A process that starts again has forgotten them.
             for crash_id, _, fingerprints in self._crashes.items(
                 self._clock.monotonic()
@@ -327,21 +327,7 @@
 
     @_handle.register
     def _handle_departure(self, message: DepartureReport, link):
-        self._start(self._store_departure(link, Departure(*message)))
-
-    async def _store_departure(self, link, departure):
-        try:
-            await self._leader_requests.send(DEPART, departure._asdict())
-        except NoQuorumError as error:
-            fields = {**departure._asdict(), "reason": str(error)}
-            log.info("The end of an upstream is not stored.", extra=fields)
-        else:
-            link.send(encode(StoredDepartures([departure.incarnation])))
-
-    def _send_departures(self, link, after=0):
-        keys = self._member.registry.departures.of_host(link.peer, after)
-        if keys:
-            link.send(encode(StoredDepartures(keys)))
+        self._start(self._departures.store(Departure(*message), link))
 
     def _is_node(self, link):
         record = self._directory.get(link.peer)
@@ -378,17 +364,7 @@
         if revision != self._announced_revision:
             self._announced_revision = revision
             self._broadcast(RevisionUpdate(revision))
-        self._announce_departures()
-
-    def _announce_departures(self):
-        """Sends departures that were stored since the last call to their hosts."""
-        last = self._member.registry.departures.last_index
-        announced = self._announced_departure
-        if last == announced:
-            return
-        self._announced_departure = last
-        for link in list(self._accepted_links):
-            self._send_departures(link, announced if last > announced else 0)
+        self._departures.announce(self._accepted_links)
 
     def _broadcast(self, message):
         for link in list(self._accepted_links):
--- a/src/figpick/nodes/_departures.py
+++ b/src/figpick/nodes/_departures.py
@@ -24,7 +24,7 @@
     def __init__(self, send):
         self._send = send
         self._stored = {}
-        # Number of attempts and future of each departure that is not stored yet.
+        # By key of the incarnation.
         self._pending = {}
 
     def __repr__(self):
@@ -42,7 +42,7 @@
         """
         if key in self._stored or key in self._pending:
             return
-        self._pending[key] = [0, asyncio.get_running_loop().create_future()]
+        self._pending[key] = _PendingDeparture()
         if len(self._pending) > MAX_PENDING:
             del self._pending[next(iter(self._pending))]
         self._send_again(key)
@@ -52,11 +52,10 @@
         self._stored[key] = None
         if len(self._stored) > MAX_STORED:
             del self._stored[next(iter(self._stored))]
-        _, future = self._pending.pop(key, (0, None))
-        if future is not None:
+        pending = self._pending.pop(key, None)
+        if pending is not None:
             log.notice("The end of an upstream is stored.", extra={"instance": key})
-            if not future.done():
-                future.set_result(None)
+            pending.is_stored.set()
 
     async def keep(self, key):
         """Has a departure stored and waits for it, for a bounded time.
@@ -67,13 +66,15 @@
         self.add(key)
         if key in self._stored:
             return True
-        _, future = self._pending[key]
-        await asyncio.wait((future,), timeout=ACKNOWLEDGEMENT_TIMEOUT_S)
-        if key not in self._stored:
+        try:
+            async with asyncio.timeout(ACKNOWLEDGEMENT_TIMEOUT_S):
+                await self._pending[key].is_stored.wait()
+        except TimeoutError:
             log.warning(
                 "The end of an upstream is not stored yet.", extra={"instance": key}
             )
-        return key in self._stored
+            return False
+        return True
 
     async def run(self):
         """Retries until cancelled."""
@@ -83,6 +84,14 @@
                 self._send_again(key)
 
     def _send_again(self, key):
-        entry = self._pending[key]
-        entry[0] += 1
-        self._send(key, entry[0])
+        pending = self._pending[key]
+        pending.attempts += 1
+        self._send(key, pending.attempts)
+
+
+class _PendingDeparture:
+    """A departure that is not stored yet."""
+
+    def __init__(self):
+        self.attempts = 0
+        self.is_stored = asyncio.Event()
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -9,7 +9,6 @@
 from collections import deque
 
 from ..admission import AdmissionQueue, Refusal
-from ..base._expiring_table import ExpiringTable
 from ..base._logs import logger
 from ..directory import UpstreamView
 from ..placing import FailureShare, Load
@@ -35,6 +34,7 @@
 from ._owner_links import OwnerLinks
 from ._owner_notices import OwnerNotices
 from ._owner_queue import OwnerQueue
+from ._refused_requests import RefusedRequests
 from ._responses import ResponseRelay
 from ._upstream import UpstreamPool
 from ._upstream_notices import UpstreamNotices
@@ -47,9 +47,6 @@
 CRASH_WINDOW_S = 1.0
 # Recorded calls whose connections were lost; an upstream has fewer slots than this.
 MAX_BROKEN_CALLS = 1024
-# A call that waits for a host, which takes less, may come to one that has refused it.
-REFUSED_REQUEST_TTL_S = 60.0
-MAX_REFUSED_REQUESTS = 4096
 
 log = logger("owner")
 
@@ -85,10 +82,7 @@
         self._kept_bytes = 0
         self.running_requests = RunningRequests()
         self._broken_calls = deque(maxlen=MAX_BROKEN_CALLS)
-        # Keys of incarnations and ids of requests that they have refused.
-        self._refused_requests = ExpiringTable(
-            REFUSED_REQUEST_TTL_S, MAX_REFUSED_REQUESTS
-        )
+        self._refused_requests = RefusedRequests()
         self._streaming_times_s = {}
         self._failures = FailureShare()
         self._failures_reported_at = 0.0
@@ -276,8 +270,7 @@
 
     def _start(self, execution):
         now = self._clock.monotonic()
-        must_run_once = not execution.call.is_idempotent
-        connection = self._pool.take_idle(now, must_run_once)
+        connection = self._pool.take_idle(now, not execution.call.is_idempotent)
         if connection is not None:
             self._send(execution, connection)
             return
--- a/src/figpick/nodes/_responses.py
+++ b/src/figpick/nodes/_responses.py
@@ -73,11 +73,12 @@
     def _forward_response(self, execution, reader):
         now = self._clock.monotonic()
         is_unrun = reader.header(self._names.not_run) is not None
-        if (
-            is_unrun or reader.status == STATUS_MISDIRECTED
-        ) and not self._is_first_refusal(execution, reader, now):
-            self.on_connection_lost(execution, "the refusal may be that of another")
-            return
+        if is_unrun or reader.status == STATUS_MISDIRECTED:
+            echoed_id = reader.header(self._names.request_id)
+            if not self._refused_requests.add(execution.call, echoed_id, now):
+                reason = "the refusal may be that of another request"
+                self.on_connection_lost(execution, reason)
+                return
         if is_unrun:
             self._return_unrun(execution, reader)
             return
@@ -178,23 +179,6 @@
         connection, execution.connection = execution.connection, None
         connection.close()
 
-    def _is_first_refusal(self, execution, reader, now):
-        """Returns whether a refusal certainly belongs to a call, and records it.
-
-        A faulty upstream sends an earlier refusal again. It is told from that of the
-        call by the id of the request, unless this upstream has refused the same request
-        before.
-        """
-        call = execution.call
-        if not call.request_id:
-            return True
-        if reader.header(self._names.request_id) != call.request_id:
-            return False
-        key = call.instance, call.request_id
-        is_first = self._refused_requests.get(key, now) is None
-        self._refused_requests.put(key, True, now)
-        return is_first
-
     def _return_unrun(self, execution, reader):
         now = self._clock.monotonic()
         log_not_run(execution, reader.status, self._queue, now)
