Let upstreams of the soak announce their end before all processes are killed

The soak had leaving upstreams only in responses and reports, and no loss of all processes. Such an upstream may start again under its identity. The events have their own random numbers.

--- a/bench/soak_endpoints.py
+++ b/bench/soak_endpoints.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import struct
+import time
 
 from figpick.wire import HeaderNames, RequestReader
 
@@ -118,6 +119,7 @@
         self._control_address = control_address
         self._checker = checker
         self._instance_id = ""
+        self._started_ms = 0
         self._sequence = 0
         self._server = None
         self._heartbeat_task = None
@@ -127,9 +129,13 @@
         # Number of crashes that keep the upstream down; the last one restarts it.
         self._active_crashes = 0
 
-    async def start(self):
-        """Starts to listen and to send heartbeats with a new instance ID."""
-        self._instance_id = f"i-{random.getrandbits(32):08x}"
+    async def start(self, instance_id=None):
+        """Starts to listen and to send heartbeats.
+
+        :param instance_id: instance ID of an earlier start, a new one by default.
+        """
+        self._instance_id = instance_id or f"i-{random.getrandbits(32):08x}"
+        self._started_ms = int(time.time() * 1000)
         self._sequence = 0
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
@@ -191,24 +197,25 @@
 
     async def _send_heartbeats(self):
         while True:
-            self._sequence += 1
-            ip, port = self._announced_address
-            report = {
-                "service": self._service,
-                "address": f"{ip}:{port}",
-                "slots": SLOTS,
-                "state": "draining" if self._is_draining else "ready",
-                "sequence": self._sequence,
-            }
-            await send_request(
-                "PUT",
-                self._control_address,
-                f"/instances/{self._instance_id}",
-                report,
-                1.0,
-            )
+            await self._send_heartbeat(self._make_heartbeat())
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    def _make_heartbeat(self):
+        self._sequence += 1
+        ip, port = self._announced_address
+        return {
+            "service": self._service,
+            "address": f"{ip}:{port}",
+            "slots": SLOTS,
+            "state": "draining" if self._is_draining else "ready",
+            "sequence": self._sequence,
+            "born": self._started_ms,
+        }
+
+    async def _send_heartbeat(self, report):
+        path = f"/instances/{self._instance_id}"
+        await send_request("PUT", self._control_address, path, report, 1.0)
+
 
 class _Connection(asyncio.Protocol):
     """Connection to a stand-in upstream."""
--- a/bench/soak_responses.py
+++ b/bench/soak_responses.py
@@ -7,6 +7,7 @@
 
 from bench.soak_checks import NOT_RUN_STATUSES
 from bench.soak_cluster import GRACE_S
+from bench.soak_departures import DepartureChecker
 from bench.soak_documents import ROUTE_TIMEOUT_S
 from bench.soak_notices import NoticeChecker
 
@@ -84,6 +85,7 @@
         self._runs = defaultdict(list)
         self._windows = []
         self.notices = NoticeChecker(self._windows)
+        self.departures = DepartureChecker(self._windows)
         self._lags = []
         self._thread_lags = []
         self._stops = []
@@ -192,6 +194,7 @@
         violations = [*self._violations, *self._list_late_exits()]
         requests = {request.request_id: request for request in self._requests}
         violations += self.notices.list_violations(requests)
+        violations += self.departures.list_violations(requests)
         cut_without_stop = []
         self._exempt_count = 0
         for request in self._requests:
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -17,6 +17,7 @@
 from bench.soak_checks import SoakChecker
 from bench.soak_clients import STYLES, KeptClient, Request, send_once
 from bench.soak_cluster import GRACE_S, Cluster
+from bench.soak_departures import draw_departure
 from bench.soak_documents import (
     LOWERED_TIMEOUT_S,
     ROUTE_TIMEOUT_S,
@@ -33,7 +34,12 @@
     draw_disk_events,
 )
 from bench.soak_responses import APPLY_S, STABLE_S, ResponseChecker
-from bench.soak_signals import SignalledProcess, draw_events, draw_lowered_times
+from bench.soak_signals import (
+    Event,
+    SignalledProcess,
+    draw_events,
+    draw_lowered_times,
+)
 from bench.soak_upstreams import WorkingStandIn, draw_behaviours
 
 USUAL_SIZE = (3, 4)
@@ -81,6 +87,8 @@
         addresses = [self._cluster.address(n, "control") for n in range(controls)]
         self._operators = Operators(seed, addresses, self.changes)
         self._processes = []
+        # Held while control processes are disturbed.
+        self._control_lock = asyncio.Lock()
         self._replacements = Replacements(
             seed,
             self._cluster,
@@ -112,10 +120,15 @@
         print(json.dumps({"lowered": lowered_times}), flush=True)
         notices = draw_notices(self._seed, self._seconds, len(cluster.services))
         print(json.dumps({"notices": notices}), flush=True)
+        leaving = {notice.upstream for notice in notices if not notice.limit}
+        departure = draw_departure(
+            self._seed, sorted(set(range(len(cluster.services))) - leaving)
+        )
+        print(json.dumps({"departure": departure}), flush=True)
         try:
             if await self._start():
                 await self._run_traffic(
-                    node_events, control_events, lowered_times, notices
+                    node_events, control_events, lowered_times, notices, departure
                 )
         finally:
             for process in (*self._processes, *self._replacements.previous):
@@ -137,6 +150,7 @@
         figures = {"max_lag_s": round(self._max_lag_s, 2)}
         figures["max_memory_mb"] = max(self._memory_kb.values(), default=0) // 1000
         figures |= self.responses.notices.summary()
+        figures |= self.responses.departures.summary()
         figures["replaced"] = self._replacements.count
         return self.responses.summary() | self.changes.summary() | figures
 
@@ -201,7 +215,9 @@
         self._checker.record_recovery(not waiting, time.time() - started_at)
         return not waiting
 
-    async def _run_traffic(self, node_events, control_events, lowered_times, notices):
+    async def _run_traffic(
+        self, node_events, control_events, lowered_times, notices, departure
+    ):
         started_at = time.time()
         clients_until = started_at + self._seconds + GRACE_S
         tasks = [
@@ -227,6 +243,7 @@
             *(self._apply(event, started_at) for event in node_events),
             self._apply_control_events(control_events, started_at),
             *(self._apply_notice(notice, started_at) for notice in notices),
+            self._apply_departure(departure, started_at),
         )
         self._operators.is_stopped = True
         await asyncio.gather(*tasks)
@@ -297,6 +314,20 @@
         await asyncio.sleep(started_at + notice.at_s - time.time())
         await self._upstreams[notice.upstream].apply(notice)
 
+    async def _apply_departure(self, departure, started_at):
+        if departure is not None:
+            await asyncio.sleep(started_at + departure.at_s - time.time())
+            await self._upstreams[departure.upstream].depart(departure, self._lose_all)
+
+    async def _lose_all(self, down_for_s):
+        """Kills all processes but nodes that are disturbed already."""
+        async with self._control_lock:
+            started_at = time.time()
+            event = Event(0.0, "kill", 0, 1, 0.0, down_for_s)
+            await asyncio.gather(*(process.apply(event) for process in self._processes))
+            await self._operators.wait_until_read()
+            self.responses.record_window(None, "outage", started_at, time.time())
+
     async def _apply_control_events(self, events, started_at):
         """Applies the events of control processes, one after another."""
         for event in events:
@@ -304,11 +335,15 @@
             if event.kind == "reload":
                 await self._processes[event.target].apply(event)
                 continue
-            if event.kind.startswith(DISK_EVENTS):
-                await self._replace(event)
-                continue
-            for _ in range(event.count if event.kind.startswith("restart") else 1):
-                await self._operators.resend_during(lambda e=event: self._disturb(e))
+            async with self._control_lock:
+                await self._apply_control_event(event)
+
+    async def _apply_control_event(self, event):
+        if event.kind.startswith(DISK_EVENTS):
+            await self._replace(event)
+            return
+        for _ in range(event.count if event.kind.startswith("restart") else 1):
+            await self._operators.resend_during(lambda: self._disturb(event))
 
     async def _replace(self, event):
         is_leader = event.kind.endswith("leader")
--- a/bench/soak_upstreams.py
+++ b/bench/soak_upstreams.py
@@ -7,6 +7,7 @@
 from urllib.parse import parse_qs
 
 from bench.soak_clients import KeptConnection, Request, make_body
+from bench.soak_departures import announce_end
 from bench.soak_endless import draw_endless, send_without_end
 from bench.soak_endpoints import HEADER_NAMES, StandIn
 from bench.soak_responses import Run
@@ -149,6 +150,38 @@
         self._is_leaving = self._is_draining = False
         await self.start()
 
+    async def depart(self, departure, lose_all):
+        """Announces its end, serves on for a while and starts anew.
+
+        :param departure: :class:`~bench.soak_departures.Departure`.
+        :param lose_all: coroutine function that kills all processes and starts them
+            again after the given seconds.
+        """
+        departures, incarnation = self._responses.departures, self._incarnation
+        late_report = self._make_heartbeat()
+        self._heartbeat_task.cancel()
+        if await announce_end(
+            self._control_address,
+            self._instance_id,
+            self._make_heartbeat(),
+            departure.is_deleted,
+        ):
+            departures.record_acknowledged(incarnation)
+            if departure.loss_after_s >= 0:
+                await asyncio.sleep(departure.loss_after_s)
+                await lose_all(departure.down_for_s)
+                departures.record_loss(incarnation)
+        await asyncio.sleep(departure.late_by_s)
+        await self._send_heartbeat(late_report)
+        await asyncio.sleep(departure.serves_on_s)
+        self.stop()
+        self._responses.record_window(self._number, "leave", time.time(), time.time())
+        await self.start(self._instance_id if departure.keeps_identity else None)
+
+    @property
+    def _incarnation(self):
+        return f"{self._instance_id} {self._started_ms}"
+
     def _notice_headers(self):
         lines = f"Server-Stamp: s\r\nInstance-Id: {self._instance_id}\r\n"
         if self._limit:
@@ -173,6 +206,7 @@
     async def _run(self, connection, request):
         request_id = (request.header(HEADER_NAMES.request_id) or b"").decode()
         self._responses.notices.record_arrival(self._instance_id, request_id)
+        self._responses.departures.record_arrival(self._incarnation, request_id)
         run = Run(self._number, self._service, time.time())
         deadline_s = int(request.header(HEADER_NAMES.deadline_ms)) / 1000
         run.expires_at = run.started_at + deadline_s
