--- a/tests/test_oversized_configurations.py
+++ b/tests/test_oversized_configurations.py
@@ -15,8 +15,13 @@
 from figpick.links._frames import FrameReader, encode_frame
 
 from .control_processes import change
-from .test_platform_adapter import COLUMNS
-from .test_platform_run import CONTROL_IP, programs, request, wait_until  # noqa: F401
+from .test_platform_run import (  # noqa: F401
+    CONTROL_IP,
+    DOCUMENT,
+    programs,
+    request,
+    wait_until,
+)
 
 sys.path.append(str(Path(__file__).parents[1] / "platform"))
 
@@ -42,16 +47,8 @@
     ports, _ = programs
     address = f"http://{CONTROL_IP}:{ports['control']}/config"
     noise = base64.b64encode(os.urandom(9_000_000)).decode()
-    row = ["r-1", "h.example", "/a/", "idempotent", 1, 1, 0, None, 2, "s1"]
-    document = {
-        "version": "r2",
-        "baseVersion": 0,
-        "routes": {"columns": COLUMNS, "rows": [row]},
-        "services": {"columns": ["name", "healthPath"], "rows": [["s1", "/health"]]},
-        "limits": {},
-    }
     wait_until(lambda: request("GET", address)[0] == 503)
-    status, body = request("PUT", address, {**document, "comment": noise})
+    status, body = request("PUT", address, {**DOCUMENT, "comment": noise})
     assert status == 400
     assert b"bytes after compression" in body
-    wait_until(lambda: request("PUT", address, document)[0] == 200)
+    wait_until(lambda: request("PUT", address, DOCUMENT)[0] == 200)
--- a/tests/test_platform_run.py
+++ b/tests/test_platform_run.py
@@ -49,6 +49,16 @@
 """
 
 
+ROUTE = ["r-1", "h.example", "/a/", "idempotent", 1, 1, 0, None, 2, "s1"]
+DOCUMENT = {
+    "version": "r2",
+    "baseVersion": 0,
+    "routes": {"columns": COLUMNS, "rows": [ROUTE]},
+    "services": {"columns": ["name", "healthPath"], "rows": [["s1", "/health"]]},
+    "limits": {},
+}
+
+
 def request(method, url, value=None):
     """Returns status and body of a response; the status is 0 when there is none."""
     body = msgspec.json.encode(value) if value is not None else None
@@ -106,23 +116,15 @@
     control_url = f"http://{CONTROL_IP}:{ports['control']}"
     node_url = f"http://{NODE_IP}:{ports['control']}"
     ready_url = f"http://{NODE_IP}:{ports['ready']}/ready"
-    row = ["r-1", "h.example", "/a/", "idempotent", 1, 1, 0, None, 2, "s1"]
-    document = {
-        "version": "r2",
-        "baseVersion": 0,
-        "routes": {"columns": COLUMNS, "rows": [row]},
-        "services": {"columns": ["name", "healthPath"], "rows": [["s1", "/health"]]},
-        "limits": {},
-    }
-    wait_until(lambda: request("PUT", f"{control_url}/config", document)[0] == 200)
-    assert request("PUT", f"{control_url}/config", document)[0] == 200
-    other = {**document, "version": "r9", "baseVersion": "r1"}
+    wait_until(lambda: request("PUT", f"{control_url}/config", DOCUMENT)[0] == 200)
+    assert request("PUT", f"{control_url}/config", DOCUMENT)[0] == 200
+    other = {**DOCUMENT, "version": "r9", "baseVersion": "r1"}
     assert request("PUT", f"{control_url}/config", other)[0] == 412
-    invalid = {**document, "version": "r9", "baseVersion": "r2", "services": None}
+    invalid = {**DOCUMENT, "version": "r9", "baseVersion": "r2", "services": None}
     assert request("PUT", f"{control_url}/config", invalid)[0] == 400
     status, body = request("GET", f"{control_url}/config")
     assert status == 200
-    assert msgspec.json.decode(body) == document
+    assert msgspec.json.decode(body) == DOCUMENT
     wait_until(lambda: request("GET", ready_url)[0] == 200)
     heartbeat = {**HEARTBEAT, "address": f"{NODE_IP}:{ports['app']}"}
     assert request("PUT", f"{node_url}/instances/i-1", heartbeat)[0] == 200
