Count each arrival in the test of requests late in a stop

A second arrival of a request at the same upstream replaced the first one in the record, so a request that ran twice there would have passed.

--- a/tests/test_end_of_grace.py
+++ b/tests/test_end_of_grace.py
@@ -27,13 +27,15 @@
 
     def __init__(self, upstream):
         self._upstream = upstream
-        self.received = {}
+        # Ids of requests and the seconds at which they arrived.
+        self.received = []
         upstream.handler = self._work
 
     async def _work(self, connection, request):
         names = DEFAULT_HEADERS
         loop = asyncio.get_running_loop()
-        self.received[request.header(names.request_id).decode()] = loop.time()
+        request_id = request.header(names.request_id).decode()
+        self.received.append((request_id, loop.time()))
         work_s = float(request.target.rpartition(b"/")[2])
         deadline_s = int(request.header(names.deadline_ms)) / 1000
         await asyncio.sleep(min(work_s, deadline_s))
@@ -118,7 +120,7 @@
         await asyncio.gather(*sending)
         received = {}
         for upstream in upstreams:
-            for request_id, at in upstream.received.items():
+            for request_id, at in upstream.received:
                 received.setdefault(request_id, []).append(at - stopped_at)
         late = [at for times in received.values() for at in times if at > 0.5]
         assert len(late) > CLIENTS
