Play the test of late requests on the loop of the programs

A script of its own shows that asyncio's loop leaves a connection open that it accepted in the iteration in which its server closes. The programs run on uvloop, where such a connection reaches the node, which aborts it, and their exit closes the rest. The checks are the same.

--- a/tests/test_end_of_grace.py
+++ b/tests/test_end_of_grace.py
@@ -5,10 +5,11 @@
 from types import SimpleNamespace
 
 import pytest
+import uvloop
 
 from figpick.wire import DEFAULT_HEADERS
 
-from .fleet import Client, Fleet, async_test, make_configuration, make_routes
+from .fleet import Client, Fleet, make_configuration, make_routes
 
 GRACE_S = 6.0
 CLIENTS = 24
@@ -91,14 +92,20 @@
 
 @pytest.mark.parametrize("is_local", [True, False], ids=["own host", "other host"])
 @pytest.mark.parametrize("must_run_once", [True, False])
-@async_test
-async def test_request_that_is_passed_on_late_in_a_stop_gets_a_response(
+def test_request_that_is_passed_on_late_in_a_stop_gets_a_response(
     tmp_path, must_run_once, is_local
 ):
     """Guards against requests that are taken late in the grace time and cut at its end.
 
-    Clients keep using their connections, and open others, until the node is gone.
+    Clients keep using their connections, and open others, until the node is gone. The
+    loop is that of the programs: the one of asyncio leaves a connection open that it
+    has accepted just before its server closes, and here no exit closes it.
     """
+    uvloop.run(play_stop(tmp_path, must_run_once, is_local))
+
+
+async def play_stop(tmp_path, must_run_once, is_local):
+    """Stops a node under load and checks what each client and upstream observed."""
     services = ("parts", "parts") if is_local else ("entries", "parts", "parts")
     async with Fleet(tmp_path, services) as fleet:
         routes = tuple(route._replace(timeout_s=TIMEOUT_S) for route in make_routes())
