--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,126 @@
+"""Many downloads start at once; counts the connections that end without an answer."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+from harness_2 import CONNECTION_ERRORS, exchange, open_client, run_case  # noqa: E402
+
+HOST = "scans.example"
+LOOKUP_HOST = "entries.example"
+# One scanned logbook.
+FILE_BYTES = 2_000_000
+# Downloads in the usual time of BURST_S, and in a burst: 1.7 times as many.
+USUAL_DOWNLOADS = 76
+BURST_DOWNLOADS = 129
+BURST_S = 3.0
+# Lookups on the same machine in the usual time of BURST_S, and in a burst.
+USUAL_LOOKUPS = 200
+BURST_LOOKUPS = 340
+BURSTS = 3
+PAUSE_S = 0.5
+WORK_S = 0.096
+DEADLINE_MS = 5000
+# The rule allows this many connections that end without an answer.
+ALLOWED_LOSSES = 3
+
+
+async def serve(server, request):
+    """Answers a small request or a download after the work of the page."""
+    if request.path.startswith("/x/small"):
+        if request.request_id.startswith("lookup"):
+            await asyncio.sleep(WORK_S)
+        return b"small"
+    await asyncio.sleep(WORK_S)
+    return bytes(FILE_BYTES)
+
+
+async def download(deployment, client, number, delay_s):
+    """Downloads one file on a kept connection; returns whether it was answered."""
+    record = deployment.record
+    reader, writer = client
+    request_id = f"download-{number}"
+    await asyncio.sleep(delay_s)
+    record.write(f"{request_id} is sent")
+    try:
+        status, body, _ = await exchange(
+            reader, writer, "GET", HOST, "/x/file", request_id, deadline_ms=DEADLINE_MS
+        )
+    except CONNECTION_ERRORS as error:
+        record.write(f"{request_id}: the connection ends without an answer: {error!r}")
+        return False
+    record.write(f"{request_id}: status {status}, {len(body)} bytes")
+    return True
+
+
+async def look_up(client, request_id, delay_s):
+    """Makes a small request to the service on the machine of the client."""
+    await asyncio.sleep(delay_s)
+    status, _, _ = await exchange(
+        *client, "GET", LOOKUP_HOST, "/x/small", request_id, deadline_ms=DEADLINE_MS
+    )
+    return status
+
+
+async def open_clients(deployment, machine, host, count):
+    """Opens kept connections, on each of which one request has been answered."""
+    clients = []
+    for number in range(count):
+        client = await open_client(machine)
+        request_id = f"keep-{host}-{number}"
+        status, _, _ = await exchange(*client, "GET", host, "/x/small", request_id)
+        deployment.require(status == 200, f"a small request gets {status}")
+        clients.append(client)
+    return clients
+
+
+async def play_burst(deployment, burst, downloaders, lookers, step_s):
+    """Lets all clients send one request; returns the clients that got their file."""
+    lookups = [
+        look_up(client, f"lookup-{burst}-{number}", number * step_s)
+        for number, client in enumerate(lookers)
+    ]
+    downloads = [
+        download(deployment, client, f"{burst}-{number}", number * step_s)
+        for number, client in enumerate(downloaders)
+    ]
+    answered = await asyncio.gather(*downloads, *lookups)
+    statuses = answered[len(downloads) :]
+    deployment.record.write(f"lookups: {statuses.count(200)} of {len(lookups)} served")
+    outcomes = zip(downloaders, answered[: len(downloads)], strict=True)
+    return [client for client, is_whole in outcomes if is_whole]
+
+
+async def case(deployment, has_trouble):
+    """Returns whether more connections than allowed end without an answer."""
+    for _ in range(3):
+        deployment.add("control")
+    entry = deployment.add("node", "entries")
+    deployment.add("node", "scans")
+    routes = [(HOST, "download", 5, "scans"), (LOOKUP_HOST, "idempotent", 5, "entries")]
+    await deployment.start(routes, serve, slots=142)
+    downloads = BURST_DOWNLOADS if has_trouble else USUAL_DOWNLOADS
+    lookups = BURST_LOOKUPS if has_trouble else USUAL_LOOKUPS
+    downloaders = await open_clients(deployment, entry, HOST, downloads)
+    lookers = await open_clients(deployment, entry, LOOKUP_HOST, lookups)
+    # Usually the users come one after the other, in a burst all at once.
+    step_s = 0.0 if has_trouble else BURST_S / lookups
+    lost = 0
+    for burst in range(BURSTS):
+        await asyncio.sleep(PAUSE_S)
+        remaining = await play_burst(deployment, burst, downloaders, lookers, step_s)
+        lost += len(downloaders) - len(remaining)
+        downloaders = remaining
+    for _, writer in (*downloaders, *lookers):
+        writer.close()
+    server = deployment.servers[1]
+    deployment.record.write(
+        f"{server.run_count('download')} downloads run, {lost} lost, "
+        f"{server.own_failures} broken off by the server"
+    )
+    return lost > ALLOWED_LOSSES
+
+
+run_case(FOLDER, case)
