--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,149 +1,99 @@
-"""Many downloads start at once; counts the connections that end without an answer."""
+"""A heartbeat with unreadable bytes in its path; looks for requests nobody has sent."""
 
 import asyncio
 import sys
 from pathlib import Path
+from urllib.parse import quote
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 from harness_2 import (  # noqa: E402
     CONNECTION_ERRORS,
+    call_api,
     exchange,
     open_client,
-    read_answer,
     run_case,
-    send_request,
 )
 
-HOST = "scans.example"
-LOOKUP_HOST = "entries.example"
-# One scanned logbook.
-FILE_BYTES = 2_000_000
-# Downloads in the usual time of BURST_S, and in a burst: 1.7 times as many.
-USUAL_DOWNLOADS = 118
-BURST_DOWNLOADS = 200
-BURST_S = 3.0
-SLOTS = 215
-# Lookups on the same machine in the usual time of BURST_S, and in a burst.
-USUAL_LOOKUPS = 200
-BURST_LOOKUPS = 340
-BURSTS = 3
-PAUSE_S = 0.5
-WORK_S = 0.096
+HOST = "signoffs.example"
+CLIENTS = 4
+REQUESTS = 20
+WORK_S = 0.05
 DEADLINE_MS = 5000
-# The rule allows this many connections that end without an answer.
-ALLOWED_LOSSES = 3
+HEARTBEAT_AFTER_S = 0.3
+# What stands behind the id of the server in the path, percent-encoded.
+REST_OF_PATH = (
+    "\r\nContent-Length: 0\r\n\r\n"
+    "POST /x/nobody HTTP/1.1\r\nHost: signoffs.example\r\nAttempt-Id: nobody\r\nX: "
+)
 
 
 async def serve(server, request):
-    """Answers a small request or a download after the work of the page."""
-    if request.path.startswith("/x/small"):
-        if request.request_id.startswith("lookup"):
-            await asyncio.sleep(WORK_S)
-        return b"small"
+    """Records a signoff."""
+    record = server.deployment.record
+    record.write(f"{request.request_id}: {request.method} {request.path} is run")
     await asyncio.sleep(WORK_S)
-    return bytes(FILE_BYTES)
+    return b"recorded"
 
 
-async def fetch(deployment, client, name, delay_s):
-    """Sends a download and a lookup ahead; returns whether the lookup is answered."""
+async def send_signoffs(deployment, machine, number, sent):
+    """Sends signoffs on a kept connection."""
     record = deployment.record
-    reader, writer = client
-    await asyncio.sleep(delay_s)
-    ids = [f"download-{name}", f"behind-{name}"]
-    for request_id, path in zip(ids, ("/x/file", "/x/small"), strict=True):
-        await send_request(
-            writer, "GET", HOST, path, request_id, deadline_ms=DEADLINE_MS
-        )
-    record.write(f"{ids} are sent")
-    for request_id in ids:
+    reader, writer = await open_client(machine)
+    for count in range(REQUESTS):
+        request_id = f"signoff-{number}-{count}"
+        sent.add(request_id)
         try:
-            status, body, _ = await read_answer(reader)
+            status, _, _ = await exchange(
+                reader, writer, "GET", HOST, "/x/1", request_id, deadline_ms=DEADLINE_MS
+            )
         except CONNECTION_ERRORS as error:
             record.write(f"{request_id}: the connection ends: {error!r}")
-            return False
-        record.write(f"{request_id}: status {status}, {len(body)} bytes")
-    return True
-
-
-async def look_up(client, request_id, delay_s):
-    """Makes a small request to the service on the machine of the client."""
-    await asyncio.sleep(delay_s)
-    status, _, _ = await exchange(
-        *client, "GET", LOOKUP_HOST, "/x/small", request_id, deadline_ms=DEADLINE_MS
-    )
-    return status
-
+            reader, writer = await open_client(machine)
+            continue
+        record.write(f"{request_id}: status {status}")
+    writer.close()
 
-async def open_clients(deployment, machine, host, count):
-    """Opens kept connections, on each of which one request has been answered."""
-    clients = []
-    for number in range(count):
-        client = await open_client(machine)
-        request_id = f"keep-{host}-{number}"
-        status, _, _ = await exchange(*client, "GET", host, "/x/small", request_id)
-        deployment.require(status == 200, f"a small request gets {status}")
-        clients.append(client)
-    return clients
 
+async def send_heartbeat(deployment, server):
+    """Sends a heartbeat with missing fields and line ends in its path.
 
-async def play_burst(deployment, burst, fetchers, lookers, step_s):
-    """Lets all clients send at once or in turn.
-
-    :return: tuple of the clients whose connections are still open and the number of
-        connections that ended without an answer to a request that was run.
+    ``zone``, ``version``, ``coldLeftS`` and ``born`` are missing.
     """
-    lookups = [
-        look_up(client, f"lookup-{burst}-{number}", number * step_s)
-        for number, client in enumerate(lookers)
-    ]
-    names = [f"{burst}-{number}" for number in range(len(fetchers))]
-    fetches = [
-        fetch(deployment, client, name, number * step_s)
-        for number, (client, name) in enumerate(zip(fetchers, names, strict=True))
-    ]
-    answered = await asyncio.gather(*fetches, *lookups)
-    statuses = answered[len(fetches) :]
-    deployment.record.write(f"lookups: {statuses.count(200)} of {len(lookups)} served")
-    outcomes = list(zip(fetchers, names, answered[: len(fetches)], strict=True))
-    server = deployment.servers[1]
-    lost = sum(
-        server.has_run(f"behind-{name}") and not is_answered
-        for _, name, is_answered in outcomes
-    )
-    return [client for client, _, is_answered in outcomes if is_answered], lost
+    fields = {
+        "service": server.machine.service,
+        "address": f"{server.machine.ip}:{server.machine.app_port}",
+        "slots": server.slots,
+        "state": "ready",
+        "sequence": 1,
+    }
+    path = "/instances/" + quote(server.instance + REST_OF_PATH, safe="")
+    status, _ = await call_api(server.machine.control, "PUT", path, fields)
+    deployment.record.write(f"heartbeat of another writer, {path}: status {status}")
 
 
 async def case(deployment, has_trouble):
-    """Returns whether more connections than allowed end without an answer."""
+    """Returns whether the server runs a request whose id no client has sent."""
     for _ in range(3):
         deployment.add("control")
-    entry = deployment.add("node", "entries")
-    deployment.add("node", "scans")
-    routes = [(HOST, "download", 5, "scans"), (LOOKUP_HOST, "idempotent", 5, "entries")]
-    await deployment.start(routes, serve, slots=SLOTS)
-    downloads = BURST_DOWNLOADS if has_trouble else USUAL_DOWNLOADS
-    lookups = BURST_LOOKUPS if has_trouble else USUAL_LOOKUPS
-    fetchers = await open_clients(deployment, entry, HOST, downloads)
-    lookers = await open_clients(deployment, entry, LOOKUP_HOST, lookups)
-    # Usually the users come one after the other, in a burst all at once.
-    step_s = 0.0 if has_trouble else BURST_S / lookups
-    lost = 0
-    for burst in range(BURSTS):
-        await asyncio.sleep(PAUSE_S)
-        fetchers, newly_lost = await play_burst(
-            deployment, burst, fetchers, lookers, step_s
-        )
-        lost += newly_lost
-    for _, writer in (*fetchers, *lookers):
-        writer.close()
-    server = deployment.servers[1]
+    machine = deployment.add("node", "signoffs")
+    await deployment.start([(HOST, "non_idempotent", 5, "signoffs")], serve)
+    sent = set()
+    clients = [
+        asyncio.ensure_future(send_signoffs(deployment, machine, number, sent))
+        for number in range(CLIENTS)
+    ]
+    await asyncio.sleep(HEARTBEAT_AFTER_S)
+    server = deployment.servers[0]
+    if has_trouble:
+        await send_heartbeat(deployment, server)
+    await asyncio.gather(*clients)
+    unsent = [request_id for request_id in server.runs if request_id not in sent]
     deployment.record.write(
-        f"{server.run_count('download')} downloads run, {lost} connections end without "
-        f"an answer to a lookup that was run, {server.own_failures} answers broken off "
-        f"by the server"
+        f"{len(sent)} requests sent, {len(server.runs)} run, {len(unsent)} of them "
+        f"with an id that no client has sent"
     )
-    return lost > ALLOWED_LOSSES
+    return bool(unsent)
 
 
 run_case(FOLDER, case)
