--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,13 +6,7 @@
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from harness_2 import (  # noqa: E402
-    CONNECTION_ERRORS,
-    call_api,
-    exchange,
-    open_client,
-    run_case,
-)
+from harness_2 import run_case, send_in_turn, send_other_heartbeat  # noqa: E402
 
 HOST = "signoffs.example"
 OTHER_HOST = "entries.example"
@@ -29,42 +23,6 @@
     return b"recorded"
 
 
-async def send_signoffs(deployment, machine, number):
-    """Sends signoffs, which may run once, on a kept connection."""
-    record = deployment.record
-    reader, writer = await open_client(machine)
-    for count in range(REQUESTS):
-        request_id = f"signoff-{number}-{count}"
-        try:
-            status, _, _ = await exchange(
-                reader, writer, "POST", HOST, "/x/1", request_id,
-                body=b"signoff", deadline_ms=DEADLINE_MS,
-            )  # fmt: skip
-        except CONNECTION_ERRORS as error:
-            record.write(f"{request_id}: the connection ends: {error!r}")
-            reader, writer = await open_client(machine)
-            continue
-        record.write(f"{request_id}: status {status}")
-    writer.close()
-
-
-async def send_heartbeat(deployment, server):
-    """Sends a heartbeat with missing fields that names a service of another machine.
-
-    ``zone``, ``version``, ``coldLeftS`` and ``born`` are missing.
-    """
-    fields = {
-        "service": "signoffs",
-        "address": f"{server.machine.ip}:{server.machine.app_port}",
-        "slots": server.slots,
-        "state": "ready",
-        "sequence": 1,
-    }
-    path = f"/instances/{server.instance}"
-    status, _ = await call_api(server.machine.control, "PUT", path, fields)
-    deployment.record.write(f"heartbeat of another writer: status {status}")
-
-
 async def case(deployment, has_trouble):
     """Returns whether a server of another service runs a signoff."""
     for _ in range(3):
@@ -78,7 +36,15 @@
     await deployment.start(routes, serve)
     clients = [
         asyncio.ensure_future(
-            send_signoffs(deployment, deployment.nodes[number % 2], number)
+            send_in_turn(
+                deployment,
+                deployment.nodes[number % 2],
+                "POST",
+                HOST,
+                [f"signoff-{number}-{count}" for count in range(REQUESTS)],
+                body=b"signoff",
+                deadline_ms=DEADLINE_MS,
+            )
         )
         for number in range(CLIENTS)
     ]
@@ -86,7 +52,7 @@
     other = deployment.servers[0]
     deployment.require(other.machine is entries, "the servers are in another order")
     if has_trouble:
-        await send_heartbeat(deployment, other)
+        await send_other_heartbeat(deployment, other, "signoffs", other.instance)
     await asyncio.gather(*clients)
     runs = other.run_count("signoff")
     signoffs = deployment.servers[1].run_count("signoff")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,13 +7,7 @@
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from harness_2 import (  # noqa: E402
-    CONNECTION_ERRORS,
-    call_api,
-    exchange,
-    open_client,
-    run_case,
-)
+from harness_2 import run_case, send_in_turn, send_other_heartbeat  # noqa: E402
 
 HOST = "signoffs.example"
 CLIENTS = 4
@@ -36,57 +30,30 @@
     return b"recorded"
 
 
-async def send_signoffs(deployment, machine, number, sent):
-    """Sends signoffs on a kept connection."""
-    record = deployment.record
-    reader, writer = await open_client(machine)
-    for count in range(REQUESTS):
-        request_id = f"signoff-{number}-{count}"
-        sent.add(request_id)
-        try:
-            status, _, _ = await exchange(
-                reader, writer, "GET", HOST, "/x/1", request_id, deadline_ms=DEADLINE_MS
-            )
-        except CONNECTION_ERRORS as error:
-            record.write(f"{request_id}: the connection ends: {error!r}")
-            reader, writer = await open_client(machine)
-            continue
-        record.write(f"{request_id}: status {status}")
-    writer.close()
-
-
-async def send_heartbeat(deployment, server):
-    """Sends a heartbeat with missing fields and line ends in its path.
-
-    ``zone``, ``version``, ``coldLeftS`` and ``born`` are missing.
-    """
-    fields = {
-        "service": server.machine.service,
-        "address": f"{server.machine.ip}:{server.machine.app_port}",
-        "slots": server.slots,
-        "state": "ready",
-        "sequence": 1,
-    }
-    path = "/instances/" + quote(server.instance + REST_OF_PATH, safe="")
-    status, _ = await call_api(server.machine.control, "PUT", path, fields)
-    deployment.record.write(f"heartbeat of another writer, {path}: status {status}")
-
-
 async def case(deployment, has_trouble):
     """Returns whether the server runs a request whose id no client has sent."""
     for _ in range(3):
         deployment.add("control")
     machine = deployment.add("node", "signoffs")
     await deployment.start([(HOST, "non_idempotent", 5, "signoffs")], serve)
-    sent = set()
-    clients = [
-        asyncio.ensure_future(send_signoffs(deployment, machine, number, sent))
+    ids = [
+        [f"signoff-{number}-{count}" for count in range(REQUESTS)]
         for number in range(CLIENTS)
     ]
+    sent = {request_id for each in ids for request_id in each}
+    clients = [
+        asyncio.ensure_future(
+            send_in_turn(
+                deployment, machine, "GET", HOST, each, deadline_ms=DEADLINE_MS
+            )
+        )
+        for each in ids
+    ]
     await asyncio.sleep(HEARTBEAT_AFTER_S)
     server = deployment.servers[0]
     if has_trouble:
-        await send_heartbeat(deployment, server)
+        segment = quote(server.instance + REST_OF_PATH, safe="")
+        await send_other_heartbeat(deployment, server, "signoffs", segment)
     await asyncio.gather(*clients)
     unsent = [request_id for request_id in server.runs if request_id not in sent]
     deployment.record.write(
