--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	$(BIN)/ruff check .
 
 test: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -m "not memory"
+	$(BIN)/python -m pytest -m memory
 
 demo: setup
 	$(BIN)/python -m bench.demo
