--- a/tests/endless_bytes.py
+++ b/tests/endless_bytes.py
@@ -15,7 +15,7 @@
 # The buffers of a loopback connection hold up to this much.
 SOCKET_BUFFER_BYTES = 12 * 1024 * 1024
 # An upstream gives up after so many bytes, so that a test without a bound ends.
-MAX_SENT_BYTES = 96 * 1024 * 1024
+MAX_SENT_BYTES = 2 * 1024 * 1024 * 1024
 MAX_TRACED_BYTES = 8 * 1024 * 1024
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
