Hold one copy of a body, and charge what clients send to one account

Seen by callers: a body of 60 MB to an upstream on another host got 502 or 504; the first one of a process took its node to 337 MB, 300 allowed, with the upstream on the same host. A few dozen bodies of legal size, whole or stopped short, 60 pipelined heads of thousands of lines, and unfinished heads took nodes above their memory, and the platform ends such a process.

Cause: nothing counted what a client makes a node hold. A body was held in its parts, their join, the messages to the owner, the owner's parts, their join and the buffer of the transport; all parts were written to a link at once, which closes above 2 MiB. A header line of four bytes took a tuple and two objects. Only the number of pipelined requests was bounded.

Now the parts of a body are never joined, an owner grants credit for them once its upstream reads, and a link that is congested takes no further parts. An account, a share of the host's memory, is charged from the first byte of a request to the last byte of its response; connections without progress are refused first. Of a head only the text is kept after 64 lines. Received bytes are parsed in slices, in turns.

--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -4,6 +4,7 @@
 import fcntl
 import sys
 import termios
+from collections import deque
 
 from ..base._logs import logger
 from ._frames import FrameError, FrameReader, encode_frame
@@ -12,8 +13,10 @@
 # after a second, so the first attempts are short. Later ones allow for a slow link.
 MIN_CONNECT_TIMEOUT_S = 0.15
 MAX_CONNECT_TIMEOUT_S = 1.0
+# Above this number of unsent bytes, parts of bodies wait until they are written.
+CONGESTED_BYTES = 512 * 1024
 # Limits the memory for unsent messages to a peer that does not read.
-WRITE_HIGH_WATER_BYTES = 2 * 1024 * 1024
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
 PING_INTERVAL_S = 0.5
 # A connection can fail silently, without a reset. A healthy peer replies to a ping at
 # once, a peer on a loaded processor within a few hundred milliseconds.
@@ -31,6 +34,7 @@
 BACKOFF_FACTOR = 1.25
 FINISH_POLL_PERIOD_S = 0.01
 
+
 PING = "ping"
 PONG = "pong"
 
@@ -54,7 +58,12 @@
         self._reader = FrameReader()
         self._frame_started_at = None
         self._is_open = False
+        self._has_ended = False
         self._is_finishing = False
+        self._is_congested = False
+        self._waiting = deque()
+        # Whether the owner at the other end grants credit for the bodies of requests.
+        self.grants_body_credit = False
         self.last_received_at = 0.0
         self.peer = None
 
@@ -66,6 +75,11 @@
         """Whether messages can be sent."""
         return self._is_open
 
+    @property
+    def has_ended(self):
+        """Whether the link was open and is closed now."""
+        return self._has_ended
+
     @property
     def unsent_bytes(self):
         """Number of bytes that have not been passed to the network yet."""
@@ -88,7 +102,7 @@
 
     def connection_made(self, transport):
         self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        transport.set_write_buffer_limits(high=CONGESTED_BYTES)
         self._is_open = True
         self.last_received_at = self._clock.monotonic()
 
@@ -115,6 +129,11 @@
             elif kind != PONG:
                 self._deliver(message)
 
+    def _free(self):
+        """Frees what is held for a link that is closed."""
+        self._has_ended = True
+        self._waiting.clear()
+
     def _is_frame_overdue(self, has_completed):
         """Returns whether the last frame has been incomplete for too long.
 
@@ -136,21 +155,43 @@
             # link.
             log.exception("Message {!r} from {} failed.", message[0], self.peer)
 
+    @property
+    def is_congested(self):
+        """Whether parts of bodies have to wait until other messages are written."""
+        return self._is_congested
+
+    def call_when_writable(self, send):
+        """Calls a function once the link is no longer congested.
+
+        It is not called if the link closes before.
+        """
+        self._waiting.append(send)
+
     def pause_writing(self):
-        # The peer has stopped reading: fail its calls instead of buffering without
-        # limit.
-        log.warning("Link to {} closed: the peer does not read.", self.peer)
-        self.close()
+        self._is_congested = True
+
+    def resume_writing(self):
+        self._is_congested = False
+        for _ in range(len(self._waiting)):
+            if self._is_congested:
+                return
+            self._waiting.popleft()()
 
     def connection_lost(self, error):
         if self._is_open:
             self._is_open = False
+            self._free()
             self._on_closed(self)
 
     def send(self, message):
         """Sends a message, or drops it if the link is closed."""
         if self._is_open and not self._is_finishing:
             self._transport.write(encode_frame(message))
+            if self._is_congested and self.unsent_bytes > MAX_UNSENT_BYTES:
+                # The peer has stopped reading: fail its calls instead of buffering
+                # without limit.
+                log.warning("Link to {} closed: the peer does not read.", self.peer)
+                asyncio.get_running_loop().call_soon(self.close)
 
     def probe(self):
         """Requests a message from the peer, which updates ``last_received_at``."""
@@ -160,6 +201,7 @@
         """Closes the connection at once and discards unsent data."""
         if self._is_open:
             self._is_open = False
+            self._free()
             self._transport.abort()
             self._on_closed(self)
 
--- a/src/figpick/nodes/_calls.py
+++ b/src/figpick/nodes/_calls.py
@@ -16,7 +16,7 @@
     :param now: monotonic seconds.
     """
 
-    __slots__ = ("number", "call", "peer", "sent_at", "is_streaming")
+    __slots__ = ("number", "call", "peer", "sent_at", "is_streaming", "body_sender")
 
     def __init__(self, number, call, peer, now):
         self.number = number
@@ -24,6 +24,8 @@
         self.peer = peer
         self.sent_at = now
         self.is_streaming = False
+        # Sends the rest of a large body, ``None`` if there is none.
+        self.body_sender = None
 
     def __repr__(self):
         return f"<Attempt {self.number} at {self.peer.name}>"
@@ -55,6 +57,7 @@
         "parent",
         "head",
         "body",
+        "body_bytes",
         "attempts",
         "tried_hosts",
         "placements",
@@ -89,7 +92,9 @@
         self.is_retry = False
         self.parent = None
         self.head = b""
-        self.body = b""
+        # The parts of the body, never joined: a copy would take as much again.
+        self.body = []
+        self.body_bytes = 0
         self.attempts = {}
         self.tried_hosts = set()
         # Number of hosts to which the call was sent.
@@ -133,6 +138,13 @@
         """The id of the client's attempt, as text for logs."""
         return self.request_id.decode("latin-1")
 
+    def discard_body(self):
+        """Frees the body, which no further attempt needs."""
+        self.body = []
+        self.request.body = []
+        self.request.discard_headers()
+        self.response.release_body()
+
     def send_error(self, status, text, retry_after_s=None):
         """Sends an error response of figpick itself.
 
--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -7,12 +7,24 @@
 from collections import deque
 
 from ..base._logs import logger
-from ..wire import RequestReader, render_error_response
+from ..base._memory import Holder
+from ..wire import render_error_response
 from ._call_logging import call_state, log_behind_close, log_cut
 from ._client_responses import ResponseWriter
+from ._request_intake import (
+    LARGE_BODY_BYTES,
+    REASON_NO_MEMORY,
+    STATUS_UNAVAILABLE,
+    RequestIntake,
+)
 
 # Reading from a connection pauses above this number of open requests.
 MAX_PIPELINED_REQUESTS = 64
+# The same for the memory that they take; a large body counts as LARGE_BODY_BYTES.
+MAX_PIPELINED_BYTES = 512 * 1024
+# Memory of an open connection, and of an open request beside its head and body.
+CONNECTION_BYTES = 6 * 1024
+OPEN_REQUEST_BYTES = 4 * 1024
 # A streamed response pauses while its client has more unread bytes than this.
 WRITE_BUFFER_HIGH_BYTES = 256 * 1024
 # A client that reads nothing for this long, while bytes wait for it, is disconnected.
@@ -23,13 +35,13 @@
 # A connection that is closing discards at most this many bytes of further requests.
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 STATUS_REQUEST_TIMEOUT = 408
-STATUS_UNAVAILABLE = 503
+REASON_STOPS = "the node stops"
 REJECTION_TEXTS = {STATUS_REQUEST_TIMEOUT: "the request is not complete in time"}
 
 log = logger("entry")
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.Protocol, Holder):
     """One connection of a client.
 
     :param entry: :class:`~figpick.nodes._entry.EntryServer` that accepted it.
@@ -39,12 +51,17 @@
         self._entry = entry
         self._transport = None
         self._responses = deque()
-        self._reader = RequestReader(
-            self._on_request, entry.max_header_bytes, entry.max_body_bytes
-        )
+        self._account = entry.account
+        self._intake = RequestIntake(self, entry, self._on_request)
+        # Memory of the open requests, and of responses that the client has not read.
+        self._pipelined_bytes = 0
+        self._output_bytes = 0
+        self.pending_bytes = 0
         self._is_closing = False
         self._is_reading_paused = False
         self._is_writing_paused = False
+        # Whether the account knows that the client does not read.
+        self._is_unread = False
         self._reading_resumed_at = 0.0
         self.idle_since = 0.0
         self._last_request_id = b""
@@ -57,6 +74,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
         self.idle_since = self._entry.now()
+        self._account.add(CONNECTION_BYTES)
         self._entry.connections.add(self)
         if self._entry.is_closed:
             # The event loop had accepted it before the server was closed.
@@ -65,20 +83,11 @@
     def data_received(self, data):
         if self._is_closing:
             self.discarded_bytes += len(data)
-            if (
-                self.discarded_bytes > MAX_DISCARDED_BYTES
-                and not self._is_reading_paused
-            ):
-                self._is_reading_paused = True
-                self._transport.pause_reading()
+            self.update_reading()
         else:
-            self._reader.feed(data, self._entry.now())
-            if (
-                len(self._responses) > MAX_PIPELINED_REQUESTS
-                and not self._is_reading_paused
-            ):
-                self._is_reading_paused = True
-                self._transport.pause_reading()
+            self._intake.receive(data, self._entry.now())
+            if self._intake.has_unparsed or self.is_blocked:
+                self.update_reading()
 
     def pause_writing(self):
         self._is_writing_paused = True
@@ -92,11 +101,49 @@
         self._is_closing = True
         self._entry.forget(self)
         self._abandon_calls()
+        self._intake.discard()
+        self._account.forget(self)
+        self._account.add(-CONNECTION_BYTES - self._output_bytes)
+        self._output_bytes = 0
+
+    @property
+    def account(self):
+        """The :class:`~figpick.base._memory.MemoryAccount` of the process."""
+        return self._account
+
+    @property
+    def is_closing(self):
+        """Whether no further requests are taken."""
+        return self._is_closing
+
+    @property
+    def is_blocked(self):
+        """Whether no further requests are parsed until responses have been read."""
+        return not self._is_closing and (
+            self._is_writing_paused
+            or len(self._responses) > MAX_PIPELINED_REQUESTS
+            or self._pipelined_bytes > MAX_PIPELINED_BYTES
+        )
+
+    def update_reading(self):
+        """Pauses or resumes reading."""
+        if self._is_closing:
+            must_pause = self.discarded_bytes > MAX_DISCARDED_BYTES
+        else:
+            must_pause = self._intake.has_unparsed or self.is_blocked
+        if must_pause == self._is_reading_paused:
+            return
+        self._is_reading_paused = must_pause
+        if must_pause:
+            self._transport.pause_reading()
+        else:
+            self._reading_resumed_at = self._entry.now()
+            self._transport.resume_reading()
 
     @property
     def is_idle(self):
         """Whether no request is being received or waiting for its response."""
-        return not self._responses and not self._reader.has_partial_request
+        return not self._responses and not self._intake.has_partial_request
 
     def closes_after(self, response):
         """Returns whether the connection closes after a response.
@@ -105,7 +152,7 @@
         requests after a response that closes it would be lost, although they may run.
         """
         is_last = (
-            response is self._responses[-1] and not self._reader.has_partial_request
+            response is self._responses[-1] and not self._intake.has_partial_request
         )
         return not response.keeps_alive or (self._entry.is_stopping and is_last)
 
@@ -115,8 +162,9 @@
         An idle connection whose client has not received all responses stays open: its
         close would become a reset if the client has sent a further request.
         """
-        if self._reader.has_partial_request:
-            self._reader.reject(STATUS_UNAVAILABLE)
+        self._intake.parse_all(self._entry.now())
+        if self._intake.has_partial_request:
+            self._intake.reject(STATUS_UNAVAILABLE)
         elif not self._is_closing and self.is_drained(self._entry.now()):
             self.close_gracefully()
 
@@ -128,8 +176,7 @@
     @property
     def unsent_bytes(self):
         """Bytes of responses that were not yet handed to the kernel."""
-        pending = sum(len(part) for each in self._responses for part in each.pending)
-        return pending + self._transport.get_write_buffer_size()
+        return self.pending_bytes + self._transport.get_write_buffer_size()
 
     @property
     def unacknowledged_bytes(self):
@@ -182,6 +229,20 @@
 
     def flush(self):
         """Writes the available response data, in the order of the requests."""
+        self._write_responses()
+        self._charge_output()
+        if (
+            self._is_reading_paused
+            and not self._is_closing
+            and self._takes_requests_again
+        ):
+            self._intake.resume()
+            self.update_reading()
+
+    def reclaim(self, now):
+        self._cut("the client does not read, and others need its memory", now)
+
+    def _write_responses(self):
         responses = self._responses
         while (
             responses
@@ -211,6 +272,7 @@
             elif not response.is_complete:
                 return
             responses.popleft()
+            self._release(response)
             if response.call is not None:
                 self._last_request_id = response.call.request_id
             if not response.keeps_alive:
@@ -218,10 +280,6 @@
                 return
         if not responses:
             self.idle_since = self._entry.now()
-        if self._is_reading_paused and len(responses) < MAX_PIPELINED_REQUESTS // 2:
-            self._is_reading_paused = False
-            self._reading_resumed_at = self._entry.now()
-            self._transport.resume_reading()
 
     def enforce_timeouts(self, now, limits):
         """Ends the connection if its client is idle or slow for too long.
@@ -229,6 +287,8 @@
         :param now: monotonic seconds.
         :param limits: :class:`~figpick.configuration.Limits`.
         """
+        if self._output_bytes:
+            self._charge_output()
         if self._is_lingering:
             if self._has_lingered(now):
                 self._cut("the client does not read", now)
@@ -241,13 +301,13 @@
             if now - self.idle_since > limits.idle_timeout_s:
                 self._close_idle(now)
             return
-        started_at = self._reader.started_at
+        started_at = self._intake.started_at
         if started_at is None or self._is_reading_paused:
             return
         # The client can only send the rest while this node reads.
         waited_s = now - max(started_at, self._reading_resumed_at)
         if waited_s > limits.header_timeout_s:
-            self._reader.reject(STATUS_REQUEST_TIMEOUT)
+            self._intake.reject(STATUS_REQUEST_TIMEOUT)
 
     def _on_request(self, request):
         if self._is_closing:
@@ -256,6 +316,9 @@
         response = ResponseWriter(self, request.keeps_alive, is_head)
         self._responses.append(response)
         status = request.error_status
+        reason = request.error_reason or REASON_STOPS
+        if status is None and not self._charge(request, response):
+            status, reason = STATUS_UNAVAILABLE, REASON_NO_MEMORY
         if status is None and self._entry.is_refusing:
             status = STATUS_UNAVAILABLE
         forwarder = self._entry.forwarder
@@ -266,9 +329,7 @@
                 log.exception("A request cannot be handled.")
                 response.abort("the node cannot handle the request")
         elif status == STATUS_UNAVAILABLE:
-            response.call = forwarder.refuse_request(
-                request, response, "the node stops"
-            )
+            response.call = forwarder.refuse_request(request, response, reason)
         else:
             text = REJECTION_TEXTS.get(status, "the request is malformed")
             head, body = render_error_response(status, text)
@@ -313,9 +374,8 @@
         self._abandon_calls()
         self._is_lingering = True
         self._note_progress(self._entry.now())
-        if self._is_reading_paused and self.discarded_bytes <= MAX_DISCARDED_BYTES:
-            self._is_reading_paused = False
-            self._transport.resume_reading()
+        self._intake.discard()
+        self.update_reading()
         try:
             self._transport.write_eof()
         except OSError as error:
@@ -344,8 +404,53 @@
         for response in self._responses:
             if response.call is not None:
                 self._entry.forwarder.abandon(response.call)
+            self._release(response)
         self._responses.clear()
 
+    @property
+    def _takes_requests_again(self):
+        return (
+            not self.is_blocked
+            and len(self._responses) < MAX_PIPELINED_REQUESTS // 2
+            and self._pipelined_bytes <= MAX_PIPELINED_BYTES // 2
+        )
+
+    def _charge(self, request, response):
+        """Charges a complete request until its response has ended.
+
+        :return: whether the account has room for it.
+        """
+        # Until now, it was charged as a partial request.
+        self._intake.release()
+        size = OPEN_REQUEST_BYTES + request.held_bytes
+        if not self._account.has_room(size, self._entry.now()):
+            request.body = []
+            return False
+        head_bytes = OPEN_REQUEST_BYTES + request.head_bytes
+        response.hold_request(head_bytes, size - head_bytes)
+        self._pipelined_bytes += min(size, LARGE_BODY_BYTES)
+        return True
+
+    def _release(self, response):
+        self._pipelined_bytes -= min(response.request_bytes, LARGE_BODY_BYTES)
+        response.release_request()
+
+    def _charge_output(self):
+        """Charges the responses that the client has not read."""
+        if self._transport.is_closing():
+            return
+        if self._is_unread != self._is_writing_paused:
+            self._is_unread = self._is_writing_paused
+            self._account.set_unread(self, self._is_unread)
+        size = self.pending_bytes + self._transport.get_write_buffer_size()
+        growth = size - self._output_bytes
+        if not growth:
+            return
+        self._output_bytes = size
+        self._account.add(growth)
+        if growth > 0:
+            self._account.has_room(0, self._entry.now())
+
 
 def _unacknowledged_bytes(transport):
     if transport.is_closing():
--- a/src/figpick/nodes/_client_responses.py
+++ b/src/figpick/nodes/_client_responses.py
@@ -2,6 +2,7 @@
 
 from ..wire import render_error_response
 from ._calls import STATUS_FAILED
+from ._request_intake import LARGE_BODY_BYTES
 
 
 class ResponseWriter:
@@ -24,6 +25,10 @@
         "is_complete",
         "is_broken",
         "is_chunked",
+        "request_bytes",
+        "_head_bytes",
+        "_body_bytes",
+        "_pending_bytes",
     )
 
     def __init__(self, connection, keeps_alive, is_head):
@@ -40,6 +45,37 @@
         self.is_complete = False
         self.is_broken = False
         self.is_chunked = False
+        # Memory of the request, as long as it is charged.
+        self.request_bytes = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._pending_bytes = 0
+
+    def hold_request(self, head_bytes, body_bytes):
+        """Charges the request until it is released.
+
+        :param head_bytes: memory of the request without its body.
+        :param body_bytes: memory of its body.
+        """
+        self.request_bytes = head_bytes + body_bytes
+        self._head_bytes, self._body_bytes = head_bytes, body_bytes
+        self.connection.account.add(self.request_bytes, self._large_bytes)
+
+    def release_body(self):
+        """Frees what the body of the request was charged, since it is not needed."""
+        self.connection.account.add(-self._body_bytes, -self._large_bytes)
+        self._body_bytes = 0
+
+    def release_request(self):
+        """Frees what the request and unsent data of the response were charged."""
+        self.release_body()
+        self.connection.account.add(-self._head_bytes)
+        self._head_bytes = self.request_bytes = 0
+        self._discard_pending()
+
+    @property
+    def _large_bytes(self):
+        return self._body_bytes if self._body_bytes > LARGE_BODY_BYTES else 0
 
     def start(self, status, head, length, body, is_last):
         """Adds the head and the first part of the body.
@@ -83,7 +119,7 @@
             self.is_broken = True
             self.connection.flush()
             return
-        self.pending = []
+        self._discard_pending()
         head, body = render_error_response(STATUS_FAILED, text)
         self.start(STATUS_FAILED, head, len(body), body, True)
 
@@ -94,12 +130,18 @@
         """
         data = b"".join(self.pending)
         body_bytes = self.pending_body_bytes
-        self.pending = []
-        self.pending_body_bytes = 0
+        self._discard_pending()
         return data, body_bytes
 
+    def _discard_pending(self):
+        self.connection.pending_bytes -= self._pending_bytes
+        self.pending = []
+        self.pending_body_bytes = self._pending_bytes = 0
+
     def _add_body(self, body, is_last):
         self.pending_body_bytes += len(body)
+        self._pending_bytes += len(body)
+        self.connection.pending_bytes += len(body)
         if not self.is_chunked:
             if body:
                 self.pending.append(body)
--- a/src/figpick/nodes/_dispatching.py
+++ b/src/figpick/nodes/_dispatching.py
@@ -9,10 +9,9 @@
     RetryBudget,
 )
 from ..placing import choose
+from ._body_sending import BodySender, first_part
 from ._calls import Attempt
 from ._messages import (
-    BODY_PART,
-    BODY_PART_BYTES,
     CALL,
     CANCEL,
     REASON_STOPPED,
@@ -180,8 +179,8 @@
         call.attempts[attempt.number] = attempt
         peer.attempts[attempt.number] = attempt
         peer.target.sent_since_report += 1
-        body = call.body
-        first_part = body[:BODY_PART_BYTES]
+        body = first_part(call.body)
+        link = peer.link
         message = CallMessage(
             instance=peer.instance,
             rank=call.rank,
@@ -196,15 +195,16 @@
             request_id=call.request_id,
             is_head=call.request.method == b"HEAD",
             head=call.head,
-            body=first_part,
-            is_complete=len(first_part) == len(body),
-            body_bytes=len(body),
+            body=body,
+            is_complete=len(body) == call.body_bytes,
+            body_bytes=call.body_bytes,
         )
-        peer.link.send((CALL, attempt.number, *message))
-        for start in range(BODY_PART_BYTES, len(body), BODY_PART_BYTES):
-            part = body[start : start + BODY_PART_BYTES]
-            is_last = start + BODY_PART_BYTES >= len(body)
-            peer.link.send((BODY_PART, attempt.number, part, is_last))
+        link.send((CALL, attempt.number, *message))
+        if not message.is_complete:
+            attempt.body_sender = BodySender(
+                attempt, link, call.body, len(body), call.body_bytes
+            )
+            attempt.body_sender.send()
         if (
             call.route.is_idempotent
             and call.used_attempts == 0
@@ -252,6 +252,8 @@
 
     def forget(self, attempt):
         """Removes an attempt that has ended."""
+        if attempt.body_sender is not None:
+            attempt.body_sender.stop()
         attempt.call.attempts.pop(attempt.number, None)
         attempt.peer.attempts.pop(attempt.number, None)
 
--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -3,8 +3,10 @@
 import asyncio
 
 from ..base._logs import logger
+from ..base._memory import DEFAULT_MEMORY_BYTES, MemoryAccount, account_bytes
 from ..configuration import Limits
 from ._client_connections import ClientConnection
+from ._turns import ParsingTurns
 
 TIMEOUT_CHECK_PERIOD_S = 1.0
 # Above this number the longest closed connection no longer waits for its client.
@@ -20,11 +22,15 @@
 
     :param forwarder: :class:`~figpick.nodes._forwarding.Forwarder` of the requests.
     :param clock: :class:`~figpick.base._clock.Clock`.
+    :param account: :class:`~figpick.base._memory.MemoryAccount` of the process, by
+        default one of its own.
     """
 
-    def __init__(self, forwarder, clock):
+    def __init__(self, forwarder, clock, account=None):
         self.forwarder = forwarder
         self._clock = clock
+        self.account = account or MemoryAccount(account_bytes(DEFAULT_MEMORY_BYTES))
+        self.turns = ParsingTurns(clock)
         self._server = None
         self.connections = set()
         # A dict keeps the order in which they closed.
--- a/src/figpick/nodes/_executions.py
+++ b/src/figpick/nodes/_executions.py
@@ -6,10 +6,13 @@
 from ..admission import Ticket
 from ..directory import parse_incarnation
 from ..wire import render_field
+from ._messages import BODY_WINDOW_BYTES
 
 # A queued call is refused this long before its caller times out.
 QUEUE_MARGIN_S = 0.03
 ID_SEPARATOR = b"."
+# Memory of a call beside its head and body.
+EXECUTION_BYTES = 4 * 1024
 # A nested call carries the deadline of its parent request, less the time that the
 # upstream and the network took. As seen by the node, its deadline may be this much
 # earlier or later than that of the parent.
@@ -29,6 +32,15 @@
     return digest.hexdigest()
 
 
+def memory_bytes(call):
+    """Returns the memory that a call takes at its owner.
+
+    :param call: :class:`CallMessage`.
+    """
+    window_bytes = min(call.body_bytes - len(call.body), BODY_WINDOW_BYTES)
+    return EXECUTION_BYTES + len(call.head) + len(call.body) + window_bytes
+
+
 class Execution:
     """One queued or running call at the owner.
 
@@ -51,10 +63,14 @@
         "connection",
         "body_parts",
         "remaining_body_bytes",
+        "ungranted_body_bytes",
+        "credit_body_bytes",
+        "charged_bytes",
         "is_done",
         "is_streaming",
         "unread_bytes",
         "is_paused",
+        "awaits_link",
         "timer",
         "child_level_sum",
         "child_count",
@@ -84,10 +100,18 @@
         self.connection = None
         self.body_parts = [call.body] if call.body else []
         self.remaining_body_bytes = call.body_bytes - len(call.body)
+        # Bytes of the body that the caller may not send yet, and those of them that the
+        # upstream has read in the meantime.
+        self.ungranted_body_bytes = self.remaining_body_bytes
+        self.credit_body_bytes = 0
+        # What the account of the node counts for it.
+        self.charged_bytes = 0
         self.is_done = False
         self.is_streaming = False
         self.unread_bytes = 0
         self.is_paused = False
+        # Whether it is paused until the link to its caller is written.
+        self.awaits_link = False
         self.timer = None
         self.child_level_sum = 0.0
         self.child_count = 0
@@ -121,6 +145,10 @@
         """Handles received bytes of the upstream's response."""
         self.owner.on_response(self, reader)
 
+    def on_writable(self):
+        """Handles an upstream that has read what was sent to it."""
+        self.owner.on_writable(self)
+
     def on_connection_lost(self, reason):
         """Handles a connection that was lost before the response was complete."""
         self.owner.on_connection_lost(self, reason)
--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -200,6 +200,7 @@
         call = Call(request, response, now)
         call.request_id = request.header(self._names.request_id) or b""
         call.is_done = True
+        call.discard_body()
         self._counters.count(call, "refused")
         log_refused_early(call, STATUS_NOT_RUN, reason, 1.0, self._version, now)
         call.send_error(STATUS_NOT_RUN, f"not run: {reason}", STARTUP_WAIT_S)
@@ -257,6 +258,7 @@
 
     def _refuse_early(self, call, status, text, retry_after_s):
         call.is_done = True
+        call.discard_body()
         self._counters.count(call, "refused" if status != 404 else "no-route")
         if retry_after_s is not None:
             retry_after_s = self._jittered_retry_after_s(call, retry_after_s)
@@ -273,7 +275,8 @@
         call.head = render_request(
             request.method, request.target, request.headers, self._figpick_headers
         )
-        call.body = b"".join(request.body)
+        call.body, call.body_bytes = request.body, request.body_bytes
+        request.discard_headers()
         self._dispatcher.retry_budget(call.service).count_request(now, call.is_retry)
         loop = asyncio.get_running_loop()
         due = loop.time() + call.respond_by - now + TIMEOUT_MARGIN_S
@@ -332,7 +335,7 @@
         call.timer = call.hedge_timer = None
         for attempt in list(call.attempts.values()):
             self._dispatcher.cancel(attempt)
-        call.body = b""
+        call.discard_body()
         call.parent = None
 
     def _log_attempt(self, text, attempt, reason, now):
--- a/src/figpick/nodes/_messages.py
+++ b/src/figpick/nodes/_messages.py
@@ -18,6 +18,10 @@
 * ``not-run``: number, reason, ms until a slot is expected, load, level. The call
   did not run and never will.
 * ``credit``: number, count of bytes that were forwarded to the client.
+* ``body-credit``: number, count of bytes of the request body that the owner takes
+  beyond those of earlier credits and of the ``call`` message. With number 0, before
+  ``hello``: the owner grants credit. Owners of earlier releases grant none and take
+  everything; they ignore kinds that they do not know, as calling nodes do.
 * ``load``: load of the owner, the incarnation and the service of its upstream, whether
   it is draining; sent when a link opens and when the upstream changes or fails.
 * ``attach``: numbers of the attempts whose responses are awaited on a new link.
@@ -38,6 +42,7 @@
 FAILED = "failed"
 NOT_RUN = "not-run"
 CREDIT = "credit"
+BODY_CREDIT = "body-credit"
 LOAD = "load"
 ATTACH = "attach"
 
@@ -46,6 +51,8 @@
 
 # Request bodies larger than this are sent in parts.
 BODY_PART_BYTES = 64 * 1024
+# Bytes of a request body that may be in transit to an upstream.
+BODY_WINDOW_BYTES = 256 * 1024
 # Bytes of a response that may be in transit to a client that reads slowly.
 RESPONSE_WINDOW_BYTES = 256 * 1024
 
@@ -62,6 +69,8 @@
 REASON_INVALID_HEAD = "invalid-head"
 REASON_NO_CONNECTION = "no-connection"
 REASON_MISDIRECTED = "misdirected"
+# The account of the owner has no room for the call.
+REASON_NO_MEMORY = "no-memory"
 REASON_UPSTREAM_FULL = "upstream-full"
 # The upstream received and refused these calls, so another attempt is a retry.
 REASONS_AT_UPSTREAM = frozenset((REASON_UPSTREAM_FULL, REASON_MISDIRECTED))
--- a/src/figpick/nodes/_outcomes.py
+++ b/src/figpick/nodes/_outcomes.py
@@ -17,6 +17,7 @@
 from ._calls import STATUS_FAILED, STATUS_TIMEOUT
 from ._dispatching import STARTUP_WAIT_S
 from ._messages import (
+    BODY_CREDIT,
     FAILED,
     NOT_RUN,
     REASON_BROKEN_RESPONSE,
@@ -92,6 +93,8 @@
             self._on_response_part(attempt, message[2], message[3])
         elif kind == RESPONSE_CUT_OFF:
             self._on_response_cut_off(attempt)
+        elif kind == BODY_CREDIT and attempt.body_sender is not None:
+            attempt.body_sender.add_credit(message[2])
 
     def withdraw_calls(self):
         """Withdraws the calls that owners have not started, and sends none again."""
@@ -156,6 +159,9 @@
                 self._dispatcher.cancel(other)
         if not is_last:
             attempt.is_streaming = True
+            if attempt.body_sender is None or attempt.body_sender.is_done:
+                # A response that has begun is not repeated.
+                call.discard_body()
             call.response.start(status, head, length, body, False)
             return
         self._counters.count(call, "answered", status)
--- a/src/figpick/nodes/_owner.py
+++ b/src/figpick/nodes/_owner.py
@@ -19,21 +19,24 @@
     Execution,
     RunningRequests,
     fingerprint,
+    memory_bytes,
     render_head,
 )
 from ._identity_check import IdentityCheck
 from ._messages import (
+    BODY_CREDIT,
+    BODY_WINDOW_BYTES,
     NOT_RUN,
     REASON_INVALID_HEAD,
     REASON_LEAVING,
     REASON_NO_CONNECTION,
+    REASON_NO_MEMORY,
     REASON_QUARANTINED,
     REASON_QUEUE_TIMEOUT,
     REASON_STOPPED,
     REASON_TIMEOUT,
     REASON_WRONG_INSTANCE,
     RESPONSE_CUT_OFF,
-    RESPONSE_WINDOW_BYTES,
 )
 from ._owner_links import OwnerLinks
 from ._owner_notices import OwnerNotices
@@ -64,14 +67,16 @@
     :param on_changed: called after the state of the upstream has changed.
     :param on_crash: called with an identifier of the incarnation that crashed and
         the fingerprints of the requests that were running.
+    :param account: :class:`~figpick.base._memory.MemoryAccount` of the node.
     """
 
-    def __init__(self, settings, clock, quarantine, on_changed, on_crash):
+    def __init__(self, settings, clock, quarantine, on_changed, on_crash, account):
         self._names = settings.headers
         self._clock = clock
         self._quarantine = quarantine
         self._on_changed = on_changed
         self._on_crash = on_crash
+        self._account = account
         self._queue = AdmissionQueue()
         self._pool = UpstreamPool(settings.upstream_address, settings.headers)
         self._identity_check = IdentityCheck(self._pool, settings.headers)
@@ -82,7 +87,7 @@
         self._executions = {}
         self._finished = {}
         self._last_forgotten = {}
-        # Keys and sizes of the responses in ``_finished`` whose link was open.
+        # Keys and sizes of the responses in ``_finished``.
         self._kept_responses = deque()
         self._kept_bytes = 0
         self.running_requests = RunningRequests()
@@ -184,12 +189,18 @@
         if reason is not None:
             self._send_not_run(link, number, reason, 0.0, call)
             return
+        size = memory_bytes(call)
+        if not self._account.has_room(size, now):
+            self._send_not_run(link, number, REASON_NO_MEMORY, 0.0, call)
+            return
         execution = Execution(self, link, peer, number, call, now)
         outcome = self._queue.offer(execution.ticket, now)
         if isinstance(outcome, Refusal):
             retry_after_s = outcome.retry_after_s
             self._send_not_run(link, number, outcome.reason, retry_after_s, call)
             return
+        execution.charged_bytes = size
+        self._account.add(size)
         self._executions[peer, number] = execution
         self._schedule_slow_check()
         if outcome is None:
@@ -208,8 +219,30 @@
         )
         if execution.connection is not None:
             execution.connection.write(data)
+            self._grant_body(execution, len(data))
         else:
+            # The caller is of an earlier release, which waits for no credit.
             execution.body_parts.append(data)
+            execution.charged_bytes += len(data)
+            self._account.add(len(data))
+
+    def on_writable(self, execution):
+        """Lets the caller send more of a body, since the upstream reads again."""
+        if not execution.is_done:
+            self._grant_body(execution, 0)
+
+    def _grant_body(self, execution, size):
+        """Grants the caller bytes of the body, once the upstream has read as many.
+
+        :param size: bytes of the body that were sent to the upstream.
+        """
+        execution.credit_body_bytes += size
+        credit = min(execution.credit_body_bytes, execution.ungranted_body_bytes)
+        if not credit or execution.connection.is_writing_paused:
+            return
+        execution.credit_body_bytes = 0
+        execution.ungranted_body_bytes -= credit
+        execution.link.send((BODY_CREDIT, execution.number, credit))
 
     def cancel(self, peer, number, aborts_running):
         """Ends a call whose result its caller no longer needs.
@@ -249,9 +282,7 @@
         if execution is None:
             return
         execution.unread_bytes -= size
-        if execution.is_paused and execution.unread_bytes < RESPONSE_WINDOW_BYTES:
-            execution.is_paused = False
-            execution.connection.resume()
+        self._resume(execution)
 
     def _refusal_reason(self, call, now):
         if self._is_stopping or call.instance != self.view.incarnation_key:
@@ -350,6 +381,8 @@
             execution.body_parts
         )
         execution.body_parts = []
+        if execution.ungranted_body_bytes:
+            execution.credit_body_bytes = BODY_WINDOW_BYTES
         loop = asyncio.get_running_loop()
         execution.timer = loop.call_at(
             loop.time() + execution.deadline - now + TIMEOUT_RESPONSE_MARGIN_S,
@@ -357,6 +390,8 @@
             execution,
         )
         connection.start(execution, data, call.request_id or None, call.is_head)
+        if execution.connection is connection:
+            self._grant_body(execution, 0)
 
     def _is_outdated(self, call):
         return call.instance != self.view.incarnation_key or not self.view.slots
@@ -387,6 +422,7 @@
             connection, execution.connection = execution.connection, None
             connection.close()
         self.running_requests.remove(execution)
+        self._account.add(-execution.charged_bytes)
         key = (execution.peer, execution.number)
         self._executions.pop(key, None)
         self._queue.finish(execution.ticket, now, is_success)
--- a/src/figpick/nodes/_owner_links.py
+++ b/src/figpick/nodes/_owner_links.py
@@ -64,6 +64,18 @@
                 link.send((RESPONSE_CUT_OFF, number))
             else:
                 execution.link = link
+                execution.awaits_link = False
+                self._resume(execution)
+                if execution.remaining_body_bytes > 0:
+                    self._end_incomplete(execution)
+
+    def _end_incomplete(self, execution):
+        """Ends a call whose link was lost while its body was sent."""
+        if execution.sent_at is None:
+            self._queue.withdraw(execution.ticket)
+            self._finish_not_run(execution, REASON_LINK_LOST)
+        else:
+            self._fail(execution, REASON_LINK_LOST)
 
     def _result(self, key):
         peer, number = key
--- a/src/figpick/nodes/_peers.py
+++ b/src/figpick/nodes/_peers.py
@@ -7,7 +7,7 @@
 from ..links import Dialer, Link
 from ..placing import Load, Target
 from ._known_notices import KnownNotices
-from ._messages import ATTACH, HELLO, LOAD
+from ._messages import ATTACH, BODY_CREDIT, HELLO, LOAD
 from ._silence import SilenceDetector
 
 log = logger("peers")
@@ -22,6 +22,8 @@
     """
 
     is_open = True
+    is_congested = False
+    grants_body_credit = True
 
     def __init__(self, on_message):
         self._on_message = on_message
@@ -332,6 +334,9 @@
         if message[0] == LOAD:
             self.handle_load(peer, *message[1:])
             return
+        if message[0] == BODY_CREDIT and not message[1]:
+            link.grants_body_credit = True
+            return
         if peer.link is link:
             self._handlers.on_peer_message(peer, message)
 
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -6,6 +6,7 @@
 from ..admission import CrashQuarantine
 from ..base._errors import FigpickError, InvalidDocumentError
 from ..base._logs import CALL_LOG_LIMITER, logger
+from ..base._memory import MemoryAccount, account_bytes
 from ..base._pauses import PauseDetector
 from ..base._supervisor import Supervisor
 from ..directory import (
@@ -26,6 +27,7 @@
 from ._forwarding import Forwarder
 from ._messages import (
     ATTACH,
+    BODY_CREDIT,
     BODY_PART,
     CALL,
     CANCEL,
@@ -76,8 +78,14 @@
         self._announcer = Announcer(record, self._directory, self._on_earlier_record)
         self.counters = CallCounters(clock)
         self._quarantine = CrashQuarantine()
+        self._account = MemoryAccount(account_bytes(settings.memory_bytes))
         self._owner = Owner(
-            settings, clock, self._quarantine, self._on_upstream_changed, self._on_crash
+            settings,
+            clock,
+            self._quarantine,
+            self._on_upstream_changed,
+            self._on_crash,
+            self._account,
         )
         pauses = PauseDetector(clock.monotonic())
         self._forwarder = Forwarder(settings, clock, self._owner, self.counters, pauses)
@@ -85,7 +93,7 @@
             settings, self._token, self._directory, clock, self._forwarder
         )
         self._forwarder.use_peers(self._peers)
-        self._entry = EntryServer(self._forwarder, clock)
+        self._entry = EntryServer(self._forwarder, clock, self._account)
         self._controls = ControlLinks(
             settings, self._token, self._announcer, clock, self
         )
@@ -124,6 +132,11 @@
         """:class:`~figpick.nodes._owner.Owner` of the upstream on this host."""
         return self._owner
 
+    @property
+    def account(self):
+        """:class:`~figpick.base._memory.MemoryAccount` of the process."""
+        return self._account
+
     @property
     def revision(self):
         """Revision of the active configuration, 0 before the first."""
@@ -159,6 +172,7 @@
             "in_flight": self._forwarder.in_flight,
             "open": self.open_work(),
             "load": list(self._owner.load()),
+            "held_bytes": self._account.held_bytes,
             "upstream": self._owner.view.state,
             "instance": self._owner.view.instance,
             "unstored_departures": self._departures.pending_count,
@@ -345,5 +359,7 @@
         self._caller_links[peer] = link
         if rest:
             self._owner.adopt_notices(rest[0])
+        # Before the greeting, since calls may follow it at once.
+        link.send((BODY_CREDIT, 0, 0))
         link.send((HELLO, self._settings.name, self._token))
         self._owner.add_link(link)
--- a/src/figpick/nodes/_responses.py
+++ b/src/figpick/nodes/_responses.py
@@ -1,6 +1,7 @@
 """Forwards the responses of the upstream to calling nodes."""
 
 import asyncio
+from functools import partial
 
 from ..admission import FREE_CAPACITY_LEVEL
 from ..base._logs import logger
@@ -24,6 +25,8 @@
 # Responses up to this size are buffered and forwarded whole, so that a call whose
 # response was cut off can be retried.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
+# Responses up to this size are sent on a link that is congested.
+MAX_PROMPT_BYTES = 4 * 1024
 # Above this share of failed calls, the load is also reported to nodes that have not
 # sent calls recently, but not after each response.
 FAILING_SHARE = 0.3
@@ -53,6 +56,9 @@
             self._read_notice(execution, reader)
         if execution.is_streaming:
             self._stream_part(execution, reader)
+        elif execution.link.is_congested and reader.body_bytes > MAX_PROMPT_BYTES:
+            # The slot stays taken, so that no further responses pile up.
+            self._pause(execution)
         elif reader.is_complete:
             self._forward_response(execution, reader)
         elif reader.body_bytes > MAX_BUFFERED_RESPONSE_BYTES:
@@ -229,9 +235,39 @@
         )
 
     def _check_window(self, execution):
-        if execution.unread_bytes >= RESPONSE_WINDOW_BYTES and not execution.is_paused:
+        is_window_full = execution.unread_bytes >= RESPONSE_WINDOW_BYTES
+        if is_window_full or execution.link.is_congested:
+            self._pause(execution)
+
+    def _pause(self, execution):
+        """Pauses a response until its client and the link to it take more."""
+        if not execution.is_paused:
             execution.is_paused = True
             execution.connection.pause()
+        if execution.link.is_congested and not execution.awaits_link:
+            execution.awaits_link = True
+            execution.link.call_when_writable(
+                partial(self._on_link_writable, execution)
+            )
+
+    def _on_link_writable(self, execution):
+        execution.awaits_link = False
+        if not execution.is_done:
+            self._resume(execution)
+
+    def _resume(self, execution):
+        """Resumes a paused response if its client and the link to it take more."""
+        is_window_full = execution.unread_bytes >= RESPONSE_WINDOW_BYTES
+        if not execution.is_paused or is_window_full or execution.awaits_link:
+            return
+        if execution.link.is_congested:
+            self._pause(execution)
+            return
+        execution.is_paused = False
+        connection = execution.connection
+        connection.resume()
+        if not execution.is_streaming:
+            self.on_response(execution, connection.reader)
 
     def _fail(self, execution, reason):
         self._finish(execution, (FAILED, execution.number, reason, self.load()))
--- a/src/figpick/nodes/_settings.py
+++ b/src/figpick/nodes/_settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from ..base._memory import DEFAULT_MEMORY_BYTES
 from ..wire import DEFAULT_HEADERS, HeaderNames
 
 
@@ -19,6 +20,7 @@
     :param retry_ratio: retries per request that all nodes together may make.
     :param retry_window_s: seconds over which the ratio is measured.
     :param grace_s: seconds from the termination signal until the process is killed.
+    :param memory_bytes: memory of the host.
     :param headers: names of the headers of calls.
     """
 
@@ -33,4 +35,5 @@
     retry_ratio: float = 0.1
     retry_window_s: float = 10.0
     grace_s: float = 6.0
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
     headers: HeaderNames = DEFAULT_HEADERS
--- a/src/figpick/nodes/_upstream.py
+++ b/src/figpick/nodes/_upstream.py
@@ -26,12 +26,31 @@
         self._reader = None
         self._is_closed = False
         self._max_idle_s = MAX_IDLE_S
+        self._is_writing_paused = False
         self.idle_since = 0.0
         self.is_reused = False
 
     def connection_made(self, transport):
         self._transport = transport
 
+    def pause_writing(self):
+        self._is_writing_paused = True
+
+    def resume_writing(self):
+        self._is_writing_paused = False
+        if self._exchange is not None:
+            self._exchange.on_writable()
+
+    @property
+    def is_writing_paused(self):
+        """Whether the upstream has not read what was sent to it before."""
+        return self._is_writing_paused
+
+    @property
+    def reader(self):
+        """The :class:`~figpick.wire.ResponseReader` of the present request."""
+        return self._reader
+
     @property
     def is_closed(self):
         """Whether the connection is closed."""
@@ -50,8 +69,8 @@
         """Sends a request.
 
         :param exchange: object whose ``on_response(reader)`` is called for each part of
-            the response that arrives, and ``on_connection_lost(reason)`` if the
-            connection is lost.
+            the response that arrives, ``on_writable()`` when the upstream reads again,
+            and ``on_connection_lost(reason)`` if the connection is lost.
         :param data: request head and the body parts received so far, as bytes.
         :param request_id: id that the response must carry, or ``None``.
         :param is_head: whether the response has no body.
--- a/src/figpick/wire/_requests.py
+++ b/src/figpick/wire/_requests.py
@@ -7,12 +7,20 @@
 
 import httptools
 
-MAX_TARGET_BYTES = 8 * 1024
 # Allowance for what the size of a head leaves out, such as the method and blanks.
 MAX_UNCOUNTED_BYTES = 1024
+# A header line has at least a colon and a line end beside its name and value.
+MIN_LINE_BYTES = 3
 # Parts of a body are joined up to this size: the parser returns each chunk on its own,
 # and an object for each byte or two takes many times their size.
 MIN_BODY_PART_BYTES = 4 * 1024
+# Headers that are kept as pairs of bytes. Of further ones only the text is kept, since
+# the objects of a short line take many times its size.
+MAX_LISTED_HEADERS = 64
+# Memory beside the text: of a request, of a header in the list, of a part of a body.
+REQUEST_OVERHEAD_BYTES = 1024
+HEADER_OVERHEAD_BYTES = 176
+PART_OVERHEAD_BYTES = 64
 
 
 class ClientRequest:
@@ -24,25 +32,67 @@
     __slots__ = (
         "method",
         "target",
-        "headers",
+        "_listed_headers",
+        "_further_lines",
+        "_header_bytes",
         "body",
         "body_bytes",
+        "announced_bytes",
         "keeps_alive",
         "started_at",
         "is_complete",
         "error_status",
+        "error_reason",
     )
 
     def __init__(self, now):
         self.method = b""
         self.target = b""
-        self.headers = []
+        self._listed_headers = []
+        self._further_lines = bytearray()
+        self._header_bytes = 0
         self.body = []
         self.body_bytes = 0
+        # Length of the body that the head states, 0 if it states none.
+        self.announced_bytes = 0
         self.keeps_alive = True
         self.started_at = now
         self.is_complete = False
         self.error_status = None
+        self.error_reason = None
+
+    @property
+    def headers(self):
+        """The headers, as an iterable of name and value pairs."""
+        if not self._further_lines:
+            return self._listed_headers
+        return self._iterate_headers()
+
+    @property
+    def head_bytes(self):
+        """Memory that the head takes, in bytes."""
+        return REQUEST_OVERHEAD_BYTES + len(self.target) + self._header_bytes
+
+    @property
+    def held_bytes(self):
+        """Memory that the request takes, in bytes."""
+        parts_bytes = len(self.body) * PART_OVERHEAD_BYTES
+        return self.head_bytes + self.body_bytes + parts_bytes
+
+    def add_header(self, name, value):
+        """Adds a header."""
+        size = len(name) + len(value)
+        if len(self._listed_headers) < MAX_LISTED_HEADERS:
+            self._listed_headers.append((name, value))
+            self._header_bytes += size + HEADER_OVERHEAD_BYTES
+        else:
+            self._further_lines += b"%b:%b\r\n" % (name, value)
+            self._header_bytes += size + MIN_LINE_BYTES
+
+    def discard_headers(self):
+        """Frees the headers of a request that was passed on or refused."""
+        self._listed_headers = []
+        self._further_lines = bytearray()
 
     def header(self, name):
         """Returns the value of a header, or ``None`` if it is absent.
@@ -54,6 +104,15 @@
                 return value
         return None
 
+    def _iterate_headers(self):
+        yield from self._listed_headers
+        lines, start = self._further_lines, 0
+        while start < len(lines):
+            end = lines.index(b"\r\n", start)
+            name, _, value = bytes(lines[start:end]).partition(b":")
+            yield name, value
+            start = end + 2
+
 
 class RequestReader:
     """Parses a stream of requests.
@@ -87,6 +146,27 @@
         """Monotonic seconds at which the partial request began, or ``None``."""
         return self._request.started_at if self._request is not None else None
 
+    @property
+    def partial_request(self):
+        """The :class:`ClientRequest` that has been received in part, or ``None``."""
+        return self._request
+
+    @property
+    def partial_bytes(self):
+        """Memory that the partial request takes, in bytes."""
+        if self._request is None:
+            return 0
+        # What has made no progress is held by the parser.
+        return self._request.held_bytes + self._stalled_bytes
+
+    @property
+    def unread_body_bytes(self):
+        """Bytes that are missing of a body whose length is known."""
+        request = self._request
+        if request is None or not request.method:
+            return 0
+        return max(0, request.announced_bytes - request.body_bytes)
+
     def feed(self, data, now):
         """Parses bytes received from the client.
 
@@ -118,16 +198,14 @@
         request = self._request
         request.target += url
         self._count_head_bytes(len(url))
-        if len(request.target) > MAX_TARGET_BYTES:
-            self.reject(431)
 
     def on_header(self, name, value):
         if self._failed:
             return
         # The parser reports trailers as well; they must not pass for headers.
         if not self._request.method:
-            self._request.headers.append((name, value))
-        self._count_head_bytes(len(name) + len(value) + 4)
+            self._request.add_header(name, value)
+        self._count_head_bytes(len(name) + len(value) + MIN_LINE_BYTES)
 
     def on_headers_complete(self):
         if self._failed:
@@ -143,6 +221,10 @@
         elif self._parser.should_upgrade() and _has_body(request):
             # The parser would take the body for requests.
             self.reject(400)
+        else:
+            request.announced_bytes = int(request.header(b"content-length") or 0)
+            if request.announced_bytes > self._max_body_bytes():
+                self.reject(413)
 
     def on_body(self, body):
         if self._failed:
@@ -151,6 +233,8 @@
         self._has_progressed = True
         parts = request.body
         if parts and len(parts[-1]) < MIN_BODY_PART_BYTES:
+            if isinstance(parts[-1], bytes):
+                parts[-1] = bytearray(parts[-1])
             parts[-1] += body
         else:
             parts.append(body)
@@ -167,17 +251,21 @@
         request.is_complete = True
         self._on_request(request)
 
-    def reject(self, status):
+    def reject(self, status, reason=None):
         """Rejects the request that is being received, and ignores further bytes.
 
         :param status: HTTP status of the response.
+        :param reason: text for the client, ``None`` for that of the status.
         """
         if self._failed:
             return
         self._failed = True
         request = self._request or ClientRequest(self._now)
         self._request = None
+        request.body = []
+        request.body_bytes = 0
         request.error_status = status
+        request.error_reason = reason
         request.keeps_alive = False
         self._on_request(request)
 
--- a/tests/test_owner_links.py
+++ b/tests/test_owner_links.py
@@ -12,7 +12,7 @@
 def make_owner():
     settings = SimpleNamespace(headers=None, upstream_address=("127.0.0.1", 1))
     clock = SimpleNamespace(monotonic=lambda: 0.0)
-    return Owner(settings, clock, None, None, None)
+    return Owner(settings, clock, None, None, None, None)
 
 
 def test_call_whose_result_is_forgotten_is_not_reported_as_not_run():
--- a/tests/test_texts_in_heads.py
+++ b/tests/test_texts_in_heads.py
@@ -216,6 +216,7 @@
 
     peer = ("node-old", 1)
     is_open = True
+    is_congested = False
 
     def __init__(self):
         self.sent = []
