Bound the results that are kept for calls whose link is closed

Cause: the owner keeps the results of 8,192 finished calls for callers that attach again. Responses were bounded in bytes only where the link was open; where it was closed each was kept whole, up to 64 KiB.

Both are within MAX_KEPT_BYTES now. A caller that asks for a result that is gone is told that the call may have run, as before.

Evidence: test_clients_that_do_not_read_stay_within_the_memory[deep].

--- a/src/figpick/nodes/_owner_links.py
+++ b/src/figpick/nodes/_owner_links.py
@@ -19,7 +19,7 @@
 # Results of this many finished calls are kept for callers that attach afterwards.
 MAX_FINISHED_CALLS = 8192
 # A link can be dead long before that is seen. The last responses to calls that must run
-# once are kept for that case, up to so many bytes.
+# once, and of all calls whose link is closed, are kept up to so many bytes.
 MAX_KEPT_BYTES = 4 * 1024 * 1024
 # Memory of a kept response beside its body.
 KEPT_OVERHEAD_BYTES = 1024
@@ -100,11 +100,10 @@
         if execution.is_streaming:
             # Parts may be lost with the link.
             message = RESPONSE_CUT_OFF, execution.number
-        elif execution.link.is_open:
-            if execution.call.is_idempotent:
-                message = None
-            else:
-                self._bound_kept_bytes(key, message)
+        elif execution.link.is_open and execution.call.is_idempotent:
+            message = None
+        else:
+            self._bound_kept_bytes(key, message)
         self._remember_result(key, message)
 
     def _bound_kept_bytes(self, key, message):
