Charge frames that are not complete, and bound links without a name

Seen by callers: 40 connections to the address of links that announced frames of 8 MiB and stopped one byte short took a node or a control process to 371 MB, 112 allowed.

Cause: a frame is buffered until it is complete, up to 8 MiB for each of any number of connections.

The bytes of accepted links are charged to the account of the process; the link that makes no progress is closed first. Connections that have not said which process they are are limited to 256.

--- a/src/figpick/control/_process.py
+++ b/src/figpick/control/_process.py
@@ -7,6 +7,7 @@
 from ..base._errors import PeerError
 from ..base._expiring_table import ExpiringTable
 from ..base._logs import logger
+from ..base._memory import MemoryAccount, account_bytes
 from ..base._supervisor import Supervisor
 from ..configuration import ChangeSet, Departure
 from ..directory import CONTROL, LEFT, NODE, Announcer, Directory, HostRecord, is_key
@@ -71,6 +72,7 @@
         self._member = QuorumMember(settings, clock, self._send_to, self._on_applied)
         self._dialers = {}
         self._accepted_links = set()
+        self._account = MemoryAccount(account_bytes(settings.memory_bytes))
         self._crashes = ExpiringTable(CRASH_TTL_S, MAX_CRASHES)
         self._leader_requests = LeaderRequests(self._member, self._leader_link)
         self._departures = DepartureAnnouncer(self._member, self._leader_requests)
@@ -117,6 +119,11 @@
         """
         return self._membership.quorum_health(self._clock.monotonic())
 
+    @property
+    def account(self):
+        """:class:`~figpick.base._memory.MemoryAccount` of the process."""
+        return self._account
+
     @property
     def host_count(self):
         """Number of processes in the directory."""
@@ -211,7 +218,8 @@
         return self._link_to(self._member.leader_address)
 
     def _make_accepted_link(self):
-        return Link(self._receive, self._on_accepted_closed, self._clock)
+        on_closed = self._on_accepted_closed
+        return Link(self._receive, on_closed, self._clock, self._account)
 
     def _on_accepted_closed(self, link):
         self._accepted_links.discard(link)
--- a/src/figpick/control/_settings.py
+++ b/src/figpick/control/_settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from ..base._memory import DEFAULT_MEMORY_BYTES
+
 
 class ControlSettings(NamedTuple):
     """Settings of a control process.
@@ -15,6 +17,7 @@
     :param data_folder: folder for durable state.
     :param tolerated_losses: control hosts that may be lost at the same time without
         the loss of an acknowledged change.
+    :param memory_bytes: memory of the host.
     """
 
     name: str
@@ -24,3 +27,4 @@
     may_form_quorum: bool
     data_folder: str
     tolerated_losses: int = 1
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/src/figpick/links/_frames.py
+++ b/src/figpick/links/_frames.py
@@ -54,6 +54,11 @@
         """Whether a frame has been received in part."""
         return bool(self._buffer)
 
+    @property
+    def partial_bytes(self):
+        """Size of the frame that has been received in part."""
+        return len(self._buffer)
+
     def feed(self, data):
         """Adds received bytes and returns the messages that are now complete.
 
--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -7,6 +7,7 @@
 from collections import deque
 
 from ..base._logs import logger
+from ..base._memory import Holder
 from ._frames import FrameError, FrameReader, encode_frame
 
 # A host without power does not answer, and a lost opening packet is sent again only
@@ -34,6 +35,9 @@
 BACKOFF_FACTOR = 1.25
 FINISH_POLL_PERIOD_S = 0.01
 
+LINK_BACKLOG = 512
+# Accepted connections whose other end has not said which process it is.
+MAX_UNNAMED_LINKS = 256
 
 PING = "ping"
 PONG = "pong"
@@ -41,19 +45,22 @@
 log = logger("links")
 
 
-class Link(asyncio.Protocol):
+class Link(asyncio.Protocol, Holder):
     """Sends and receives messages on one connection.
 
     :param on_message: called with the link and each received message.
     :param on_closed: called once with the link, after an established link was closed
         or lost.
     :param clock: :class:`~figpick.base._clock.Clock`.
+    :param account: :class:`~figpick.base._memory.MemoryAccount` for frames that are not
+        complete, ``None`` if the other end is trusted.
     """
 
-    def __init__(self, on_message, on_closed, clock):
+    def __init__(self, on_message, on_closed, clock, account=None):
         self._on_message = on_message
         self._on_closed = on_closed
         self._clock = clock
+        self._account = account
         self._transport = None
         self._reader = FrameReader()
         self._frame_started_at = None
@@ -118,6 +125,10 @@
             log.warning("Link to {} closed: a frame is not complete.", self.peer)
             self.close()
             return
+        if self._account is not None and not self._charge_frame():
+            log.warning("Link to {} closed: no memory for its frame.", self.peer)
+            self.close()
+            return
         for message in messages:
             if not message:
                 log.warning("Link to {} closed: a message is empty.", self.peer)
@@ -129,10 +140,27 @@
             elif kind != PONG:
                 self._deliver(message)
 
+    def _charge_frame(self):
+        """Charges what has been received of a frame.
+
+        :return: whether the account has room for it.
+        """
+        size = self._reader.partial_bytes
+        if size == self.held_bytes:
+            return True
+        return self._account.hold(self, size, 0, self.last_received_at)
+
+    def reclaim(self, now):
+        log.warning("Link to {} closed: others need its memory.", self.peer)
+        self.close()
+
     def _free(self):
         """Frees what is held for a link that is closed."""
         self._has_ended = True
         self._waiting.clear()
+        self._reader = FrameReader()
+        if self._account is not None:
+            self._account.forget(self)
 
     def _is_frame_overdue(self, has_completed):
         """Returns whether the last frame has been incomplete for too long.
@@ -253,12 +281,30 @@
 async def listen(address, make_link):
     """Accepts links from other processes.
 
+    The peer of a link is ``None`` until its first message. Connections that have sent
+    none are closed when there are too many, the longest first.
+
     :param address: tuple of IP address and port.
     :param make_link: function that returns a new :class:`Link`.
     :return: the :class:`asyncio.Server`.
     """
+    unnamed = deque()
+
+    def accept():
+        link = make_link()
+        unnamed.append(link)
+        if len(unnamed) > MAX_UNNAMED_LINKS:
+            kept = [
+                each for each in unnamed if each.peer is None and not each.has_ended
+            ]
+            unnamed.clear()
+            unnamed.extend(kept)
+        if len(unnamed) > MAX_UNNAMED_LINKS:
+            unnamed.popleft().close()
+        return link
+
     loop = asyncio.get_running_loop()
-    return await loop.create_server(make_link, *address, backlog=512)
+    return await loop.create_server(accept, *address, backlog=LINK_BACKLOG)
 
 
 class Dialer:
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -314,7 +314,8 @@
         self._peers.receive_local(link, message)
 
     def _make_accepted_link(self):
-        return Link(self._receive_call, self._on_accepted_link_closed, self._clock)
+        on_closed = self._on_accepted_link_closed
+        return Link(self._receive_call, on_closed, self._clock, self._account)
 
     def _on_accepted_link_closed(self, link):
         if self._caller_links.get(link.peer) is link:
