--- a/tests/test_endless_platform_calls.py
+++ b/tests/test_endless_platform_calls.py
@@ -14,6 +14,11 @@
 sys.path.append(str(Path(__file__).parents[1] / "platform"))
 
 from adapter import handlers  # noqa: E402
+from figpick.base._memory import (
+    DEFAULT_MEMORY_BYTES,
+    MemoryAccount,
+    account_bytes,
+)
 
 from .endless_bytes import (  # noqa: E402
     MAX_TRACED_BYTES,
@@ -49,6 +54,7 @@
         self.orders = []
         self.refused = []
         self.are_ends_stored = True
+        self.account = MemoryAccount(account_bytes(DEFAULT_MEMORY_BYTES))
 
     def count_refused_report(self, reason, instance, message):
         self.refused.append(reason)
