Bound the descriptors that clients may take

Seen by callers: 600 silent connections took all 480 descriptors that the settings allow, and more; then links, upstreams and other clients get none.

Cause: accepted connections had no bound.

Clients may use 70% of the descriptors that are not reserved. Above that, a sixteenth is closed at once: connections that have sent no request, then idle ones, the longest idle first, and requests that make no progress. A connection with a request that is read or runs is never closed.

Evidence: test_silent_connections_leave_descriptors_for_requests, which failed before.

--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -7,7 +7,7 @@
 from collections import deque
 
 from ..base._logs import logger
-from ..base._memory import Holder
+from ..base._memory import STALL_S, Holder
 from ..wire import render_error_response
 from ._call_logging import call_state, log_behind_close, log_cut
 from ._client_responses import ResponseWriter
@@ -57,6 +57,7 @@
         self._pipelined_bytes = 0
         self._output_bytes = 0
         self.pending_bytes = 0
+        self.has_sent_requests = False
         self._is_closing = False
         self._is_reading_paused = False
         self._is_writing_paused = False
@@ -75,7 +76,7 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
         self.idle_since = self._entry.now()
         self._account.add(CONNECTION_BYTES)
-        self._entry.connections.add(self)
+        self._entry.add_connection(self)
         if self._entry.is_closed:
             # The event loop had accepted it before the server was closed.
             self.abort()
@@ -125,6 +126,27 @@
             or self._pipelined_bytes > MAX_PIPELINED_BYTES
         )
 
+    def is_evictable(self, now):
+        """Returns whether the connection may be closed for a new one.
+
+        :param now: monotonic seconds.
+        """
+        if self._is_closing or self._responses or self._output_bytes:
+            return False
+        if not self._intake.has_partial_request:
+            return True
+        return now - self._intake.progress_at > STALL_S
+
+    def evict(self, now):
+        """Closes the connection for a new one.
+
+        :param now: monotonic seconds.
+        """
+        if self._intake.has_partial_request:
+            self._intake.reclaim(now)
+        else:
+            self.close_gracefully()
+
     def update_reading(self):
         """Pauses or resumes reading."""
         if self._is_closing:
@@ -315,6 +337,7 @@
         is_head = request.method == b"HEAD"
         response = ResponseWriter(self, request.keeps_alive, is_head)
         self._responses.append(response)
+        self.has_sent_requests = True
         status = request.error_status
         reason = request.error_reason or REASON_STOPS
         if status is None and not self._charge(request, response):
--- a/src/figpick/nodes/_counters.py
+++ b/src/figpick/nodes/_counters.py
@@ -36,8 +36,8 @@
 
         ``behind-close``: request that was passed on and abandoned, since a response
         before it closed the connection. ``cut``: request without a whole response on
-        a connection that a timeout ended. ``cut-at-stop``: the same at the end of a
-        stop.
+        a connection that a timeout or a lack of memory ended. ``cut-at-stop``: the same
+        at the end of a stop. ``evicted``: connection that was closed for a new one.
         """
         return self._connection_events
 
--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -2,15 +2,26 @@
 
 import asyncio
 
-from ..base._logs import logger
+from ..base._logs import CALL_LOG_LIMITER, logger
 from ..base._memory import DEFAULT_MEMORY_BYTES, MemoryAccount, account_bytes
 from ..configuration import Limits
 from ._client_connections import ClientConnection
+from ._settings import DEFAULT_DESCRIPTORS
 from ._turns import ParsingTurns
 
 TIMEOUT_CHECK_PERIOD_S = 1.0
 # Above this number the longest closed connection no longer waits for its client.
 MAX_LINGERING_CONNECTIONS = 1024
+# Share of the descriptors that clients may use. Links, the upstream and the addresses
+# of the platform need the rest.
+CLIENT_DESCRIPTOR_SHARE = 0.7
+# Descriptors that the platform reserves for other files.
+RESERVED_DESCRIPTORS = 200
+# Connections that wait to be accepted take descriptors, too, once they are.
+MAX_BACKLOG = 1024
+BACKLOG_SHARE = 0.25
+# Share of the connections that are closed at once when there are too many.
+EVICTED_SHARE = 1 / 16
 # Lines on requests that the end of a stop cuts; the last line has their number.
 MAX_CUT_LINES = 50
 
@@ -24,15 +35,23 @@
     :param clock: :class:`~figpick.base._clock.Clock`.
     :param account: :class:`~figpick.base._memory.MemoryAccount` of the process, by
         default one of its own.
+    :param max_descriptors: descriptors that the process may have.
     """
 
-    def __init__(self, forwarder, clock, account=None):
+    def __init__(
+        self, forwarder, clock, account=None, max_descriptors=DEFAULT_DESCRIPTORS
+    ):
         self.forwarder = forwarder
         self._clock = clock
         self.account = account or MemoryAccount(account_bytes(DEFAULT_MEMORY_BYTES))
         self.turns = ParsingTurns(clock)
+        usable = max(1, max_descriptors - RESERVED_DESCRIPTORS)
+        self._max_connections = max(1, int(usable * CLIENT_DESCRIPTOR_SHARE))
+        self._backlog = min(MAX_BACKLOG, max(1, int(usable * BACKLOG_SHARE)))
         self._server = None
         self.connections = set()
+        # Connections that were closed for new ones, until their end.
+        self._evicted = set()
         # A dict keeps the order in which they closed.
         self._lingering = {}
         self.is_stopping = False
@@ -51,6 +70,32 @@
         """Returns the monotonic time in seconds."""
         return self._clock.monotonic()
 
+    def add_connection(self, connection):
+        """Adds a connection, and closes others if there are too many."""
+        self.connections.add(connection)
+        if len(self.connections) - len(self._evicted) > self._max_connections:
+            self._evict(connection)
+
+    def _evict(self, newest):
+        """Closes connections without an open request, the unused ones first."""
+        now = self.now()
+        candidates = [
+            each
+            for each in self.connections
+            if each is not newest and each.is_evictable(now)
+        ]
+        candidates.sort(key=lambda each: (each.has_sent_requests, each.idle_since))
+        evicted = candidates[: max(1, int(self._max_connections * EVICTED_SHARE))]
+        evicted = evicted or [newest]
+        for connection in evicted:
+            self._evicted.add(connection)
+            connection.evict(now)
+        self.counters.count_connection_event("evicted", len(evicted))
+        message = "Connections closed, since there are too many."
+        if CALL_LOG_LIMITER.allow(message, now):
+            fields = {"open": len(self.connections), "closed": len(evicted)}
+            log.warning(message, extra=fields)
+
     def add_lingering(self, connection):
         """Bounds the number of closed connections that wait for their clients."""
         self._lingering[connection] = None
@@ -62,6 +107,7 @@
     def forget(self, connection):
         """Removes a closed connection."""
         self.connections.discard(connection)
+        self._evicted.discard(connection)
         self._lingering.pop(connection, None)
 
     def max_header_bytes(self):
@@ -79,7 +125,7 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ClientConnection(self), *address, backlog=1024
+            lambda: ClientConnection(self), *address, backlog=self._backlog
         )
 
     async def enforce_timeouts(self):
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -93,7 +93,9 @@
             settings, self._token, self._directory, clock, self._forwarder
         )
         self._forwarder.use_peers(self._peers)
-        self._entry = EntryServer(self._forwarder, clock, self._account)
+        self._entry = EntryServer(
+            self._forwarder, clock, self._account, settings.max_descriptors
+        )
         self._controls = ControlLinks(
             settings, self._token, self._announcer, clock, self
         )
--- a/src/figpick/nodes/_settings.py
+++ b/src/figpick/nodes/_settings.py
@@ -5,6 +5,8 @@
 from ..base._memory import DEFAULT_MEMORY_BYTES
 from ..wire import DEFAULT_HEADERS, HeaderNames
 
+DEFAULT_DESCRIPTORS = 4096
+
 
 class NodeSettings(NamedTuple):
     """Settings that a node receives when it starts.
@@ -21,6 +23,7 @@
     :param retry_window_s: seconds over which the ratio is measured.
     :param grace_s: seconds from the termination signal until the process is killed.
     :param memory_bytes: memory of the host.
+    :param max_descriptors: descriptors that the process may have.
     :param headers: names of the headers of calls.
     """
 
@@ -36,4 +39,5 @@
     retry_window_s: float = 10.0
     grace_s: float = 6.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_descriptors: int = DEFAULT_DESCRIPTORS
     headers: HeaderNames = DEFAULT_HEADERS
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -21,12 +21,7 @@
     start_fleet,
 )
 
-pytestmark = [
-    pytest.mark.processes,
-    pytest.mark.memory,
-    # KNOWN-RED.txt names the tests that fail.
-    pytest.mark.xfail(reason="issue 51"),
-]
+pytestmark = [pytest.mark.processes, pytest.mark.memory]
 
 MEMORY_MB = 112
 LIMITS = {
