Hold responses back while the link to their caller is congested

Cause: a link closed itself as soon as 2 MiB waited to be written, although its peer read all the time. 142 upstream connections bring up to 256 KiB each in one turn of the event loop.

A response that is whole when its upstream closes the connection is still delivered. A request whose handling fails gets one response and is ended; it got two before.

--- a/src/figpick/nodes/_forwarding.py
+++ b/src/figpick/nodes/_forwarding.py
@@ -149,13 +149,23 @@
             loop = asyncio.get_running_loop()
             loop.call_later(settling_s, self._accept_settled, call, is_deadline_valid)
         else:
-            self._accept(call, is_deadline_valid, now)
+            self._accept_safely(call, is_deadline_valid, now)
         return call
 
     def _accept_settled(self, call, is_deadline_valid):
         self._open_calls.pop(call, None)
         if not call.is_done:
-            self._accept(call, is_deadline_valid, self.now())
+            self._accept_safely(call, is_deadline_valid, self.now())
+
+    def _accept_safely(self, call, is_deadline_valid, now):
+        """Ends a call that cannot be handled, so that it gets no second response."""
+        try:
+            self._accept(call, is_deadline_valid, now)
+        except Exception:
+            log.exception("A request cannot be handled.")
+            if not call.is_done:
+                call.send_error(STATUS_FAILED, "the node cannot handle the request")
+                self._finish_call(call)
 
     def _accept(self, call, is_deadline_valid, now):
         """Refuses a call or places it at a host."""
--- a/src/figpick/nodes/_responses.py
+++ b/src/figpick/nodes/_responses.py
@@ -54,20 +54,23 @@
         if not execution.has_read_notice:
             execution.has_read_notice = True
             self._read_notice(execution, reader)
-        if execution.is_streaming:
-            self._stream_part(execution, reader)
-        elif execution.link.is_congested and reader.body_bytes > MAX_PROMPT_BYTES:
+        is_large = execution.is_streaming or reader.body_bytes > MAX_PROMPT_BYTES
+        if is_large and execution.link.is_congested:
             # The slot stays taken, so that no further responses pile up.
             self._pause(execution)
-        elif reader.is_complete:
-            self._forward_response(execution, reader)
-        elif reader.body_bytes > MAX_BUFFERED_RESPONSE_BYTES:
-            self._start_streaming(execution, reader)
+        else:
+            self._forward(execution, reader)
 
     def on_connection_lost(self, execution, reason):
         """Ends a call whose connection to the upstream was lost."""
         if execution.is_done:
             return
+        reader = execution.connection.reader
+        if execution.is_paused and reader.is_complete:
+            # It was only held back, since the link was congested.
+            execution.is_paused = False
+            self._forward(execution, reader)
+            return
         now = self._clock.monotonic()
         self._broken_calls.append((now, fingerprint(execution.call)))
         log_connection_lost(execution, reason, now)
@@ -76,6 +79,14 @@
         else:
             self._fail(execution, REASON_BROKEN_RESPONSE)
 
+    def _forward(self, execution, reader):
+        if execution.is_streaming:
+            self._stream_part(execution, reader)
+        elif reader.is_complete:
+            self._forward_response(execution, reader)
+        elif reader.body_bytes > MAX_BUFFERED_RESPONSE_BYTES:
+            self._start_streaming(execution, reader)
+
     def _forward_response(self, execution, reader):
         now = self._clock.monotonic()
         is_unrun = reader.header(self._names.not_run) is not None
@@ -266,7 +277,7 @@
         execution.is_paused = False
         connection = execution.connection
         connection.resume()
-        if not execution.is_streaming:
+        if connection.reader.chunks or connection.reader.is_complete:
             self.on_response(execution, connection.reader)
 
     def _fail(self, execution, reason):
--- a/tests/test_owner_links.py
+++ b/tests/test_owner_links.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from figpick.nodes import _owner_links
-from figpick.nodes._messages import FAILED, NOT_RUN
+from figpick.nodes._messages import FAILED, NOT_RUN, RESPONSE
 from figpick.nodes._owner import Owner
 
 PEER = ("node-0", 7)
@@ -28,3 +28,21 @@
         (FAILED, 2),
         (NOT_RUN, number + 1),
     ]
+
+
+def test_results_for_closed_links_are_bounded_in_bytes():
+    """Guards against responses that pile up while the links to callers are closed."""
+    owner = make_owner()
+    link = SimpleNamespace(is_open=False)
+    call = SimpleNamespace(is_idempotent=True)
+    body = bytes(64 * 1024)
+    for number in range(1, 200):
+        execution = SimpleNamespace(
+            peer=PEER, number=number, link=link, call=call, is_streaming=False
+        )
+        message = (RESPONSE, number, 200, b"", len(body), body, True)
+        owner._keep_result(execution, message)
+    kept = [message for message in owner._finished.values() if message is not None]
+    assert sum(len(message[5]) for message in kept) <= _owner_links.MAX_KEPT_BYTES
+    # The latest results are still there.
+    assert owner._finished[PEER, 199] is not None
