Take no status below 100 and no interim response with a body

Seen by callers: an upstream that sent 000, 001 or 099 with a body before a sound 200, or 199 with a body, made the client get a 200 with the stamp of the upstream and the body of both. Alone, the status kept the client waiting until its deadline. The product's own interface passed 000 on.

Cause: the reader of responses took every status below 200 for an interim response and kept the body of what it took for one.

Such bytes are no response (RFC 9110, sections 15 and 15.2). The connection closes at once and is not used again; the call goes to another host if it may run again, and fails with 502 otherwise. 600 to 999 are passed on unchanged and count as failures.

--- a/src/figpick/calls/_attempts.py
+++ b/src/figpick/calls/_attempts.py
@@ -12,6 +12,8 @@
 from . import _context
 from ._headers import closes_connection, content_length
 
+MIN_STATUS = 100
+
 
 class AttemptResult(NamedTuple):
     """The result of an attempt.
@@ -128,6 +130,10 @@
                 self._progress, self._progress.awaits_upstream
             )
             return
+        if start_line.code < MIN_STATUS:
+            # RFC 9110, section 15: it is not a status, so this is not a response.
+            self.abort()
+            return
         self._silence_detector.record_response_head(self._upstream, self._progress)
         self._progress.awaits_upstream = True
         try:
--- a/src/figpick/wire/_responses.py
+++ b/src/figpick/wire/_responses.py
@@ -11,6 +11,10 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Memory of a header beside its text: a short line needs many times its size.
 HEADER_OVERHEAD_BYTES = 128
+# RFC 9110, section 15: statuses begin at 100, those of final responses at 200. Statuses
+# from 600 on are passed on unchanged and handled as failures.
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
 # Limits the bytes in which no head, body or response of another request makes progress:
 # interim responses, a head, chunk header or trailer that is not complete.
 MAX_STALLED_BYTES = 64 * 1024
@@ -40,6 +44,8 @@
         self._stalled_bytes = 0
         self._skipped_bytes = 0
         self._has_progressed = False
+        # Why the received bytes are no response, ``None`` while they may be one.
+        self._fault = None
         self._reset()
 
     def _reset(self):
@@ -102,6 +108,8 @@
             # closes the connection.
             if not (self.is_complete and not self._is_skipping):
                 raise BrokenResponseError(f"not an HTTP response: {error}") from error
+        if self._fault is not None:
+            raise BrokenResponseError(self._fault)
         self._check_limits(len(data))
         return b""
 
@@ -144,7 +152,9 @@
         if self.is_complete:
             return
         self.status = self._parser.get_status_code()
-        if self.status < 200:
+        if self.status < MIN_STATUS:
+            self._fault = f"the status {self.status:03d} is not one of HTTP"
+        if self.status < MIN_FINAL_STATUS:
             return
         echoed = self.header(self._names.request_id)
         self._is_skipping = (
@@ -171,6 +181,9 @@
         self._has_progressed = True
         if self._is_skipping:
             return
+        if self.status < MIN_FINAL_STATUS:
+            self._fault = "an interim response has a body"
+            return
         if self.is_complete:
             # A body behind a response that has none.
             self.keeps_alive = False
@@ -183,5 +196,5 @@
             self._is_skipping = False
             self.headers = []
             return
-        if self.status >= 200:
+        if self.status >= MIN_FINAL_STATUS:
             self.is_complete = True
