Charge bytes that wait for their turn, and bound frames between nodes

Found while reading the changes: a connection that waits for its turn, or whose requests are blocked, held up to 256 KiB of a read that was not charged. A frame of 8 MiB from a node may be a list of as many objects, about 500 MB; nodes send each other at most calls and parts of bodies, so frames above 1 MiB close the link. Lines on links that are closed before their first message are bounded in number.

--- a/src/figpick/links/_frames.py
+++ b/src/figpick/links/_frames.py
@@ -44,9 +44,13 @@
 
 
 class FrameReader:
-    """Decodes messages from a stream of bytes."""
+    """Decodes messages from a stream of bytes.
 
-    def __init__(self):
+    :param max_bytes: size of the longest frame that is taken.
+    """
+
+    def __init__(self, max_bytes=MAX_FRAME_BYTES):
+        self._max_bytes = max_bytes
         self._buffer = bytearray()
 
     @property
@@ -72,9 +76,9 @@
         with memoryview(self._buffer) as view:
             while end - start >= LENGTH_BYTES:
                 size = int.from_bytes(view[start : start + LENGTH_BYTES], "big")
-                if size > MAX_FRAME_BYTES:
+                if size > self._max_bytes:
                     raise FrameError(
-                        f"frame of {size} bytes exceeds the limit of {MAX_FRAME_BYTES}"
+                        f"frame of {size} bytes exceeds the limit of {self._max_bytes}"
                     )
                 frame_end = start + LENGTH_BYTES + size
                 if frame_end > end:
--- a/src/figpick/links/_link.py
+++ b/src/figpick/links/_link.py
@@ -6,9 +6,9 @@
 import termios
 from collections import deque
 
-from ..base._logs import logger
+from ..base._logs import CALL_LOG_LIMITER, logger
 from ..base._memory import Holder
-from ._frames import FrameError, FrameReader, encode_frame
+from ._frames import MAX_FRAME_BYTES, FrameError, FrameReader, encode_frame
 
 # A host without power does not answer, and a lost opening packet is sent again only
 # after a second, so the first attempts are short. Later ones allow for a slow link.
@@ -56,15 +56,23 @@
     :param clock: :class:`~figpick.base._clock.Clock`.
     :param account: :class:`~figpick.base._memory.MemoryAccount` for frames that are not
         complete, ``None`` if the other end is trusted.
+    :param max_frame_bytes: size of the longest frame that is taken.
     """
 
-    def __init__(self, on_message, on_closed, clock, account=None):
+    def __init__(
+        self,
+        on_message,
+        on_closed,
+        clock,
+        account=None,
+        max_frame_bytes=MAX_FRAME_BYTES,
+    ):
         self._on_message = on_message
         self._on_closed = on_closed
         self._clock = clock
         self._account = account
         self._transport = None
-        self._reader = FrameReader()
+        self._reader = FrameReader(max_frame_bytes)
         self._frame_started_at = None
         self._is_open = False
         self._has_ended = False
@@ -120,20 +128,20 @@
         try:
             messages = self._reader.feed(data)
         except FrameError as error:
-            log.warning("Link to {} closed: {}.", self.peer, error)
+            self._log_closed(str(error))
             self.close()
             return
         if self._is_frame_overdue(bool(messages)):
-            log.warning("Link to {} closed: a frame is not complete.", self.peer)
+            self._log_closed("a frame is not complete")
             self.close()
             return
         if self._account is not None and not self._charge_frame():
-            log.warning("Link to {} closed: no memory for its frame.", self.peer)
+            self._log_closed("no memory for its frame")
             self.close()
             return
         for message in messages:
             if not message:
-                log.warning("Link to {} closed: a message is empty.", self.peer)
+                self._log_closed("a message is empty")
                 self.close()
                 return
             kind = message[0]
@@ -153,9 +161,15 @@
         return self._account.hold(self, size, 0, self.last_received_at)
 
     def reclaim(self, now):
-        log.warning("Link to {} closed: others need its memory.", self.peer)
+        self._log_closed("others need its memory")
         self.close()
 
+    def _log_closed(self, reason):
+        # Strangers can connect as often as they like.
+        is_named = self.peer is not None
+        if is_named or CALL_LOG_LIMITER.allow("Link closed.", self.last_received_at):
+            log.warning("Link to {} closed: {}.", self.peer, reason)
+
     def _free(self):
         """Frees what is held for a link that is closed."""
         self._has_ended = True
--- a/src/figpick/nodes/_client_connections.py
+++ b/src/figpick/nodes/_client_connections.py
@@ -161,7 +161,7 @@
             must_pause = self.discarded_bytes > MAX_DISCARDED_BYTES
         else:
             must_pause = self._intake.has_unparsed or self.is_blocked
-        if must_pause == self._is_reading_paused:
+        if must_pause == self._is_reading_paused or self._transport.is_closing():
             return
         self._is_reading_paused = must_pause
         if must_pause:
--- a/src/figpick/nodes/_process.py
+++ b/src/figpick/nodes/_process.py
@@ -42,6 +42,9 @@
 from ._upstream_reports import UpstreamReports
 
 REFRESH_PERIOD_S = 1.0
+# Other nodes send calls, parts of bodies and, in their greeting, what they know of each
+# upstream. An object for each byte of a longer frame would not fit into the memory.
+MAX_CALL_FRAME_BYTES = 1024 * 1024
 
 log = logger("node")
 
@@ -316,8 +319,13 @@
         self._peers.receive_local(link, message)
 
     def _make_accepted_link(self):
-        on_closed = self._on_accepted_link_closed
-        return Link(self._receive_call, on_closed, self._clock, self._account)
+        return Link(
+            self._receive_call,
+            self._on_accepted_link_closed,
+            self._clock,
+            self._account,
+            MAX_CALL_FRAME_BYTES,
+        )
 
     def _on_accepted_link_closed(self, link):
         if self._caller_links.get(link.peer) is link:
--- a/src/figpick/nodes/_request_intake.py
+++ b/src/figpick/nodes/_request_intake.py
@@ -32,6 +32,8 @@
             on_request, entry.max_header_bytes, entry.max_body_bytes
         )
         self._unparsed = b""
+        # Size of the object of which the unparsed bytes are the end.
+        self._unparsed_bytes = 0
         # The partial request whose size the account has room for.
         self._admitted = None
         # Set by ParsingTurns.
@@ -62,11 +64,14 @@
             self._feed(data, now)
             return
         self._unparsed = bytes(self._unparsed) + data if self._unparsed else data
+        self._unparsed_bytes = len(self._unparsed)
         if not is_contended:
             for _ in range(INLINE_SLICES):
                 if not self.parse_slice(now):
-                    return
-        self.resume()
+                    break
+        if self._unparsed:
+            self._hold(now)
+            self.resume()
 
     def resume(self):
         """Waits for a turn if received bytes have not been parsed."""
@@ -81,12 +86,15 @@
         """
         connection = self._connection
         if connection.is_closing:
-            self._unparsed = b""
+            self._drop_unparsed()
         if not self._unparsed or connection.is_blocked:
             return False
         size = max(SLICE_BYTES, self._reader.unread_body_bytes)
         data = memoryview(self._unparsed)
-        self._unparsed = data[size:] if len(data) > size else b""
+        if len(data) > size:
+            self._unparsed = data[size:]
+        else:
+            self._drop_unparsed()
         self._feed(data[:size], now)
         if not self._unparsed:
             connection.update_reading()
@@ -103,7 +111,7 @@
 
     def discard(self):
         """Drops what has been received, since the connection ends."""
-        self._unparsed = b""
+        self._drop_unparsed()
         self._account.forget(self)
 
     def reject(self, status, reason=None):
@@ -112,6 +120,7 @@
         :param status: HTTP status of the response.
         :param reason: text for the client.
         """
+        self._drop_unparsed()
         self._reader.reject(status, reason)
         self._account.hold(self, 0, 0, 0.0)
 
@@ -127,25 +136,36 @@
         if self.held_bytes:
             self._account.hold(self, 0, 0, 0.0)
 
+    def _drop_unparsed(self):
+        self._unparsed = b""
+        self._unparsed_bytes = 0
+
     def _feed(self, data, now):
-        reader = self._reader
-        reader.feed(data, now)
+        self._reader.feed(data, now)
+        if self._reader.has_partial_request or self._unparsed:
+            self._hold(now)
+        elif self.held_bytes:
+            self.release()
+
+    def _hold(self, now):
+        """Charges what is held, and rejects the request if there is no room for it."""
+        account, reader = self._account, self._reader
         request = reader.partial_request
+        size = reader.partial_bytes + self._unparsed_bytes
         if request is None:
-            if self.held_bytes:
-                self.release()
+            if not account.hold(self, size, 0, now):
+                self.reject(STATUS_UNAVAILABLE, REASON_NO_MEMORY)
             return
         total_bytes = max(request.announced_bytes, request.body_bytes)
-        if total_bytes > self._account.large_limit_bytes:
+        if total_bytes > account.large_limit_bytes:
             # It cannot be served at any time, so a retry would not help.
             self.reject(STATUS_TOO_LARGE)
             return
-        size = reader.partial_bytes
         is_large = total_bytes > LARGE_BODY_BYTES
-        has_room = self._account.hold(self, size, size if is_large else 0, now)
+        has_room = account.hold(self, size, size if is_large else 0, now)
         if has_room and is_large and request is not self._admitted:
             self._admitted = request
             missing_bytes = total_bytes - request.body_bytes
-            has_room = self._account.has_room_for_body(missing_bytes, now)
+            has_room = account.has_room_for_body(missing_bytes, now)
         if not has_room:
             self.reject(STATUS_UNAVAILABLE, REASON_NO_MEMORY)
--- a/tests/test_charged_requests.py
+++ b/tests/test_charged_requests.py
@@ -179,3 +179,19 @@
             assert (await receive_until(used, b"ok")).startswith(b"HTTP/1.1 200")
             assert len(silent) == 40
             assert entry.forwarder.count("evicted") >= 20
+
+
+@async_test
+async def test_bytes_that_are_read_and_not_parsed_are_charged():
+    """Guards against a read that is held while its connection waits."""
+    async with serve() as (entry, connect):
+        entry.account = MemoryAccount(2 * MIB)
+        clients = [await connect() for _ in range(20)]
+        for client in clients:
+            await send(client, request(b"r") * 4000)
+        await wait_until(lambda: len(entry.forwarder.calls) >= 20)
+        await asyncio.sleep(0.2)
+        held = [connection._intake for connection in entry.connections]
+        held_bytes = sum(intake._unparsed_bytes for intake in held)
+        assert held_bytes < 2 * MIB
+        assert entry.account.held_bytes >= held_bytes
