--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -17,6 +17,7 @@
 from bench.soak_checks import SoakChecker
 from bench.soak_clients import STYLES, KeptClient
 from bench.soak_cluster import GRACE_S, Cluster
+from bench.soak_crowds import Crowd
 from bench.soak_departures import draw_departure
 from bench.soak_documents import (
     LOWERED_TIMEOUT_S,
@@ -106,6 +107,10 @@
         )
         self._upstreams = []
         self._memory_kb = {}
+        self._crowds = [
+            Crowd(seed, number, self._cluster.address(number, "outbound"), SERVICES[0])
+            for number in self._cluster.node_numbers
+        ]
 
     @property
     def _controls(self):
@@ -163,6 +168,7 @@
         figures["max_memory_mb"] = max(self._memory_kb.values(), default=0) // 1000
         figures |= self.responses.notices.summary()
         figures |= self.responses.departures.summary()
+        figures["crowd"] = sum(crowd.opened for crowd in self._crowds)
         figures["replaced"] = self._replacements.count
         return self.responses.summary() | self.changes.summary() | figures
 
@@ -232,6 +238,7 @@
                 self._probes.probe_changes(),
                 self._lower_timeouts(lowered_times, started_at),
                 *(client.run(clients_until) for client in self._make_clients()),
+                *(crowd.run(clients_until) for crowd in self._crowds),
             )
         ]
         has_ended = threading.Event()
