Close a new connection at once while all others are in use

Found while reading the changes: with every connection in use each new one made the node look at all of them, about a millisecond each. It does so every 0.1 s at most. A test guards requests against being cut off for new connections.

--- a/src/figpick/nodes/_entry.py
+++ b/src/figpick/nodes/_entry.py
@@ -22,6 +22,8 @@
 BACKLOG_SHARE = 0.25
 # Share of the connections that are closed at once when there are too many.
 EVICTED_SHARE = 1 / 16
+# Looking at each connection takes longer than to close the new one.
+EVICTION_PAUSE_S = 0.1
 # Lines on requests that the end of a stop cuts; the last line has their number.
 MAX_CUT_LINES = 50
 
@@ -52,6 +54,8 @@
         self.connections = set()
         # Connections that were closed for new ones, until their end.
         self._evicted = set()
+        # Monotonic seconds until which no connection is expected to be evictable.
+        self._all_used_until = 0.0
         # A dict keeps the order in which they closed.
         self._lingering = {}
         self.is_stopping = False
@@ -79,14 +83,7 @@
     def _evict(self, newest):
         """Closes connections without an open request, the unused ones first."""
         now = self.now()
-        candidates = [
-            each
-            for each in self.connections
-            if each is not newest and each.is_evictable(now)
-        ]
-        candidates.sort(key=lambda each: (each.has_sent_requests, each.idle_since))
-        evicted = candidates[: max(1, int(self._max_connections * EVICTED_SHARE))]
-        evicted = evicted or [newest]
+        evicted = self._choose_evicted(newest, now) or [newest]
         for connection in evicted:
             self._evicted.add(connection)
             connection.evict(now)
@@ -96,6 +93,20 @@
             fields = {"open": len(self.connections), "closed": len(evicted)}
             log.warning(message, extra=fields)
 
+    def _choose_evicted(self, newest, now):
+        """Returns the connections to close, an empty list if all are in use."""
+        if now < self._all_used_until:
+            return []
+        candidates = [
+            each
+            for each in self.connections
+            if each is not newest and each.is_evictable(now)
+        ]
+        if not candidates:
+            self._all_used_until = now + EVICTION_PAUSE_S
+        candidates.sort(key=lambda each: (each.has_sent_requests, each.idle_since))
+        return candidates[: max(1, int(self._max_connections * EVICTED_SHARE))]
+
     def add_lingering(self, connection):
         """Bounds the number of closed connections that wait for their clients."""
         self._lingering[connection] = None
--- a/tests/test_charged_requests.py
+++ b/tests/test_charged_requests.py
@@ -195,3 +195,20 @@
         held_bytes = sum(intake._unparsed_bytes for intake in held)
         assert held_bytes < 2 * MIB
         assert entry.account.held_bytes >= held_bytes
+
+
+@async_test
+async def test_connection_beyond_used_ones_is_closed():
+    """Guards against requests that are cut off for new connections."""
+    async with serve() as (entry, connect):
+        entry._max_connections = 5
+        used = [await connect() for _ in range(5)]
+        for client in used:
+            await send(client, request(b"r1"))
+        await entry.forwarder.receive(5)
+        for _ in range(10):
+            assert await receive_all(await connect()) == b""
+        for call in entry.forwarder.calls:
+            respond(call, b"ok")
+        for client in used:
+            assert (await receive_until(client, b"ok")).startswith(b"HTTP/1.1 200")
