--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -1,7 +1,5 @@
 """The account of the memory that a process holds for others."""
 
-from types import SimpleNamespace
-
 from figpick.base._memory import (
     DEFAULT_MEMORY_BYTES,
     MIB,
@@ -90,6 +88,7 @@
 
 
 def test_all_is_freed_in_the_end():
+    """Guards against an account that fills up with what was freed."""
     account = MemoryAccount(1000 * KIB)
     uploads = [Upload(account) for _ in range(5)]
     for size in (10, 200, 100):
@@ -98,4 +97,4 @@
     for upload in uploads:
         account.forget(upload)
     assert account.held_bytes == 0
-    assert SimpleNamespace(**vars(account))._large_bytes == 0
+    assert account._large_bytes == 0
